--- /dev/null
+++ b/src/context/run_outcome.rs
@@ -0,0 +1,32 @@
+use {
+    serde::{Deserialize, Serialize},
+    strum::{Display, EnumString, IntoStaticStr},
+};
+
+/// Header of every answer that says whether a target ran the call.
+pub const OUTCOME_HEADER: &str = "banyantrestle-outcome";
+
+/// Whether a target ran a call.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumString,
+    IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum RunOutcome {
+    /// Proof that no target started the call.
+    NotRun,
+    /// A target may have started the call.
+    Unknown,
+    /// A target answered the call.
+    Run,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,25 @@
+//! Overload control for service call graphs.
+//!
+//! One daemon runs beside each target. Callers enter at the edge of any daemon, calls between
+//! services leave through the daemon of the calling service, and every call is admitted by the
+//! daemon of the target that runs it. All daemons apply one policy document: which request
+//! classes exist, how much each matters, and which are not idempotent.
+//!
+//! Everything that decides is plain code over tables: it takes the time and the randomness as
+//! arguments and opens no socket. Actors and listeners feed it events and carry out its verdicts.
+//!
+//! ```
+//! use banyantrestle::context::{CallPriority, RequestId};
+//!
+//! let request = RequestId::from_u128(7);
+//! let browse = CallPriority::new(1, request);
+//! let purchase = CallPriority::new(9, request);
+//! assert!(purchase > browse);
+//! ```
+
+pub mod context;
+pub mod error;
+pub mod membership;
+pub mod platform;
+pub mod policy;
+pub mod time;
--- /dev/null
+++ b/src/time/mod.rs
@@ -0,0 +1,11 @@
+//! Points in time and the timer service that parts subscribe to.
+//!
+//! Decisions never read a clock: they are handed a [`TimePoint`].
+
+mod process_clock;
+mod time_point;
+mod timer_service;
+
+pub use process_clock::ProcessClock;
+pub use time_point::TimePoint;
+pub use timer_service::{TimerService, TimerTick};
