--- /dev/null
+++ b/src/auth/shared_key.rs
@@ -0,0 +1,48 @@
+use {
+    blake3::Hasher,
+    std::fmt,
+    subtle::{Choice, ConstantTimeEq},
+};
+
+/// Bytes of an authentication tag.
+pub const TAG_LENGTH: usize = 16;
+
+const KEY_CONTEXT: &str = "banyantrestle 2026 shared key of a deployment";
+
+/// Key that the daemons of one deployment share; it tags what they send each other.
+#[derive(Clone)]
+pub struct SharedKey([u8; 32]);
+
+impl SharedKey {
+    /// Derives the key from the secret of the settings.
+    #[must_use]
+    pub fn derive(secret: &str) -> Self {
+        Self(blake3::derive_key(KEY_CONTEXT, secret.as_bytes()))
+    }
+
+    /// Tag of a message; `purpose` keeps the tags of different channels apart.
+    #[must_use]
+    pub fn tag(&self, purpose: &str, message: &[u8]) -> [u8; TAG_LENGTH] {
+        let mut hasher = Hasher::new_keyed(&self.0);
+        hasher.update(&purpose.len().to_le_bytes());
+        hasher.update(purpose.as_bytes());
+        hasher.update(message);
+        let mut tag = [0; TAG_LENGTH];
+        hasher.finalize_xof().fill(&mut tag);
+        tag
+    }
+
+    /// Compares in constant time.
+    #[must_use]
+    pub fn is_valid_tag(&self, purpose: &str, message: &[u8], tag: &[u8]) -> bool {
+        let expected = self.tag(purpose, message);
+        let is_equal: Choice = expected.as_slice().ct_eq(tag);
+        is_equal.into()
+    }
+}
+
+impl fmt::Debug for SharedKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("SharedKey")
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,9 +17,11 @@
 //! assert!(purchase > browse);
 //! ```
 
+pub mod auth;
 pub mod context;
 pub mod error;
 pub mod membership;
 pub mod platform;
 pub mod policy;
+pub mod settings;
 pub mod time;
--- a/src/membership/member_record.rs
+++ b/src/membership/member_record.rs
@@ -37,6 +37,7 @@
     /// Grows with each change that the member itself makes.
     pub incarnation: u64,
     pub state: MemberState,
+    pub region: Arc<str>,
     pub data_centre: Arc<str>,
     pub mesh: SocketAddr,
     pub admin: SocketAddr,
