Retry budgets held at the root, and choice of a target

Pure tables: the root counts retries of a user request exactly, whoever repeats a call; the router takes two random candidates near by and ejects failing targets within a cap.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,5 +23,7 @@
 pub mod membership;
 pub mod platform;
 pub mod policy;
+pub mod retry;
+pub mod routing;
 pub mod settings;
 pub mod time;
--- /dev/null
+++ b/src/retry/permit_verdict.rs
@@ -0,0 +1,15 @@
+use {
+    serde::{Deserialize, Serialize},
+    strum::{Display, IntoStaticStr},
+};
+
+/// Answer to a daemon that wants to repeat a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum PermitVerdict {
+    Granted,
+    /// The budget of the request is used up.
+    Exhausted,
+    /// The request has ended or was never minted here.
+    UnknownRequest,
+}
--- /dev/null
+++ b/src/retry/root_table.rs
@@ -0,0 +1,55 @@
+use {
+    super::{PermitVerdict, RetryBudget},
+    crate::{context::RequestId, time::TimePoint},
+    std::collections::HashMap,
+};
+
+/// Requests that one root holds at most.
+pub const MAX_ROOT_REQUESTS: usize = 65_536;
+
+/// Budgets of the user requests that entered at this daemon.
+#[derive(Debug, Default)]
+pub struct RootTable {
+    budgets: HashMap<RequestId, RetryBudget>,
+}
+
+impl RootTable {
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Opens the budget of a request; false if the table is full, and no retry will be granted.
+    pub fn open(&mut self, request: RequestId, budget: RetryBudget) -> bool {
+        if self.budgets.len() >= MAX_ROOT_REQUESTS {
+            return false;
+        }
+        self.budgets.entry(request).or_insert(budget);
+        true
+    }
+
+    /// Takes one retry from the budget of a request.
+    pub fn take(&mut self, now: TimePoint, request: RequestId) -> PermitVerdict {
+        self.budgets
+            .get_mut(&request)
+            .map_or(PermitVerdict::UnknownRequest, |budget| budget.take(now))
+    }
+
+    /// Closes the budget of a request that has its final answer; returns the retries it used.
+    pub fn close(&mut self, request: RequestId) -> u32 {
+        self.budgets
+            .remove(&request)
+            .map_or(0, |budget| budget.used())
+    }
+
+    /// Requests with an open budget.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.budgets.len()
+    }
+
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.budgets.is_empty()
+    }
+}
--- /dev/null
+++ b/src/routing/load_note.rs
@@ -0,0 +1,45 @@
+use crate::context::CallPriority;
+
+const FIELD_SEPARATOR: char = ';';
+const FULL_PERCENT: u8 = 200;
+
+/// Load that travels back on an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadNote {
+    /// Lowest priority that the answering guard admits.
+    pub threshold: CallPriority,
+    /// Highest threshold met below the call, that of the guard included.
+    pub chain_threshold: CallPriority,
+    /// Work in flight and queued at the guard, in % of its limit.
+    pub utilization_percent: u8,
+}
+
+impl LoadNote {
+    /// The header value.
+    #[must_use]
+    pub fn encode(&self) -> String {
+        format!(
+            "{};{};{}",
+            self.threshold.as_u32(),
+            self.chain_threshold.as_u32(),
+            self.utilization_percent
+        )
+    }
+
+    /// Reads a header value; `None` if a field is out of its bounds.
+    #[must_use]
+    pub fn decode(text: &str) -> Option<Self> {
+        let mut fields = text.split(FIELD_SEPARATOR);
+        let threshold = CallPriority::from_u32(fields.next()?.parse().ok()?);
+        let chain_threshold = CallPriority::from_u32(fields.next()?.parse().ok()?);
+        let utilization_percent: u8 = fields.next()?.parse().ok()?;
+        if fields.next().is_some() || utilization_percent > FULL_PERCENT {
+            return None;
+        }
+        Some(Self {
+            threshold,
+            chain_threshold,
+            utilization_percent,
+        })
+    }
+}
--- /dev/null
+++ b/src/routing/pick_verdict.rs
@@ -0,0 +1,13 @@
+use {super::TargetKey, std::time::Duration};
+
+/// Where a call goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PickVerdict {
+    Target(TargetKey),
+    /// Every target admits only higher priorities.
+    Shed {
+        retry_after: Duration,
+    },
+    /// No target of the service is known and able.
+    NoTarget,
+}
--- /dev/null
+++ b/src/routing/target_entry.rs
@@ -0,0 +1,164 @@
+use {
+    super::{CallEnd, LoadNote},
+    crate::{context::CallPriority, membership::MemberId, time::TimePoint},
+    slotmap::new_key_type,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+new_key_type! {
+    /// Key of a target in the router's table.
+    pub struct TargetKey;
+}
+
+/// Failures in a row that eject a target.
+const EJECTION_FAILURES: u32 = 3;
+const EJECTION_BASE: Duration = Duration::from_secs(1);
+const EJECTION_MAX: Duration = Duration::from_secs(30);
+/// Age at which a reported load no longer counts.
+const LOAD_EXPIRY: Duration = Duration::from_millis(500);
+/// Time over which a new target's share grows to its full one.
+const RAMP_SPAN: Duration = Duration::from_secs(5);
+const RAMP_FLOOR: f64 = 0.1;
+
+/// What the router knows of one target.
+#[derive(Clone, Debug)]
+pub struct TargetEntry {
+    pub(super) member: MemberId,
+    pub(super) mesh: SocketAddr,
+    pub(super) region: Arc<str>,
+    pub(super) data_centre: Arc<str>,
+    pub(super) slots: u32,
+    pub(super) known_since: TimePoint,
+    in_flight: u32,
+    load: LoadNote,
+    load_at: TimePoint,
+    failures: u32,
+    ejections: u32,
+    ejected_until: TimePoint,
+}
+
+impl TargetEntry {
+    pub(super) fn new(
+        member: MemberId,
+        mesh: SocketAddr,
+        region: Arc<str>,
+        data_centre: Arc<str>,
+        slots: u32,
+        known_since: TimePoint,
+    ) -> Self {
+        Self {
+            member,
+            mesh,
+            region,
+            data_centre,
+            slots,
+            known_since,
+            in_flight: 0,
+            load: LoadNote::default(),
+            load_at: TimePoint::ORIGIN,
+            failures: 0,
+            ejections: 0,
+            ejected_until: TimePoint::ORIGIN,
+        }
+    }
+
+    /// Daemon beside the target.
+    #[must_use]
+    pub fn member(&self) -> MemberId {
+        self.member
+    }
+
+    /// Mesh address of the daemon beside the target.
+    #[must_use]
+    pub fn mesh(&self) -> SocketAddr {
+        self.mesh
+    }
+
+    /// Calls of this router that the target has not answered yet.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    pub(super) fn start(&mut self) {
+        self.in_flight += 1;
+    }
+
+    pub(super) fn end(&mut self, now: TimePoint, end: CallEnd) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        match end {
+            CallEnd::Answered(load) => self.note_answer(now, load),
+            CallEnd::Unreachable => self.eject(now),
+            CallEnd::Broken => self.note_failure(now),
+            CallEnd::Abandoned => {}
+        }
+    }
+
+    fn note_answer(&mut self, now: TimePoint, load: Option<LoadNote>) {
+        self.failures = 0;
+        self.ejections = 0;
+        if let Some(load) = load {
+            self.load = load;
+            self.load_at = now;
+        }
+    }
+
+    fn note_failure(&mut self, now: TimePoint) {
+        self.failures += 1;
+        if self.failures >= EJECTION_FAILURES {
+            self.eject(now);
+        }
+    }
+
+    fn eject(&mut self, now: TimePoint) {
+        if self.is_ejected(now) {
+            return;
+        }
+        let factor = 1_u32 << self.ejections.min(8);
+        self.ejected_until = now + (EJECTION_BASE * factor).min(EJECTION_MAX);
+        self.ejections += 1;
+        self.failures = 0;
+    }
+
+    pub(super) fn is_ejected(&self, now: TimePoint) -> bool {
+        now < self.ejected_until
+    }
+
+    /// Lowest priority that the target is known to admit.
+    pub(super) fn threshold(&self, now: TimePoint) -> CallPriority {
+        if self.is_load_fresh(now) {
+            self.load.threshold
+        } else {
+            CallPriority::LOWEST
+        }
+    }
+
+    /// Own calls and reported work, against the slots and the ramp; lower is better.
+    pub(super) fn score(&self, now: TimePoint) -> f64 {
+        let slots = f64::from(self.slots.max(1));
+        let own = f64::from(self.in_flight) / slots;
+        (own + self.reported_share(now)) / self.ramp_share(now)
+    }
+
+    /// The target has work for all its slots.
+    pub(super) fn is_full(&self, now: TimePoint) -> bool {
+        self.reported_share(now) >= 1.0 || self.in_flight >= self.slots
+    }
+
+    fn reported_share(&self, now: TimePoint) -> f64 {
+        if self.is_load_fresh(now) {
+            f64::from(self.load.utilization_percent) / 100.0
+        } else {
+            0.0
+        }
+    }
+
+    fn ramp_share(&self, now: TimePoint) -> f64 {
+        let age = now.since(self.known_since);
+        (age.as_secs_f64() / RAMP_SPAN.as_secs_f64()).clamp(RAMP_FLOOR, 1.0)
+    }
+
+    fn is_load_fresh(&self, now: TimePoint) -> bool {
+        self.load_at > TimePoint::ORIGIN && now.since(self.load_at) < LOAD_EXPIRY
+    }
+}
--- /dev/null
+++ b/src/routing/target_table.rs
@@ -0,0 +1,203 @@
+use {
+    super::{CallEnd, PickVerdict, TargetEntry, TargetKey},
+    crate::{
+        context::{CallPriority, ServiceName},
+        membership::{MemberId, MemberRecord, MemberState, TargetState},
+        time::TimePoint,
+    },
+    rand::{Rng, RngExt},
+    slotmap::SlotMap,
+    std::{
+        collections::{HashMap, HashSet},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// Share of a service's targets that may be ejected at once, in %.
+const MAX_EJECTED_PERCENT: usize = 50;
+/// Earliest return of a call that every target sheds.
+const SHED_RETRY_MIN_MS: u64 = 250;
+const SHED_RETRY_MAX_MS: u64 = 1_000;
+
+/// Where the router itself stands.
+#[derive(Clone, Debug)]
+pub struct RouterPlace {
+    pub region: Arc<str>,
+    pub data_centre: Arc<str>,
+}
+
+/// Targets of all services as one router knows them.
+#[derive(Debug)]
+pub struct TargetTable {
+    place: RouterPlace,
+    targets: SlotMap<TargetKey, TargetEntry>,
+    by_service: HashMap<ServiceName, Vec<TargetKey>>,
+    by_member: HashMap<MemberId, TargetKey>,
+}
+
+impl TargetTable {
+    #[must_use]
+    pub fn new(place: RouterPlace) -> Self {
+        Self {
+            place,
+            targets: SlotMap::with_key(),
+            by_service: HashMap::new(),
+            by_member: HashMap::new(),
+        }
+    }
+
+    /// Takes in the members that are known now; what is gone or leaving gets nothing more.
+    pub fn update<'a, I>(&mut self, now: TimePoint, records: I)
+    where
+        I: IntoIterator<Item = &'a MemberRecord>,
+    {
+        let mut kept = HashSet::new();
+        self.by_service.clear();
+        for record in records {
+            if let Some(key) = self.take_in(now, record) {
+                kept.insert(key);
+            }
+        }
+        self.targets.retain(|key, _| kept.contains(&key));
+        self.by_member.retain(|_, key| kept.contains(key));
+    }
+
+    /// Chooses a target for a call, none of `tried`.
+    pub fn pick<R: Rng>(
+        &self,
+        now: TimePoint,
+        service: &ServiceName,
+        priority: CallPriority,
+        tried: &[TargetKey],
+        rng: &mut R,
+    ) -> PickVerdict {
+        let able = self.able_targets(now, service, tried);
+        if able.is_empty() {
+            return PickVerdict::NoTarget;
+        }
+        let admitting: Vec<TargetKey> = able
+            .into_iter()
+            .filter(|key| self.targets[*key].threshold(now) <= priority)
+            .collect();
+        if admitting.is_empty() {
+            return PickVerdict::Shed {
+                retry_after: shed_retry(rng),
+            };
+        }
+        let near = self.nearest_with_room(now, &admitting);
+        PickVerdict::Target(self.better_of_two(now, &near, rng))
+    }
+
+    /// Notes that a call went to a target.
+    pub fn start(&mut self, key: TargetKey) {
+        if let Some(entry) = self.targets.get_mut(key) {
+            entry.start();
+        }
+    }
+
+    /// Notes how a call to a target ended.
+    pub fn end(&mut self, now: TimePoint, key: TargetKey, end: CallEnd) {
+        if let Some(entry) = self.targets.get_mut(key) {
+            entry.end(now, end);
+        }
+    }
+
+    #[must_use]
+    pub fn get(&self, key: TargetKey) -> Option<&TargetEntry> {
+        self.targets.get(key)
+    }
+
+    /// A member announces a target of the service.
+    #[must_use]
+    pub fn is_known(&self, service: &ServiceName) -> bool {
+        self.by_service.contains_key(service)
+    }
+
+    fn take_in(&mut self, now: TimePoint, record: &MemberRecord) -> Option<TargetKey> {
+        let target = record.target.as_ref()?;
+        let is_present = matches!(record.state, MemberState::Alive | MemberState::Suspect);
+        if !is_present || target.state == TargetState::Draining {
+            return None;
+        }
+        let key = match self.by_member.get(&record.id) {
+            Some(key) => *key,
+            None => self.add(now, record, target.slots),
+        };
+        self.targets[key].slots = target.slots;
+        let keys = self.by_service.entry(target.service.clone()).or_default();
+        keys.push(key);
+        Some(key)
+    }
+
+    fn add(&mut self, now: TimePoint, record: &MemberRecord, slots: u32) -> TargetKey {
+        let entry = TargetEntry::new(
+            record.id,
+            record.mesh,
+            record.region.clone(),
+            record.data_centre.clone(),
+            slots,
+            now,
+        );
+        let key = self.targets.insert(entry);
+        self.by_member.insert(record.id, key);
+        key
+    }
+
+    /// Targets that are not ejected; all of them if too many are.
+    fn able_targets(
+        &self,
+        now: TimePoint,
+        service: &ServiceName,
+        tried: &[TargetKey],
+    ) -> Vec<TargetKey> {
+        let Some(keys) = self.by_service.get(service) else {
+            return Vec::new();
+        };
+        let ejected = keys
+            .iter()
+            .filter(|key| self.targets[**key].is_ejected(now))
+            .count();
+        let is_capped = ejected * 100 > keys.len() * MAX_EJECTED_PERCENT;
+        keys.iter()
+            .copied()
+            .filter(|key| !tried.contains(key))
+            .filter(|key| is_capped || !self.targets[*key].is_ejected(now))
+            .collect()
+    }
+
+    fn nearest_with_room(&self, now: TimePoint, keys: &[TargetKey]) -> Vec<TargetKey> {
+        let is_in_data_centre = |entry: &TargetEntry| entry.data_centre == self.place.data_centre;
+        let in_data_centre = self.with_room(now, keys, is_in_data_centre);
+        if !in_data_centre.is_empty() {
+            return in_data_centre;
+        }
+        let in_region = self.with_room(now, keys, |entry| entry.region == self.place.region);
+        if !in_region.is_empty() {
+            return in_region;
+        }
+        keys.to_vec()
+    }
+
+    fn with_room<F>(&self, now: TimePoint, keys: &[TargetKey], is_near: F) -> Vec<TargetKey>
+    where
+        F: Fn(&TargetEntry) -> bool,
+    {
+        let is_candidate = |key: &TargetKey| {
+            let entry = &self.targets[*key];
+            is_near(entry) && !entry.is_full(now)
+        };
+        keys.iter().copied().filter(is_candidate).collect()
+    }
+
+    fn better_of_two<R: Rng>(&self, now: TimePoint, keys: &[TargetKey], rng: &mut R) -> TargetKey {
+        let first = keys[rng.random_range(0..keys.len())];
+        let second = keys[rng.random_range(0..keys.len())];
+        let is_first_better = self.targets[first].score(now) <= self.targets[second].score(now);
+        if is_first_better { first } else { second }
+    }
+}
+
+fn shed_retry<R: Rng>(rng: &mut R) -> Duration {
+    Duration::from_millis(rng.random_range(SHED_RETRY_MIN_MS..=SHED_RETRY_MAX_MS))
+}
