Client of the table service and a stand-in for the platform

HttpTable speaks JSON over HTTP/1.1 behind TableStore; the real interface is not known, so all of it is in http_table, connection_pool and wire. A connection is pooled only after a whole answer, and a timeout closes what is idle, since other connections may have gone silent too. Only a failed connect, 429 and 503 count as refused; any other failure may have taken effect.

The stand-in serves tables and objects, with faults and caps switched by POST /control.

--- /dev/null
+++ b/standins/src/bin/standin-platform.rs
@@ -0,0 +1,41 @@
+//! Stand-in for the platform as a process; prints its address as one JSON line.
+
+use {
+    serde::Serialize,
+    standins::platform::{PlatformMode, PlatformStandin},
+    std::{
+        io::{Write, stdout},
+        net::SocketAddr,
+    },
+};
+
+xflags::xflags! {
+    /// Serves a table service and an object store until it is killed.
+    cmd standin-platform {
+        /// Address to listen on; port 0 takes a free one.
+        optional --listen listen: SocketAddr
+        /// Faults and caps at the start, as JSON.
+        optional --mode mode: String
+    }
+}
+
+#[derive(Serialize)]
+struct StartLine {
+    address: SocketAddr,
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let flags = StandinPlatform::from_env_or_exit();
+    let listen = flags.listen.unwrap_or(([127, 0, 0, 1], 0).into());
+    let mode = match &flags.mode {
+        Some(text) => serde_json::from_str(text)?,
+        None => PlatformMode::default(),
+    };
+    let standin = PlatformStandin::start(listen, mode).await?;
+    let line = StartLine {
+        address: standin.address(),
+    };
+    writeln!(stdout(), "{}", serde_json::to_string(&line)?)?;
+    std::future::pending().await
+}
--- /dev/null
+++ b/standins/src/platform/memory_table.rs
@@ -0,0 +1,182 @@
+use {
+    super::TableRows,
+    banyantrestle::platform::{TableError, TableRow, TableStore, TableWrite, WriteResult},
+    std::{
+        collections::VecDeque,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::time::sleep,
+};
+
+/// Table service in memory, with faults that a test chooses.
+///
+/// Delays are tokio sleeps, so that a test may run them on paused time.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryTable {
+    state: Arc<Mutex<MemoryState>>,
+}
+
+/// What goes wrong with one request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TableFault {
+    #[default]
+    None,
+    /// Refused without effect.
+    Refuse,
+    /// No answer, and no effect.
+    LoseRequest,
+    /// No answer, though the write took effect.
+    LoseAnswer,
+    /// No answer; the write takes effect only after the given time.
+    LateEffect(Duration),
+}
+
+#[derive(Debug, Default)]
+struct MemoryState {
+    tables: TableRows,
+    write_faults: VecDeque<TableFault>,
+    read_faults: VecDeque<TableFault>,
+    write_fault: TableFault,
+    read_fault: TableFault,
+    delay: Duration,
+    transactions: u64,
+    reads: u64,
+}
+
+impl MemoryTable {
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Faults of the next transactions, in order; then the standing fault applies.
+    pub fn script_writes(&self, faults: &[TableFault]) {
+        self.lock().write_faults.extend(faults);
+    }
+
+    /// Faults of the next reads and scans, in order; then the standing fault applies.
+    pub fn script_reads(&self, faults: &[TableFault]) {
+        self.lock().read_faults.extend(faults);
+    }
+
+    /// Fault of all further requests that no script covers.
+    pub fn set_fault(&self, writes: TableFault, reads: TableFault) {
+        let mut state = self.lock();
+        state.write_fault = writes;
+        state.read_fault = reads;
+    }
+
+    /// Time that each request takes, and that a lost one takes to fail.
+    pub fn set_delay(&self, delay: Duration) {
+        self.lock().delay = delay;
+    }
+
+    #[must_use]
+    pub fn tables(&self) -> TableRows {
+        self.lock().tables.clone()
+    }
+
+    #[must_use]
+    pub fn transactions(&self) -> u64 {
+        self.lock().transactions
+    }
+
+    #[must_use]
+    pub fn reads(&self) -> u64 {
+        self.lock().reads
+    }
+
+    fn lock(&self) -> MutexGuard<'_, MemoryState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn commit(&self, writes: &[TableWrite]) -> Vec<WriteResult> {
+        let mut state = self.lock();
+        state.transactions += 1;
+        state.tables.transact(writes)
+    }
+
+    fn commit_late(&self, writes: Vec<TableWrite>, delay: Duration) {
+        let table = self.clone();
+        tokio::spawn(async move {
+            sleep(delay).await;
+            table.commit(&writes);
+        });
+    }
+
+    async fn start_read(&self) -> Result<(), TableError> {
+        let (fault, delay) = {
+            let mut state = self.lock();
+            state.reads += 1;
+            let standing = state.read_fault;
+            (
+                state.read_faults.pop_front().unwrap_or(standing),
+                state.delay,
+            )
+        };
+        sleep(delay).await;
+        match fault {
+            TableFault::None => Ok(()),
+            TableFault::Refuse => Err(refused()),
+            _ => Err(lost(delay)),
+        }
+    }
+}
+
+impl TableStore for MemoryTable {
+    async fn transact(&self, writes: Vec<TableWrite>) -> Result<Vec<WriteResult>, TableError> {
+        let (fault, delay) = {
+            let mut state = self.lock();
+            let standing = state.write_fault;
+            (
+                state.write_faults.pop_front().unwrap_or(standing),
+                state.delay,
+            )
+        };
+        sleep(delay).await;
+        match fault {
+            TableFault::None => Ok(self.commit(&writes)),
+            TableFault::Refuse => Err(refused()),
+            TableFault::LoseRequest => Err(lost(delay)),
+            TableFault::LoseAnswer => {
+                self.commit(&writes);
+                Err(lost(delay))
+            }
+            TableFault::LateEffect(late) => {
+                self.commit_late(writes, late);
+                Err(lost(delay))
+            }
+        }
+    }
+
+    async fn read(
+        &self,
+        table: &str,
+        keys: Vec<String>,
+    ) -> Result<Vec<Option<TableRow>>, TableError> {
+        self.start_read().await?;
+        Ok(self.lock().tables.read(table, &keys))
+    }
+
+    async fn scan(
+        &self,
+        table: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<TableRow>, TableError> {
+        self.start_read().await?;
+        Ok(self.lock().tables.scan(table, after, limit))
+    }
+}
+
+fn refused() -> TableError {
+    TableError::Refused("refused by the test".into())
+}
+
+fn lost(waited: Duration) -> TableError {
+    TableError::Lost {
+        waited,
+        reason: "lost by the test".into(),
+    }
+}
--- /dev/null
+++ b/standins/src/platform/mod.rs
@@ -0,0 +1,24 @@
+//! Stand-in for the platform: a transactional table service and an object store.
+//!
+//! [`PlatformStandin`] serves both over HTTP/1.1, as a task of a test or as the program
+//! `standin-platform`. `POST /control` switches its faults at run time, `GET /control` returns
+//! its counters. [`MemoryTable`] is the same table behind the trait, without a socket.
+
+mod control_routes;
+mod memory_table;
+mod object_rows;
+mod platform_counters;
+mod platform_mode;
+mod platform_standin;
+mod platform_state;
+mod rate_cap;
+mod table_routes;
+mod table_rows;
+
+pub use {
+    memory_table::{MemoryTable, TableFault},
+    platform_counters::PlatformCounters,
+    platform_mode::{DownMode, FaultPoint, PlatformMode},
+    platform_standin::PlatformStandin,
+    table_rows::TableRows,
+};
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,198 @@
+//! The client of the table service against the stand-in, in each of its modes.
+
+use {
+    banyantrestle::platform::{
+        HttpTable, TableError, TableStore, TableWrite, WriteCondition, WriteResult,
+    },
+    standins::platform::{DownMode, FaultPoint, PlatformMode, PlatformStandin},
+    std::{net::SocketAddr, time::Duration},
+    tokio::net::TcpListener,
+};
+
+/// Wait of a request that must be answered.
+const LONG: Duration = Duration::from_secs(30);
+/// Wait of a request that must fail.
+const SHORT: Duration = Duration::from_millis(200);
+
+fn any_port() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+async fn start(mode: PlatformMode) -> PlatformStandin {
+    PlatformStandin::start(any_port(), mode).await.unwrap()
+}
+
+fn write(key: &str, id: &str, condition: WriteCondition) -> TableWrite {
+    TableWrite {
+        table: "t".into(),
+        key: key.into(),
+        write_id: id.into(),
+        value: Some(format!("value of {id}")),
+        condition,
+    }
+}
+
+fn insert(key: &str, id: &str) -> Vec<TableWrite> {
+    vec![write(key, id, WriteCondition::Absent)]
+}
+
+async fn read_id(table: &HttpTable, key: &str) -> Option<String> {
+    let rows = table.read("t", vec![key.into()]).await.unwrap();
+    rows[0].as_ref().map(|row| row.write_id.clone())
+}
+
+#[tokio::test]
+async fn rows_of_a_transaction_stand_for_themselves() {
+    let standin = start(PlatformMode::default()).await;
+    let table = HttpTable::new(standin.address(), LONG);
+    table.transact(insert("a", "a1")).await.unwrap();
+    let mut deletion = write("a", "a3", WriteCondition::WriteId("a2".into()));
+    deletion.value = None;
+    let results = table
+        .transact(vec![
+            write("a", "x", WriteCondition::Absent),
+            write("b", "b1", WriteCondition::Absent),
+            write("a", "a2", WriteCondition::Version(1)),
+            write("a", "x", WriteCondition::Version(1)),
+            deletion,
+            write("c", "x", WriteCondition::WriteId("c0".into())),
+            write("b", "b2", WriteCondition::Always),
+        ])
+        .await
+        .unwrap();
+    let is_applied: Vec<bool> = results
+        .iter()
+        .map(|result| matches!(result, WriteResult::Applied { .. }))
+        .collect();
+    assert_eq!(
+        is_applied,
+        [false, true, true, false, true, false, true],
+        "{results:?}"
+    );
+    let rows = table.scan("t", "", 10).await.unwrap();
+    let rows: Vec<_> = rows
+        .iter()
+        .map(|row| (row.key.as_str(), row.version, row.write_id.as_str()))
+        .collect();
+    assert_eq!(rows, [("b", 2, "b2")]);
+}
+
+#[tokio::test]
+async fn a_refused_connection_has_no_effect() {
+    let listener = TcpListener::bind(any_port()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let table = HttpTable::new(address, LONG);
+    let outcome = table.transact(insert("a", "a1")).await;
+    assert!(
+        matches!(outcome, Err(TableError::Refused(_))),
+        "{outcome:?}"
+    );
+}
+
+#[tokio::test]
+async fn each_fault_is_told_as_refused_or_lost() {
+    let refuse = PlatformMode {
+        down: DownMode::Refuse,
+        ..PlatformMode::default()
+    };
+    let close = PlatformMode {
+        down: DownMode::Close,
+        ..PlatformMode::default()
+    };
+    let lose = PlatformMode {
+        lose_percent: 100,
+        ..PlatformMode::default()
+    };
+    let capped = PlatformMode {
+        transactions_per_s: 0,
+        ..PlatformMode::default()
+    };
+    // Mode, whether the error says that nothing took effect, whether it did.
+    let cases = [
+        (refuse, true, false),
+        (close, false, false),
+        (lose, false, true),
+        (capped, true, false),
+    ];
+    for (mode, says_refused, has_effect) in cases {
+        let standin = start(PlatformMode::default()).await;
+        let table = HttpTable::new(standin.address(), LONG);
+        standin.set_mode(mode);
+        let error = table.transact(insert("a", "a1")).await.unwrap_err();
+        let is_refused = matches!(error, TableError::Refused(_));
+        assert_eq!(is_refused, says_refused, "{mode:?} {error}");
+        standin.set_mode(PlatformMode::default());
+        let id = read_id(&table, "a").await;
+        assert_eq!(id.is_some(), has_effect, "{mode:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_silent_service_is_told_as_lost() {
+    let cases = [
+        (FaultPoint::BeforeEffect, false),
+        (FaultPoint::AfterEffect, true),
+    ];
+    for (hang, has_effect) in cases {
+        let standin = start(PlatformMode::default()).await;
+        let table = HttpTable::new(standin.address(), SHORT);
+        standin.set_mode(PlatformMode {
+            hang,
+            ..PlatformMode::default()
+        });
+        let error = table.transact(insert("a", "a1")).await.unwrap_err();
+        assert!(matches!(error, TableError::Lost { .. }), "{hang:?} {error}");
+        standin.set_mode(PlatformMode::default());
+        let table = HttpTable::new(standin.address(), LONG);
+        assert_eq!(read_id(&table, "a").await.is_some(), has_effect);
+    }
+}
+
+#[tokio::test]
+async fn connections_are_reused_but_not_after_a_timeout() {
+    let standin = start(PlatformMode::default()).await;
+    let table = HttpTable::new(standin.address(), Duration::from_secs(2));
+    for key in ["a", "b", "c"] {
+        table.transact(insert(key, key)).await.unwrap();
+    }
+    assert_eq!(standin.counters().connections, 1);
+    standin.set_mode(PlatformMode {
+        hang: FaultPoint::BeforeEffect,
+        ..PlatformMode::default()
+    });
+    table.transact(insert("d", "d")).await.unwrap_err();
+    standin.set_mode(PlatformMode::default());
+    table.transact(insert("e", "e")).await.unwrap();
+    assert_eq!(standin.counters().connections, 2);
+}
+
+#[tokio::test]
+async fn a_connection_that_the_service_closed_is_replaced() {
+    let standin = start(PlatformMode::default()).await;
+    let table = HttpTable::new(standin.address(), LONG);
+    table.transact(insert("a", "a")).await.unwrap();
+    let address = standin.address();
+    drop(standin);
+    let standin = loop {
+        // The port is free once the last task of the old service has ended.
+        if let Ok(standin) = PlatformStandin::start(address, PlatformMode::default()).await {
+            break standin;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    };
+    table.transact(insert("b", "b")).await.unwrap();
+    assert_eq!(standin.counters().transactions, 1);
+}
+
+#[tokio::test]
+async fn a_slow_service_is_waited_for() {
+    let standin = start(PlatformMode {
+        delay_ms: 50,
+        ..PlatformMode::default()
+    })
+    .await;
+    let table = HttpTable::new(standin.address(), LONG);
+    table.transact(insert("a", "a1")).await.unwrap();
+    assert_eq!(read_id(&table, "a").await.as_deref(), Some("a1"));
+}
