--- /dev/null
+++ b/src/daemon/admission_desk.rs
@@ -0,0 +1,164 @@
+use {
+    crate::{
+        admission::{
+            AdmissionGuard, AdmissionRefusal, AdmissionRequest, AdmissionVerdict, CompletionKind,
+            ConcurrencyLimit, GuardEffect, GuardLoad, TicketKey,
+        },
+        time::{ProcessClock, TimePoint},
+    },
+    slotmap::SecondaryMap,
+    std::sync::{Arc, Mutex, MutexGuard, PoisonError},
+    tokio::sync::oneshot,
+};
+
+/// Lets calls wait for the verdicts of an admission guard.
+#[derive(Debug)]
+pub(crate) struct AdmissionDesk<L: ConcurrencyLimit> {
+    clock: ProcessClock,
+    inner: Mutex<DeskState<L>>,
+}
+
+#[derive(Debug)]
+struct DeskState<L: ConcurrencyLimit> {
+    guard: AdmissionGuard<L>,
+    waiting: SecondaryMap<TicketKey, oneshot::Sender<Result<(), AdmissionRefusal>>>,
+}
+
+/// A call that was admitted; its slot is free again when it is finished or dropped.
+#[derive(Debug)]
+pub(crate) struct AdmittedTicket<L: ConcurrencyLimit> {
+    desk: Arc<AdmissionDesk<L>>,
+    ticket: Option<TicketKey>,
+}
+
+impl<L: ConcurrencyLimit> AdmissionDesk<L> {
+    pub(crate) fn new(clock: ProcessClock, guard: AdmissionGuard<L>) -> Arc<Self> {
+        let state = DeskState {
+            guard,
+            waiting: SecondaryMap::new(),
+        };
+        Arc::new(Self {
+            clock,
+            inner: Mutex::new(state),
+        })
+    }
+
+    /// Waits until the call may start; dropping the future gives the place in the queue up.
+    pub(crate) async fn admit(
+        self: &Arc<Self>,
+        request: AdmissionRequest,
+    ) -> Result<AdmittedTicket<L>, AdmissionRefusal> {
+        let (ticket, waiting) = self.offer(request)?;
+        // Dropped while queued, the ticket is finished as cancelled.
+        let admitted = AdmittedTicket {
+            desk: self.clone(),
+            ticket: Some(ticket),
+        };
+        let Some(waiting) = waiting else {
+            return Ok(admitted);
+        };
+        match waiting.await {
+            Ok(Ok(())) => Ok(admitted),
+            Ok(Err(refusal)) => {
+                admitted.forget();
+                Err(refusal)
+            }
+            Err(_) => unreachable!("a queued ticket gets exactly one effect"),
+        }
+    }
+
+    fn offer(
+        &self,
+        request: AdmissionRequest,
+    ) -> Result<(TicketKey, Option<oneshot::Receiver<Result<(), AdmissionRefusal>>>), AdmissionRefusal>
+    {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let verdict = state.guard.offer(now, request, &mut rand::rng());
+        let result = match verdict {
+            AdmissionVerdict::Start(ticket) => Ok((ticket, None)),
+            AdmissionVerdict::Queued(ticket) => {
+                let (sender, receiver) = oneshot::channel();
+                state.waiting.insert(ticket, sender);
+                Ok((ticket, Some(receiver)))
+            }
+            AdmissionVerdict::Refused(refusal) => Err(refusal),
+        };
+        state.deliver();
+        result
+    }
+
+    fn finish(&self, ticket: TicketKey, completion: CompletionKind) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.waiting.remove(ticket);
+        state
+            .guard
+            .finish(now, ticket, completion, &mut rand::rng());
+        state.deliver();
+    }
+
+    /// Moves limits and thresholds, and drops what has waited too long.
+    pub(crate) fn tick(&self, now: TimePoint) {
+        let mut state = self.lock();
+        state.guard.tick(now, &mut rand::rng());
+        state.deliver();
+    }
+
+    /// Changes the guard.
+    pub(crate) fn adjust<F, R>(&self, change: F) -> R
+    where
+        F: FnOnce(&mut AdmissionGuard<L>, TimePoint) -> R,
+    {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let result = change(&mut state.guard, now);
+        state.deliver();
+        result
+    }
+
+    pub(crate) fn load(&self) -> GuardLoad {
+        let now = self.clock.now();
+        self.lock().guard.load(now)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, DeskState<L>> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl<L: ConcurrencyLimit> DeskState<L> {
+    fn deliver(&mut self) {
+        while let Some(effect) = self.guard.next_effect() {
+            let (ticket, result) = match effect {
+                GuardEffect::Start(ticket) => (ticket, Ok(())),
+                GuardEffect::Drop(ticket, refusal) => (ticket, Err(refusal)),
+            };
+            if let Some(sender) = self.waiting.remove(ticket) {
+                // A waiter that is gone finishes its ticket itself.
+                sender.send(result).ok();
+            }
+        }
+    }
+}
+
+impl<L: ConcurrencyLimit> AdmittedTicket<L> {
+    pub(crate) fn finish(mut self, completion: CompletionKind) {
+        if let Some(ticket) = self.ticket.take() {
+            self.desk.finish(ticket, completion);
+        }
+    }
+
+    /// The guard has dropped the ticket already.
+    fn forget(mut self) {
+        self.ticket = None;
+    }
+}
+
+impl<L: ConcurrencyLimit> Drop for AdmittedTicket<L> {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            self.desk.finish(ticket, CompletionKind::Cancelled);
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/call_router.rs
@@ -0,0 +1,362 @@
+use {
+    super::{daemon_state::DaemonState, in_flight_call::InFlightCall, permit_client::ask_permit},
+    crate::{
+        context::{CONTEXT_HEADER, CallContext, OUTCOME_HEADER, RunOutcome},
+        events::EventKind,
+        net::{
+            AnswerBody, AnswerPrefix, CallRefusal, CallRequest, LOAD_HEADER, MeshFailure,
+            RefusalKind, TAG_HEADER, call_tag, encode_tag, read_answer, remove_hop_headers,
+            remove_own_headers,
+        },
+        platform::TableStore,
+        routing::{CallEnd, LoadNote, PickVerdict, TargetKey},
+    },
+    bytes::Bytes,
+    http::{
+        HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri,
+        header::{CONTENT_LENGTH, HOST},
+    },
+    http_body_util::Full,
+    hyper::body::Incoming,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Earliest return of a call whose service has no target.
+const NO_TARGET_RETRY: Duration = Duration::from_secs(2);
+
+/// An answer on its way back to the caller.
+#[derive(Debug)]
+pub(crate) struct RoutedAnswer<S: TableStore> {
+    pub(crate) response: Response<AnswerBody<InFlightCall<S>>>,
+    pub(crate) load: Option<LoadNote>,
+}
+
+/// A call that no attempt has answered.
+#[derive(Debug)]
+pub(crate) struct RoutedRefusal {
+    pub(crate) refusal: CallRefusal,
+    pub(crate) load: Option<LoadNote>,
+}
+
+/// Whether a second run of a call would do harm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunSafety {
+    Idempotent,
+    NonIdempotent,
+}
+
+/// One call on its way to a target of its service.
+#[derive(Debug)]
+pub(crate) struct CallRouter<'a, S: TableStore> {
+    state: &'a Arc<DaemonState<S>>,
+    request: &'a CallRequest,
+    /// Context of the call that is made; each attempt gets a call id of its own below it.
+    context: &'a CallContext,
+    safety: RunSafety,
+    tried: Vec<TargetKey>,
+    /// What is known of all attempts together.
+    outcome: RunOutcome,
+    /// The connection of the latest attempt broke off.
+    is_broken: bool,
+}
+
+impl<'a, S: TableStore> CallRouter<'a, S> {
+    pub(crate) fn new(
+        state: &'a Arc<DaemonState<S>>,
+        request: &'a CallRequest,
+        context: &'a CallContext,
+        safety: RunSafety,
+    ) -> Self {
+        Self {
+            state,
+            request,
+            context,
+            safety,
+            tried: Vec::new(),
+            outcome: RunOutcome::NotRun,
+            is_broken: false,
+        }
+    }
+
+    /// Tries targets until one answers, none is left, or no retry is allowed.
+    pub(crate) async fn run(mut self) -> Result<RoutedAnswer<S>, RoutedRefusal> {
+        self.state.note_attempt(&self.request.service);
+        let mut last = None;
+        loop {
+            let (key, peer) = match self.pick() {
+                Ok(picked) => picked,
+                Err(refusal) => return Err(self.settle(last.unwrap_or(refusal))),
+            };
+            if let Some(earlier) = last.take()
+                && !ask_permit(self.state, self.context, &self.request.service).await
+            {
+                return Err(self.settle(earlier));
+            }
+            match self.attempt(key, peer).await {
+                Ok(answer) => return Ok(answer),
+                Err(refusal) => {
+                    self.note_outcome(refusal.refusal.outcome);
+                    if !self.is_retryable(&refusal.refusal) {
+                        return Err(self.settle(refusal));
+                    }
+                    self.tried.push(key);
+                    self.is_broken = refusal.refusal.kind == RefusalKind::AnswerBroken;
+                    self.record_retry(refusal.refusal.kind);
+                    last = Some(refusal);
+                }
+            }
+        }
+    }
+
+    fn pick(&self) -> Result<(TargetKey, SocketAddr), RoutedRefusal> {
+        let now = self.state.clock.now();
+        let service = &self.request.service;
+        if now >= self.context.deadline {
+            return Err(plain(deadline_refusal(service.as_str())));
+        }
+        let priority = self.state.shed_priority(self.context.priority);
+        let table = self.state.routing();
+        let mut verdict = table.pick(now, service, priority, &self.tried, &mut rand::rng());
+        if verdict == PickVerdict::NoTarget && self.is_broken {
+            // A new connection to the same target may do where a silent one did not.
+            verdict = table.pick(now, service, priority, &[], &mut rand::rng());
+        }
+        match verdict {
+            PickVerdict::Target(key) => match table.get(key) {
+                Some(entry) => Ok((key, entry.mesh())),
+                None => Err(plain(no_target(service.as_str()))),
+            },
+            PickVerdict::Shed { retry_after } => {
+                let detail = format!("every target of {service} admits higher priorities only");
+                let refusal = CallRefusal::not_run(RefusalKind::Overload, detail);
+                Err(plain(refusal.with_retry_after(retry_after)))
+            }
+            PickVerdict::NoTarget => Err(plain(no_target(service.as_str()))),
+        }
+    }
+
+    async fn attempt(
+        &self,
+        key: TargetKey,
+        peer: SocketAddr,
+    ) -> Result<RoutedAnswer<S>, RoutedRefusal> {
+        let in_flight = InFlightCall::start(self.state.clone(), key);
+        let context = self.attempt_context();
+        self.record_start(&context, peer);
+        let deadline = self.state.clock.instant_of(self.context.deadline);
+        let message = self.mesh_request(&context, peer);
+        match self.state.mesh.send(peer, message, deadline).await {
+            Ok(response) => self.read_response(peer, in_flight, response).await,
+            Err(MeshFailure::NotSent(error)) => {
+                in_flight.end(CallEnd::Unreachable);
+                let refusal = CallRefusal::not_run(RefusalKind::NoTarget, error.to_string());
+                Err(plain(refusal.with_retry_after(NO_TARGET_RETRY)))
+            }
+            Err(MeshFailure::Broken(error)) => {
+                in_flight.end(CallEnd::Broken);
+                Err(plain(broken(error.to_string())))
+            }
+            Err(MeshFailure::TimedOut(error)) => {
+                in_flight.end(CallEnd::Abandoned);
+                let kind = RefusalKind::DeadlineExceeded;
+                Err(plain(CallRefusal::unknown(kind, error.to_string())))
+            }
+        }
+    }
+
+    async fn read_response(
+        &self,
+        peer: SocketAddr,
+        in_flight: InFlightCall<S>,
+        response: Response<Incoming>,
+    ) -> Result<RoutedAnswer<S>, RoutedRefusal> {
+        let load = parse_load(response.headers());
+        let Some(outcome) = parse_outcome(response.headers()) else {
+            in_flight.end(CallEnd::Broken);
+            return Err(plain(broken(format!("{peer} answers without an outcome"))));
+        };
+        let in_flight = in_flight.with_load(load);
+        if outcome == RunOutcome::Run {
+            return self.read_whole(in_flight, response, load).await;
+        }
+        let refusal = self.read_refusal(response, outcome).await;
+        in_flight.end(CallEnd::Answered(load));
+        Err(RoutedRefusal { refusal, load })
+    }
+
+    async fn read_whole(
+        &self,
+        in_flight: InFlightCall<S>,
+        response: Response<Incoming>,
+        load: Option<LoadNote>,
+    ) -> Result<RoutedAnswer<S>, RoutedRefusal> {
+        let limit = self.state.settings.limits.answer_buffer_bytes;
+        let deadline = self.state.clock.instant_of(self.context.deadline);
+        let (mut head, body) = response.into_parts();
+        let prefix = tokio::time::timeout_at(deadline, read_answer(body, limit)).await;
+        clean_answer_headers(&mut head.headers);
+        let body = match prefix {
+            Ok(Ok(AnswerPrefix::Whole { data, trailers })) => {
+                in_flight.end(CallEnd::Answered(load));
+                remove_length(&self.request.method, head.status, &mut head.headers);
+                AnswerBody::whole(data, trailers)
+            }
+            Ok(Ok(AnswerPrefix::Longer { prefix, rest })) => {
+                AnswerBody::stream(prefix, rest, deadline, in_flight)
+            }
+            Ok(Err(error)) => {
+                in_flight.end(CallEnd::Broken);
+                return Err(plain(broken(error.to_string())));
+            }
+            Err(_) => {
+                in_flight.end(CallEnd::Abandoned);
+                let detail = "deadline passed before the answer was whole";
+                let refusal = CallRefusal::unknown(RefusalKind::DeadlineExceeded, detail);
+                return Err(plain(refusal));
+            }
+        };
+        let response = Response::from_parts(head, body);
+        Ok(RoutedAnswer { response, load })
+    }
+
+    async fn read_refusal(&self, response: Response<Incoming>, outcome: RunOutcome) -> CallRefusal {
+        let limit = self.state.settings.limits.answer_buffer_bytes;
+        let (head, body) = response.into_parts();
+        let data = match read_answer(body, limit).await {
+            Ok(AnswerPrefix::Whole { data, .. }) => data,
+            _ => Bytes::new(),
+        };
+        CallRefusal::from_parts(&head.headers, &data, outcome)
+    }
+
+    fn attempt_context(&self) -> CallContext {
+        CallContext {
+            call: self.state.mint_call(),
+            ..self.context.clone()
+        }
+    }
+
+    fn mesh_request(&self, context: &CallContext, peer: SocketAddr) -> Request<Full<Bytes>> {
+        let path = format!("/{}{}", self.request.service, self.request.path);
+        let context = context.encode(self.state.clock.now());
+        let key = &self.state.key;
+        let tag = encode_tag(call_tag(key, self.request.method.as_str(), &path, &context));
+        let mut request = Request::new(Full::new(self.request.body.clone()));
+        *request.method_mut() = self.request.method.clone();
+        *request.uri_mut() = mesh_uri(peer, &path);
+        let headers = request.headers_mut();
+        *headers = self.request.headers.clone();
+        set_header(headers, CONTEXT_HEADER, &context);
+        set_header(headers, TAG_HEADER, &tag);
+        self.state.stamp_clock(headers);
+        request
+    }
+
+    fn is_retryable(&self, refusal: &CallRefusal) -> bool {
+        let is_safe =
+            self.safety == RunSafety::Idempotent || refusal.outcome == RunOutcome::NotRun;
+        let is_passing = matches!(
+            refusal.kind,
+            RefusalKind::Overload
+                | RefusalKind::NoTarget
+                | RefusalKind::Draining
+                | RefusalKind::AnswerBroken
+        );
+        is_safe && is_passing
+    }
+
+    fn note_outcome(&mut self, outcome: RunOutcome) {
+        if outcome != RunOutcome::NotRun {
+            self.outcome = RunOutcome::Unknown;
+        }
+    }
+
+    /// The final refusal, with what is known of all attempts.
+    fn settle(&self, mut last: RoutedRefusal) -> RoutedRefusal {
+        if self.outcome != RunOutcome::NotRun {
+            last.refusal.outcome = RunOutcome::Unknown;
+        }
+        last
+    }
+
+    fn record_start(&self, context: &CallContext, peer: SocketAddr) {
+        let attempt = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
+        self.state.events.record(EventKind::CallStarted {
+            request: context.request,
+            call: context.call,
+            parent: Some(self.context.call),
+            service: self.request.service.clone(),
+            peer,
+            attempt,
+        });
+    }
+
+    fn record_retry(&self, kind: RefusalKind) {
+        let attempt = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
+        self.state.events.record(EventKind::CallRetried {
+            request: self.context.request,
+            call: self.context.call,
+            service: self.request.service.clone(),
+            attempt,
+            reason: <&'static str>::from(kind).into(),
+        });
+    }
+}
+
+/// An answer's length is that of the body that is sent, unless the answer has no body by rule.
+fn remove_length(method: &Method, status: StatusCode, headers: &mut HeaderMap) {
+    let has_no_body = method == Method::HEAD || status == StatusCode::NOT_MODIFIED;
+    if !has_no_body {
+        headers.remove(CONTENT_LENGTH);
+    }
+}
+
+fn clean_answer_headers(headers: &mut HeaderMap) {
+    remove_hop_headers(headers);
+    remove_own_headers(headers);
+}
+
+fn mesh_uri(peer: SocketAddr, path: &str) -> Uri {
+    Uri::builder()
+        .scheme("http")
+        .authority(peer.to_string())
+        .path_and_query(path)
+        .build()
+        .unwrap_or_default()
+}
+
+fn set_header(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    headers.remove(HOST);
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+fn parse_load(headers: &HeaderMap) -> Option<LoadNote> {
+    LoadNote::decode(headers.get(LOAD_HEADER)?.to_str().ok()?)
+}
+
+fn parse_outcome(headers: &HeaderMap) -> Option<RunOutcome> {
+    headers.get(OUTCOME_HEADER)?.to_str().ok()?.parse().ok()
+}
+
+fn plain(refusal: CallRefusal) -> RoutedRefusal {
+    RoutedRefusal {
+        refusal,
+        load: None,
+    }
+}
+
+fn broken(detail: String) -> CallRefusal {
+    CallRefusal::unknown(RefusalKind::AnswerBroken, detail)
+}
+
+fn no_target(service: &str) -> CallRefusal {
+    let detail = format!("no target of {service} is able to take the call");
+    CallRefusal::not_run(RefusalKind::NoTarget, detail).with_retry_after(NO_TARGET_RETRY)
+}
+
+fn deadline_refusal(service: &str) -> CallRefusal {
+    let detail = format!("the deadline passed before a target of {service} was called");
+    CallRefusal::not_run(RefusalKind::DeadlineExceeded, detail)
+}
--- /dev/null
+++ b/src/daemon/mesh_client.rs
@@ -0,0 +1,67 @@
+use {
+    crate::{
+        auth::SharedKey,
+        error::{ProcessStep, StepError},
+        net::{
+            AnswerPrefix, MeshFailure, MeshPool, TAG_HEADER, encode_tag, message_tag, read_answer,
+        },
+    },
+    bytes::Bytes,
+    http::{Method, Request, StatusCode},
+    http_body_util::Full,
+    serde::{Serialize, de::DeserializeOwned},
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::{Instant, timeout_at},
+};
+
+/// Bytes of the longest message between daemons.
+pub(crate) const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
+
+/// Sends a message to another daemon and reads its answer, both in postcard.
+///
+/// # Errors
+/// The peer did not answer within `patience`, refused, or answered something else.
+pub(crate) async fn post_message<Q, A>(
+    mesh: &MeshPool,
+    key: &SharedKey,
+    peer: SocketAddr,
+    path: &str,
+    message: &Q,
+    patience: Duration,
+) -> Result<A, StepError>
+where
+    Q: Serialize,
+    A: DeserializeOwned,
+{
+    let error = |cause: String| StepError::new(ProcessStep::CallMesh, peer, cause);
+    let deadline = Instant::now() + patience;
+    let body = postcard::to_allocvec(message).map_err(|cause| error(cause.to_string()))?;
+    let tag = encode_tag(message_tag(key, path, &body));
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://{peer}{path}"))
+        .header(TAG_HEADER, tag)
+        .body(Full::new(Bytes::from(body)))
+        .map_err(|cause| error(cause.to_string()))?;
+    let response = mesh
+        .send(peer, request, deadline)
+        .await
+        .map_err(MeshFailure::into_error)?;
+    let status = response.status();
+    if status != StatusCode::OK {
+        return Err(error(format!("{path} answered {status}")));
+    }
+    let reading = read_answer(response.into_body(), MAX_MESSAGE_BYTES);
+    let answer = timeout_at(deadline, reading)
+        .await
+        .map_err(|_| error(format!("{path} gave no whole answer within {patience:?}")))?
+        .map_err(|cause| error(cause.to_string()))?;
+    match answer {
+        AnswerPrefix::Whole { data, .. } => {
+            postcard::from_bytes(&data).map_err(|cause| error(cause.to_string()))
+        }
+        AnswerPrefix::Longer { .. } => Err(error(format!(
+            "{path} answered more than {MAX_MESSAGE_BYTES} bytes"
+        ))),
+    }
+}
--- /dev/null
+++ b/src/daemon/permit_client.rs
@@ -0,0 +1,76 @@
+use {
+    super::{daemon_state::DaemonState, mesh_client::post_message},
+    crate::{
+        context::{CallContext, RequestId, ServiceName},
+        error::StepError,
+        events::EventKind,
+        net::PERMIT_PATH,
+        platform::TableStore,
+        retry::PermitVerdict,
+    },
+    serde::{Deserialize, Serialize},
+    std::{sync::Arc, time::Duration},
+};
+
+/// Longest wait for the root; no answer means no retry.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Asks the root of a request for one retry.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct PermitRequest {
+    pub(crate) request: RequestId,
+}
+
+/// True if the call may be repeated.
+pub(crate) async fn ask_permit<S: TableStore>(
+    state: &Arc<DaemonState<S>>,
+    context: &CallContext,
+    service: &ServiceName,
+) -> bool {
+    if !state.options.has_retry_budget {
+        return true;
+    }
+    if !state.take_retry(service) {
+        record_denial(state, context, "retry-ratio");
+        return false;
+    }
+    match ask_root(state, context).await {
+        Ok(PermitVerdict::Granted) => true,
+        Ok(verdict) => {
+            record_denial(state, context, verdict.into());
+            false
+        }
+        Err(error) => {
+            slog::warn!(state.log, "no permit"; "step" => %error.step, "peer" => &error.peer, "error" => %error);
+            record_denial(state, context, "root-unreachable");
+            false
+        }
+    }
+}
+
+async fn ask_root<S: TableStore>(
+    state: &Arc<DaemonState<S>>,
+    context: &CallContext,
+) -> Result<PermitVerdict, StepError> {
+    if context.root == state.mesh_address {
+        return Ok(state.take_permit(context.request));
+    }
+    let message = PermitRequest {
+        request: context.request,
+    };
+    let remaining = state.clock.now().until(context.deadline);
+    let patience = remaining.min(PERMIT_TIMEOUT);
+    post_message(&state.mesh, &state.key, context.root, PERMIT_PATH, &message, patience).await
+}
+
+fn record_denial<S: TableStore>(
+    state: &Arc<DaemonState<S>>,
+    context: &CallContext,
+    reason: &'static str,
+) {
+    state.events.record(EventKind::PermitDenied {
+        request: context.request,
+        call: context.call,
+        reason: reason.into(),
+    });
+}
--- a/src/net/call_refusal.rs
+++ b/src/net/call_refusal.rs
@@ -3,9 +3,10 @@
     crate::context::{OUTCOME_HEADER, RunOutcome},
     bytes::Bytes,
     http::{
-        HeaderValue, Response, StatusCode,
+        HeaderMap, HeaderValue, Response, StatusCode,
         header::{CONTENT_TYPE, RETRY_AFTER},
     },
+    serde::Deserialize,
     serde_json::json,
     std::time::Duration,
     strum::{Display, EnumString, IntoStaticStr},
@@ -114,6 +115,21 @@
         }
     }
 
+    /// Restores a refusal that another daemon answered with.
+    pub(crate) fn from_parts(headers: &HeaderMap, body: &[u8], outcome: RunOutcome) -> Self {
+        let kind = headers
+            .get(REASON_HEADER)
+            .and_then(|value| value.to_str().ok()?.parse().ok())
+            .unwrap_or(RefusalKind::AnswerBroken);
+        let problem: ProblemDetails = serde_json::from_slice(body).unwrap_or_default();
+        Self {
+            kind,
+            outcome,
+            detail: problem.detail,
+            retry_after: problem.retry_after_ms.map(Duration::from_millis),
+        }
+    }
+
     /// The answer as problem details (RFC 9457).
     #[must_use]
     pub fn to_response(&self) -> Response<Bytes> {
@@ -142,6 +158,15 @@
     }
 }
 
+/// Members of the problem details that another daemon reads.
+#[derive(Debug, Default, Deserialize)]
+struct ProblemDetails {
+    #[serde(default)]
+    detail: String,
+    #[serde(default)]
+    retry_after_ms: Option<u64>,
+}
+
 /// Whole seconds, rounded up, at least 1.
 fn retry_seconds(wait: Duration) -> u64 {
     let seconds = wait.as_millis().div_ceil(MILLIS_PER_SECOND).max(1);
--- a/src/net/header_names.rs
+++ b/src/net/header_names.rs
@@ -12,8 +12,6 @@
 pub(crate) const TAG_HEADER: &str = "banyantrestle-tag";
 /// Why a call was refused.
 pub(crate) const REASON_HEADER: &str = "banyantrestle-reason";
-/// Hybrid logical clock of the sender.
-pub(crate) const CLOCK_HEADER: &str = "banyantrestle-clock";
 /// Key of a non-idempotent call.
 pub(crate) const KEY_HEADER: &str = "idempotency-key";
 
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -9,7 +9,7 @@
     },
     hyper_util::{
         rt::{TokioExecutor, TokioIo, TokioTimer},
-        server::conn::auto,
+        server::{conn::auto, graceful::GracefulConnection},
     },
     std::{convert::Infallible, error::Error, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
@@ -89,15 +89,7 @@
                 async move { Ok::<_, Infallible>(answer.await) }
             });
             let connection = builder.serve_connection(TokioIo::new(stream), service);
-            tokio::pin!(connection);
-            tokio::select! {
-                _ = connection.as_mut() => return,
-                () = gate.draining.cancelled() => connection.as_mut().graceful_shutdown(),
-            }
-            tokio::select! {
-                _ = connection.as_mut() => {}
-                () = gate.closed.cancelled() => {}
-            }
+            drive(connection, &gate).await;
         }
     })
     .await;
@@ -133,15 +125,7 @@
                 async move { Ok::<_, Infallible>(answer.await) }
             });
             let connection = builder.serve_connection(TokioIo::new(stream), service);
-            tokio::pin!(connection);
-            tokio::select! {
-                _ = connection.as_mut() => return,
-                () = gate.draining.cancelled() => connection.as_mut().graceful_shutdown(),
-            }
-            tokio::select! {
-                _ = connection.as_mut() => {}
-                () = gate.closed.cancelled() => {}
-            }
+            drive(connection, &gate).await;
         }
     })
     .await;
@@ -169,6 +153,22 @@
     }
 }
 
+/// Serves a connection until it ends, drains, or is closed.
+async fn drive<C>(connection: C, gate: &ConnectionGate)
+where
+    C: GracefulConnection,
+{
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = gate.draining.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        () = gate.closed.cancelled() => {}
+    }
+}
+
 async fn hold_permit<R>(permit: Option<OwnedSemaphorePermit>, serving: R)
 where
     R: Future<Output = ()>,
--- a/src/net/mesh_pool.rs
+++ b/src/net/mesh_pool.rs
@@ -40,6 +40,14 @@
     TimedOut(StepError),
 }
 
+impl MeshFailure {
+    pub(crate) fn into_error(self) -> StepError {
+        match self {
+            Self::NotSent(error) | Self::Broken(error) | Self::TimedOut(error) => error,
+        }
+    }
+}
+
 /// Connections to other daemons, one HTTP/2 connection each.
 #[derive(Debug)]
 pub(crate) struct MeshPool {
--- a/src/routing/load_note.rs
+++ b/src/routing/load_note.rs
@@ -1,7 +1,6 @@
 use crate::context::CallPriority;
 
 const FIELD_SEPARATOR: char = ';';
-const FULL_PERCENT: u8 = 200;
 
 /// Load that travels back on an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -10,7 +9,7 @@
     pub threshold: CallPriority,
     /// Highest threshold met below the call, that of the guard included.
     pub chain_threshold: CallPriority,
-    /// Work in flight and queued at the guard, in % of its limit.
+    /// Running and queued calls of the guard, in % of its limit.
     pub utilization_percent: u8,
 }
 
@@ -32,8 +31,8 @@
         let mut fields = text.split(FIELD_SEPARATOR);
         let threshold = CallPriority::from_u32(fields.next()?.parse().ok()?);
         let chain_threshold = CallPriority::from_u32(fields.next()?.parse().ok()?);
-        let utilization_percent: u8 = fields.next()?.parse().ok()?;
-        if fields.next().is_some() || utilization_percent > FULL_PERCENT {
+        let utilization_percent = fields.next()?.parse().ok()?;
+        if fields.next().is_some() {
             return None;
         }
         Some(Self {
