--- /dev/null
+++ b/src/admission/admission_guard.rs
@@ -0,0 +1,333 @@
+use {
+    super::{
+        AdmissionQueue, AdmissionRefusal, AdmissionRequest, AdmissionThreshold, AdmissionVerdict,
+        CallOrder, CompletionKind, ConcurrencyLimit, DrainState, GuardEffect, GuardLoad,
+        GuardSettings, LimitUse, LoadReport, PriorityQueue, QueuedTicket, RefusalReason,
+        ServiceSample, SojournMode, ThresholdMode, TicketKey,
+        admission_threshold::QueuePressure,
+        demand_table::DemandTable,
+        drain_estimate::DrainEstimate,
+        service_estimate::ServiceEstimate,
+        sojourn_control::SojournControl,
+        ticket_table::{CallTicket, TicketState, TicketTable},
+    },
+    crate::{policy::OverloadPolicy, time::TimePoint},
+    rand::Rng,
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// Departures that a queued call waits for at least before its delay counts as overload.
+const TARGET_DEPARTURES: usize = 2;
+
+/// Decides which calls one target runs, and when.
+#[derive(Clone, Debug)]
+pub struct AdmissionGuard<L, Q = PriorityQueue> {
+    settings: GuardSettings,
+    state: DrainState,
+    limit: L,
+    queue: Q,
+    tickets: TicketTable,
+    in_flight: u32,
+    threshold: AdmissionThreshold,
+    sojourn: SojournControl,
+    demand: DemandTable,
+    service: ServiceEstimate,
+    drain: DrainEstimate,
+    /// The whole limit was in use since the last tick.
+    is_saturated: bool,
+    queue_delay: Duration,
+    effects: VecDeque<GuardEffect>,
+}
+
+impl<L: ConcurrencyLimit, Q: AdmissionQueue> AdmissionGuard<L, Q> {
+    #[must_use]
+    pub fn new(settings: GuardSettings, now: TimePoint) -> Self {
+        Self {
+            settings,
+            state: DrainState::Serving,
+            limit: L::new(now, settings.slots),
+            queue: Q::default(),
+            tickets: TicketTable::default(),
+            in_flight: 0,
+            threshold: AdmissionThreshold::new(now),
+            sojourn: SojournControl::default(),
+            demand: DemandTable::new(now),
+            service: ServiceEstimate::default(),
+            drain: DrainEstimate::new(now),
+            is_saturated: false,
+            queue_delay: Duration::ZERO,
+            effects: VecDeque::new(),
+        }
+    }
+
+    /// Decides on a new call.
+    pub fn offer<R: Rng + ?Sized>(
+        &mut self,
+        now: TimePoint,
+        request: AdmissionRequest,
+        rng: &mut R,
+    ) -> AdmissionVerdict {
+        self.demand.note(request.priority);
+        if let Some(reason) = self.objection(now, &request) {
+            return AdmissionVerdict::Refused(self.refusal(reason, rng));
+        }
+        if self.in_flight < self.limit.limit() {
+            let ticket = CallTicket {
+                request,
+                state: TicketState::Running { started: now },
+            };
+            self.count_start();
+            return AdmissionVerdict::Start(self.tickets.insert(ticket));
+        }
+        if !self.make_room(CallOrder::of(&request), rng) {
+            return AdmissionVerdict::Refused(self.refusal(RefusalReason::QueueFull, rng));
+        }
+        let key = self.tickets.insert(CallTicket {
+            request,
+            state: TicketState::Queued,
+        });
+        self.queue.push(QueuedTicket::new(now, key, &request));
+        AdmissionVerdict::Queued(key)
+    }
+
+    /// Ends a call; one that is still queued is cancelled. A ticket that is gone is passed over.
+    pub fn finish<R: Rng + ?Sized>(
+        &mut self,
+        now: TimePoint,
+        key: TicketKey,
+        kind: CompletionKind,
+        rng: &mut R,
+    ) {
+        let Some(ticket) = self.tickets.remove(key) else {
+            return;
+        };
+        match ticket.state {
+            TicketState::Queued => {
+                self.queue.remove(key);
+            }
+            TicketState::Running { started } => {
+                self.in_flight -= 1;
+                self.drain.note_drained();
+                let sample = ServiceSample {
+                    started,
+                    finished: now,
+                    rank: ticket.request.priority.rank(),
+                    kind,
+                };
+                self.service.observe(&sample);
+                self.limit.observe(&sample);
+            }
+        }
+        self.start_queued(now, rng);
+    }
+
+    /// Moves the limit and the threshold, and drops what has waited for too long.
+    pub fn tick<R: Rng + ?Sized>(&mut self, now: TimePoint, rng: &mut R) {
+        self.limit.tick(
+            now,
+            LimitUse {
+                in_flight: self.in_flight,
+                queued: self.queued(),
+            },
+        );
+        self.drain.tick(now, self.is_saturated);
+        self.is_saturated = self.in_flight >= self.limit.limit();
+        self.demand.tick(now);
+        self.drop_hopeless(now, rng);
+        self.drop_standing(now, rng);
+        self.start_queued(now, rng);
+        self.move_threshold(now);
+    }
+
+    /// Takes a new announcement of the target's slots.
+    pub fn set_slots(&mut self, now: TimePoint, slots: u32) {
+        self.settings = GuardSettings {
+            slots,
+            queue_capacity: GuardSettings::queue_capacity_of(slots),
+            ..self.settings
+        };
+        self.limit.set_slots(now, slots);
+    }
+
+    /// Takes a new policy.
+    pub fn set_policy(&mut self, policy: &OverloadPolicy) {
+        self.settings = GuardSettings {
+            threshold: self.settings.threshold,
+            sojourn: self.settings.sojourn,
+            ..GuardSettings::new(self.settings.slots, policy)
+        };
+    }
+
+    pub fn set_state(&mut self, state: DrainState) {
+        self.state = state;
+    }
+
+    pub fn report_load(&mut self, now: TimePoint, report: LoadReport) {
+        self.limit.report_load(now, report);
+    }
+
+    /// What became of calls that were queued, in order; pull after each call until it is `None`.
+    pub fn next_effect(&mut self) -> Option<GuardEffect> {
+        while let Some(effect) = self.effects.pop_front() {
+            let is_cancelled = match effect {
+                GuardEffect::Start(key) => !self.tickets.contains_key(key),
+                GuardEffect::Drop(..) => false,
+            };
+            if !is_cancelled {
+                return Some(effect);
+            }
+        }
+        None
+    }
+
+    #[must_use]
+    pub fn load(&self) -> GuardLoad {
+        let limit = self.limit.limit();
+        let busy = u64::from(self.in_flight) + u64::from(self.queued());
+        let utilization = busy * 100 / u64::from(limit);
+        GuardLoad {
+            threshold: self.threshold.lowest(),
+            utilization_percent: u8::try_from(utilization).unwrap_or(u8::MAX),
+            in_flight: self.in_flight,
+            limit,
+            queued: self.queued(),
+            queue_delay: self.queue_delay,
+        }
+    }
+
+    fn queued(&self) -> u32 {
+        u32::try_from(self.queue.len()).unwrap_or(u32::MAX)
+    }
+
+    fn objection(&self, now: TimePoint, request: &AdmissionRequest) -> Option<RefusalReason> {
+        if self.state == DrainState::Draining {
+            return Some(RefusalReason::Draining);
+        }
+        if !self.threshold.is_admitted(request) {
+            return Some(RefusalReason::BelowThreshold);
+        }
+        let ahead = self.queue.count_before(CallOrder::of(request));
+        let wait = self.drain.wait_for(ahead);
+        let service = self.service.service_time(now, request.priority.rank());
+        if now + wait + service > request.deadline {
+            return Some(RefusalReason::DeadlineTooNear);
+        }
+        None
+    }
+
+    fn refusal<R: Rng + ?Sized>(&mut self, reason: RefusalReason, rng: &mut R) -> AdmissionRefusal {
+        self.drain.note_refused();
+        AdmissionRefusal {
+            reason,
+            retry_after: self.drain.retry_after(self.queue.len(), rng),
+        }
+    }
+
+    /// Evicts the last of a full queue for a call that goes before it.
+    fn make_room<R: Rng + ?Sized>(&mut self, order: CallOrder, rng: &mut R) -> bool {
+        if self.queued() < self.settings.queue_capacity {
+            return true;
+        }
+        let is_evicted = self
+            .queue
+            .last()
+            .is_some_and(|last| self.queue.goes_before(order, &last));
+        if is_evicted {
+            self.drop_last(RefusalReason::QueueFull, rng);
+        }
+        is_evicted
+    }
+
+    fn drop_last<R: Rng + ?Sized>(&mut self, reason: RefusalReason, rng: &mut R) {
+        if let Some(last) = self.queue.pop_last() {
+            self.drop_ticket(last.key, reason, rng);
+        }
+    }
+
+    fn drop_ticket<R: Rng + ?Sized>(&mut self, key: TicketKey, reason: RefusalReason, rng: &mut R) {
+        self.tickets.remove(key);
+        let refusal = self.refusal(reason, rng);
+        self.effects.push_back(GuardEffect::Drop(key, refusal));
+    }
+
+    fn count_start(&mut self) {
+        self.in_flight += 1;
+        self.is_saturated |= self.in_flight >= self.limit.limit();
+    }
+
+    fn start_queued<R: Rng + ?Sized>(&mut self, now: TimePoint, rng: &mut R) {
+        while self.in_flight < self.limit.limit() {
+            let Some(first) = self.queue.pop_first() else {
+                break;
+            };
+            if self.is_hopeless(now, &first) {
+                self.drop_ticket(first.key, RefusalReason::DeadlineTooNear, rng);
+                continue;
+            }
+            if let Some(ticket) = self.tickets.get_mut(first.key) {
+                ticket.state = TicketState::Running { started: now };
+                self.count_start();
+                self.effects.push_back(GuardEffect::Start(first.key));
+            }
+        }
+    }
+
+    fn is_hopeless(&self, now: TimePoint, ticket: &QueuedTicket) -> bool {
+        now + self.service.service_time(now, ticket.order.rank()) > ticket.deadline
+    }
+
+    fn drop_hopeless<R: Rng + ?Sized>(&mut self, now: TimePoint, rng: &mut R) {
+        let hopeless: Vec<TicketKey> = self
+            .queue
+            .iter()
+            .filter(|ticket| self.is_hopeless(now, ticket))
+            .map(|ticket| ticket.key)
+            .collect();
+        for key in hopeless {
+            self.queue.remove(key);
+            self.drop_ticket(key, RefusalReason::DeadlineTooNear, rng);
+        }
+    }
+
+    fn drop_standing<R: Rng + ?Sized>(&mut self, now: TimePoint, rng: &mut R) {
+        if self.settings.sojourn == SojournMode::Unbounded {
+            return;
+        }
+        let target = self.target_delay();
+        let interval = self.settings.queue_interval.max(target);
+        loop {
+            let delay = self.oldest_age(now);
+            if !self.sojourn.is_drop_due(now, delay, target, interval) {
+                break;
+            }
+            self.drop_last(RefusalReason::Sojourn, rng);
+        }
+    }
+
+    fn move_threshold(&mut self, now: TimePoint) {
+        self.queue_delay = self.oldest_age(now);
+        if self.settings.threshold == ThresholdMode::Lowest {
+            return;
+        }
+        let pressure = QueuePressure {
+            delay: self.queue_delay,
+            target: self.target_delay(),
+            drain_rate: self.drain.rate(),
+        };
+        self.threshold.tick(now, pressure, &self.demand);
+    }
+
+    /// A slow target empties a slot seldom; waiting for the next one is no overload.
+    fn target_delay(&self) -> Duration {
+        let departures = self.drain.wait_for(TARGET_DEPARTURES);
+        self.settings.queue_target.max(departures)
+    }
+
+    fn oldest_age(&self, now: TimePoint) -> Duration {
+        self.queue
+            .iter()
+            .map(|ticket| now.since(ticket.queued))
+            .max()
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/admission/admission_queue.rs
@@ -0,0 +1,55 @@
+use {
+    super::{AdmissionRequest, CallOrder, TicketKey},
+    crate::time::TimePoint,
+};
+
+/// A ticket as a queue holds it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QueuedTicket {
+    pub key: TicketKey,
+    pub order: CallOrder,
+    pub queued: TimePoint,
+    pub deadline: TimePoint,
+}
+
+impl QueuedTicket {
+    #[must_use]
+    pub fn new(now: TimePoint, key: TicketKey, request: &AdmissionRequest) -> Self {
+        Self {
+            key,
+            order: CallOrder::of(request),
+            queued: now,
+            deadline: request.deadline,
+        }
+    }
+}
+
+/// Order of the calls that wait for a slot.
+pub trait AdmissionQueue: Default {
+    fn push(&mut self, ticket: QueuedTicket);
+
+    /// Takes the ticket that starts next.
+    fn pop_first(&mut self) -> Option<QueuedTicket>;
+
+    /// Takes the ticket that is dropped first.
+    fn pop_last(&mut self) -> Option<QueuedTicket>;
+
+    /// The ticket that is dropped first.
+    fn last(&self) -> Option<QueuedTicket>;
+
+    fn remove(&mut self, key: TicketKey) -> Option<QueuedTicket>;
+
+    /// Whether a new call of `order` would go before `other`.
+    fn goes_before(&self, order: CallOrder, other: &QueuedTicket) -> bool;
+
+    /// Calls that would start before a new call of `order`.
+    fn count_before(&self, order: CallOrder) -> usize;
+
+    fn iter(&self) -> impl Iterator<Item = &QueuedTicket>;
+
+    fn len(&self) -> usize;
+
+    fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
--- /dev/null
+++ b/src/admission/admission_request.rs
@@ -0,0 +1,10 @@
+use crate::{context::CallPriority, time::TimePoint};
+
+/// A call as it is offered to a guard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AdmissionRequest {
+    pub priority: CallPriority,
+    /// Hops from the edge.
+    pub depth: u8,
+    pub deadline: TimePoint,
+}
--- /dev/null
+++ b/src/admission/guard_settings.rs
@@ -0,0 +1,66 @@
+use {crate::policy::OverloadPolicy, std::time::Duration};
+
+/// Queued calls for each slot.
+const QUEUE_PER_SLOT: u32 = 4;
+const MIN_QUEUE_CAPACITY: u32 = 16;
+const MAX_QUEUE_CAPACITY: u32 = 1_024;
+
+/// Bounds of one guard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GuardSettings {
+    /// Calls that the target says it runs at once.
+    pub slots: u32,
+    /// Queued calls at most.
+    pub queue_capacity: u32,
+    /// Queue delay that counts as overload when it persists.
+    pub queue_target: Duration,
+    /// Time over which it must persist.
+    pub queue_interval: Duration,
+    pub threshold: ThresholdMode,
+    pub sojourn: SojournMode,
+}
+
+impl GuardSettings {
+    #[must_use]
+    pub fn new(slots: u32, policy: &OverloadPolicy) -> Self {
+        Self {
+            slots,
+            queue_capacity: Self::queue_capacity_of(slots),
+            queue_target: Duration::from_millis(policy.queue_target_ms),
+            queue_interval: Duration::from_millis(policy.queue_interval_ms),
+            threshold: ThresholdMode::Moving,
+            sojourn: SojournMode::Controlled,
+        }
+    }
+
+    /// Queued calls at most, before a target of so many slots.
+    #[must_use]
+    pub fn queue_capacity_of(slots: u32) -> u32 {
+        let capacity = slots.saturating_mul(QUEUE_PER_SLOT);
+        capacity.clamp(MIN_QUEUE_CAPACITY, MAX_QUEUE_CAPACITY)
+    }
+}
+
+/// Whether pressure raises the admission threshold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ThresholdMode {
+    Moving,
+    /// Every priority is admitted.
+    Lowest,
+}
+
+/// Whether calls are dropped from a queue that stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SojournMode {
+    Controlled,
+    /// Only the capacity of the queue and deadlines bound it.
+    Unbounded,
+}
+
+/// Whether a guard takes new calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DrainState {
+    Serving,
+    /// New calls are refused; queued and running ones go on.
+    Draining,
+}
--- /dev/null
+++ b/src/admission/priority_queue.rs
@@ -0,0 +1,62 @@
+use {
+    super::{AdmissionQueue, CallOrder, QueuedTicket, TicketKey},
+    std::cmp::Reverse,
+};
+
+/// Queue in the order of priority; equal calls in the order of their arrival.
+///
+/// A flat vector, sorted with the first to start at its end. It is short, and stays so.
+#[derive(Clone, Debug, Default)]
+pub struct PriorityQueue {
+    tickets: Vec<QueuedTicket>,
+}
+
+impl PriorityQueue {
+    /// Tickets that a new call of `order` goes before.
+    fn position(&self, order: CallOrder) -> usize {
+        self.tickets.partition_point(|ticket| ticket.order < order)
+    }
+}
+
+impl AdmissionQueue for PriorityQueue {
+    fn push(&mut self, ticket: QueuedTicket) {
+        let position = self.position(ticket.order);
+        self.tickets.insert(position, ticket);
+    }
+
+    fn pop_first(&mut self) -> Option<QueuedTicket> {
+        self.tickets.pop()
+    }
+
+    fn pop_last(&mut self) -> Option<QueuedTicket> {
+        if self.tickets.is_empty() {
+            return None;
+        }
+        Some(self.tickets.remove(0))
+    }
+
+    fn last(&self) -> Option<QueuedTicket> {
+        self.tickets.first().copied()
+    }
+
+    fn remove(&mut self, key: TicketKey) -> Option<QueuedTicket> {
+        let position = self.tickets.iter().position(|ticket| ticket.key == key)?;
+        Some(self.tickets.remove(position))
+    }
+
+    fn goes_before(&self, order: CallOrder, other: &QueuedTicket) -> bool {
+        Reverse(order) < Reverse(other.order)
+    }
+
+    fn count_before(&self, order: CallOrder) -> usize {
+        self.tickets.len() - self.position(order)
+    }
+
+    fn iter(&self) -> impl Iterator<Item = &QueuedTicket> {
+        self.tickets.iter()
+    }
+
+    fn len(&self) -> usize {
+        self.tickets.len()
+    }
+}
--- /dev/null
+++ b/src/admission/service_estimate.rs
@@ -0,0 +1,67 @@
+use {
+    super::{CompletionKind, ServiceSample, rank_table::RankTable},
+    crate::time::TimePoint,
+    std::time::Duration,
+};
+
+/// Weight of the newest sample once there are enough.
+const SAMPLE_GAIN: f64 = 1.0 / 16.0;
+/// Time without samples after which an estimate fades.
+const ESTIMATE_HOLD: Duration = Duration::from_millis(500);
+/// Time in which a fading estimate halves.
+const ESTIMATE_HALF_LIFE: Duration = Duration::from_millis(250);
+
+/// Service time that a call of each class is likely to need.
+///
+/// The geometric mean, so that a few slow calls do not get the many fast ones refused. It fades
+/// without samples: an estimate that refuses every call would otherwise never be corrected.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ServiceEstimate {
+    ranks: RankTable<RankEstimate>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct RankEstimate {
+    log_seconds: f64,
+    samples: u32,
+    updated: TimePoint,
+}
+
+impl ServiceEstimate {
+    /// A call that failed or was cancelled counts only if it took longer than expected.
+    pub(super) fn observe(&mut self, sample: &ServiceSample) {
+        let latency = sample.latency();
+        let is_whole = sample.kind == CompletionKind::Success;
+        if is_whole || latency > self.service_time(sample.finished, sample.rank) {
+            let estimate = self.ranks.row_mut(sample.rank);
+            estimate.observe(sample.finished, latency);
+        }
+    }
+
+    /// Zero if nothing is known.
+    pub(super) fn service_time(&self, now: TimePoint, rank: u8) -> Duration {
+        self.ranks
+            .row(rank)
+            .map_or(Duration::ZERO, |estimate| estimate.at(now))
+    }
+}
+
+impl RankEstimate {
+    fn observe(&mut self, now: TimePoint, latency: Duration) {
+        let log = latency.as_secs_f64().max(f64::MIN_POSITIVE).ln();
+        self.samples = self.samples.saturating_add(1);
+        let gain = SAMPLE_GAIN.max(1.0 / f64::from(self.samples));
+        self.log_seconds += gain * (log - self.log_seconds);
+        self.updated = now;
+    }
+
+    fn at(&self, now: TimePoint) -> Duration {
+        if self.samples == 0 {
+            return Duration::ZERO;
+        }
+        let silent = now.since(self.updated).saturating_sub(ESTIMATE_HOLD);
+        let halvings = silent.as_secs_f64() / ESTIMATE_HALF_LIFE.as_secs_f64();
+        let seconds = self.log_seconds.exp() * (-halvings).exp2();
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+}
--- /dev/null
+++ b/src/admission/sojourn_control.rs
@@ -0,0 +1,47 @@
+use {crate::time::TimePoint, std::time::Duration};
+
+/// When to drop a call from a standing queue, by the control law of `CoDel` (RFC 8289).
+///
+/// The law decides how many calls are dropped; the order of the queue decides which.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct SojournControl {
+    /// When the delay will have stood above its target for an interval.
+    standing_at: Option<TimePoint>,
+    dropping: Option<DropSchedule>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct DropSchedule {
+    next: TimePoint,
+    count: u32,
+}
+
+impl SojournControl {
+    /// Whether one call is to be dropped now; ask again until it is false.
+    pub(super) fn is_drop_due(
+        &mut self,
+        now: TimePoint,
+        delay: Duration,
+        target: Duration,
+        interval: Duration,
+    ) -> bool {
+        if delay <= target {
+            *self = Self::default();
+            return false;
+        }
+        let standing_at = *self.standing_at.get_or_insert(now + interval);
+        if now < standing_at {
+            return false;
+        }
+        let schedule = self.dropping.get_or_insert(DropSchedule {
+            next: now,
+            count: 0,
+        });
+        if now < schedule.next {
+            return false;
+        }
+        schedule.count += 1;
+        schedule.next = schedule.next + interval.div_f64(f64::from(schedule.count).sqrt());
+        true
+    }
+}
--- /dev/null
+++ b/src/admission/static_limit.rs
@@ -0,0 +1,32 @@
+use {
+    super::{ConcurrencyLimit, LimitUse, LoadReport, ServiceSample},
+    crate::time::TimePoint,
+};
+
+/// The announced slots as they are.
+#[derive(Clone, Copy, Debug)]
+pub struct StaticLimit {
+    slots: u32,
+}
+
+impl ConcurrencyLimit for StaticLimit {
+    fn new(_: TimePoint, slots: u32) -> Self {
+        Self {
+            slots: slots.max(1),
+        }
+    }
+
+    fn limit(&self) -> u32 {
+        self.slots
+    }
+
+    fn set_slots(&mut self, _: TimePoint, slots: u32) {
+        self.slots = slots.max(1);
+    }
+
+    fn observe(&mut self, _: &ServiceSample) {}
+
+    fn report_load(&mut self, _: TimePoint, _: LoadReport) {}
+
+    fn tick(&mut self, _: TimePoint, _: LimitUse) {}
+}
--- a/src/context/call_priority.rs
+++ b/src/context/call_priority.rs
@@ -44,4 +44,17 @@
     pub const fn rank(self) -> u8 {
         (self.0 >> HASH_BITS).to_le_bytes()[0]
     }
+
+    /// Half way between the two.
+    #[must_use]
+    pub const fn midpoint(self, other: Self) -> Self {
+        Self(u32::midpoint(self.0, other.0))
+    }
+
+    /// `share` of the way from the lowest, from 0 to 1.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn scaled(self, share: f64) -> Self {
+        Self((f64::from(self.0) * share.clamp(0.0, 1.0)) as u32)
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 //! assert!(purchase > browse);
 //! ```
 
+pub mod admission;
 pub mod auth;
 pub mod context;
 pub mod error;
