Events, time line, settings check and compiled policy

Typed events with a hybrid logical clock in a bounded ring, merged by a time line; settings and policy documents in JSON with comments whose faults name file, line and field; a policy compiled for look-ups by service, method and path.

Ids of requests and calls are hexadecimal digits in text formats now: serde's tagged enums hold no 128-bit numbers, and JSON readers lose digits of 64-bit ones. Plain numbers are still read.

--- a/src/context/call_id.rs
+++ b/src/context/call_id.rs
@@ -1,10 +1,11 @@
 use {
-    serde::{Deserialize, Serialize},
+    super::hex_id::{HexId, deserialize_text},
+    serde::{Deserialize, Deserializer, Serialize, Serializer},
     std::fmt,
 };
 
 /// Identity of one call of a request, unique within it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallId(u64);
 
 impl CallId {
@@ -29,3 +30,36 @@
         write!(formatter, "{:016x}", self.0)
     }
 }
+
+impl HexId for CallId {
+    const EXPECTED: &'static str = "16 hexadecimal digits";
+
+    fn parse_digits(text: &str) -> Option<Self> {
+        Self::parse(text)
+    }
+
+    fn from_number(value: u64) -> Self {
+        Self(value)
+    }
+}
+
+/// Hexadecimal digits in text formats, a number in binary ones.
+impl Serialize for CallId {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            serializer.collect_str(self)
+        } else {
+            self.0.serialize(serializer)
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for CallId {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            deserialize_text(deserializer)
+        } else {
+            u64::deserialize(deserializer).map(Self)
+        }
+    }
+}
--- a/src/context/class_name.rs
+++ b/src/context/class_name.rs
@@ -20,6 +20,12 @@
         }
     }
 
+    /// A name that is valid as it stands in the code.
+    pub(crate) fn known(text: &'static str) -> Self {
+        debug_assert!(is_valid_name(text));
+        Self(text.into())
+    }
+
     #[must_use]
     pub fn as_str(&self) -> &str {
         &self.0
--- a/src/context/mod.rs
+++ b/src/context/mod.rs
@@ -8,10 +8,13 @@
 mod call_id;
 mod call_priority;
 mod class_name;
+mod hex_id;
 mod request_id;
 mod run_outcome;
 mod service_name;
 
+pub(crate) use hex_id::{HexId, deserialize_text};
+
 pub use {
     call_context::{CONTEXT_HEADER, CallContext, MAX_CONTEXT_LENGTH, MAX_DEPTH},
     call_id::CallId,
--- a/src/context/request_id.rs
+++ b/src/context/request_id.rs
@@ -1,11 +1,12 @@
 use {
+    super::hex_id::{HexId, deserialize_text},
     rapidhash::v3::rapidhash_v3,
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Deserializer, Serialize, Serializer},
     std::fmt,
 };
 
 /// Identity of one user request, the same at every hop.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(u128);
 
 impl RequestId {
@@ -42,3 +43,36 @@
         write!(formatter, "{:032x}", self.0)
     }
 }
+
+impl HexId for RequestId {
+    const EXPECTED: &'static str = "32 hexadecimal digits";
+
+    fn parse_digits(text: &str) -> Option<Self> {
+        Self::parse(text)
+    }
+
+    fn from_number(value: u64) -> Self {
+        Self(u128::from(value))
+    }
+}
+
+/// Hexadecimal digits in text formats, a number in binary ones.
+impl Serialize for RequestId {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            serializer.collect_str(self)
+        } else {
+            self.0.serialize(serializer)
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for RequestId {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            deserialize_text(deserializer)
+        } else {
+            u128::deserialize(deserializer).map(Self)
+        }
+    }
+}
--- /dev/null
+++ b/src/events/event_filter.rs
@@ -0,0 +1,32 @@
+use {
+    super::{EventName, EventRecord},
+    crate::{context::RequestId, membership::MemberId},
+    std::{net::SocketAddr, ops::Range},
+};
+
+/// Which events of a time line are of interest; an absent field takes all.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct EventFilter {
+    pub request: Option<RequestId>,
+    /// Target or daemon that the event is about, or daemon that recorded it.
+    pub peer: Option<SocketAddr>,
+    pub kind: Option<EventName>,
+    /// Milliseconds of the Unix epoch.
+    pub wall_ms: Option<Range<u64>>,
+}
+
+impl EventFilter {
+    #[must_use]
+    pub fn is_match(&self, process: &MemberId, record: &EventRecord) -> bool {
+        let kind = &record.kind;
+        let is_request = self.request.is_none() || self.request == kind.request();
+        let is_peer =
+            self.peer.is_none() || self.peer == kind.peer() || self.peer == Some(process.address);
+        let is_kind = self.kind.is_none_or(|name| name == kind.name());
+        let is_in_time = self
+            .wall_ms
+            .as_ref()
+            .is_none_or(|range| range.contains(&record.stamp.wall_ms));
+        is_request && is_peer && is_kind && is_in_time
+    }
+}
--- /dev/null
+++ b/src/events/event_kind.rs
@@ -0,0 +1,285 @@
+use {
+    super::EventReason,
+    crate::{
+        context::{CallId, CallPriority, ClassName, RequestId, RunOutcome, ServiceName},
+        membership::MemberId,
+        policy::PolicyHash,
+    },
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+    strum::{Display, EnumDiscriminants, EnumIter, EnumString, IntoStaticStr},
+};
+
+/// What happened. `peer` is the mesh address of the other daemon, `target` that of a target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, EnumDiscriminants)]
+#[serde(tag = "kind", rename_all = "kebab-case")]
+#[strum_discriminants(
+    name(EventName),
+    doc = "Name of a kind of event.",
+    derive(
+        Display,
+        EnumIter,
+        EnumString,
+        IntoStaticStr,
+        Hash,
+        Serialize,
+        Deserialize
+    ),
+    strum(serialize_all = "kebab-case"),
+    serde(rename_all = "kebab-case")
+)]
+pub enum EventKind {
+    /// A caller entered at the edge.
+    RequestMinted {
+        request: RequestId,
+        call: CallId,
+        class: ClassName,
+        priority: CallPriority,
+        service: ServiceName,
+    },
+    /// The edge gave the caller its final answer.
+    RequestAnswered {
+        request: RequestId,
+        call: CallId,
+        status: u16,
+        outcome: RunOutcome,
+        elapsed_us: u64,
+    },
+    /// A router sent a call; `parent` is the call that it serves.
+    CallStarted {
+        request: RequestId,
+        call: CallId,
+        parent: Option<CallId>,
+        service: ServiceName,
+        peer: SocketAddr,
+        attempt: u32,
+    },
+    CallAdmitted {
+        request: RequestId,
+        call: CallId,
+        service: ServiceName,
+    },
+    /// The call waits behind `ahead` others.
+    CallQueued {
+        request: RequestId,
+        call: CallId,
+        service: ServiceName,
+        ahead: u32,
+    },
+    CallRefused {
+        request: RequestId,
+        call: CallId,
+        service: ServiceName,
+        reason: EventReason,
+        retry_after_ms: u64,
+    },
+    CallRetried {
+        request: RequestId,
+        call: CallId,
+        service: ServiceName,
+        attempt: u32,
+        reason: EventReason,
+    },
+    /// The root allowed a retry; `used` counts those of the request so far.
+    PermitGranted {
+        request: RequestId,
+        call: CallId,
+        used: u32,
+    },
+    PermitDenied {
+        request: RequestId,
+        call: CallId,
+        reason: EventReason,
+    },
+    CallCancelled {
+        request: RequestId,
+        call: CallId,
+        reason: EventReason,
+    },
+    CallCompleted {
+        request: RequestId,
+        call: CallId,
+        service: ServiceName,
+        target: SocketAddr,
+        status: u16,
+        outcome: RunOutcome,
+        elapsed_us: u64,
+    },
+    ClaimWon {
+        request: RequestId,
+        call: CallId,
+        service: ServiceName,
+    },
+    ClaimLost {
+        request: RequestId,
+        call: CallId,
+        service: ServiceName,
+    },
+    ClaimUnknown {
+        request: RequestId,
+        call: CallId,
+        service: ServiceName,
+        reason: EventReason,
+    },
+    ClaimReleased {
+        request: RequestId,
+        call: CallId,
+        service: ServiceName,
+    },
+    TargetAnnounced {
+        service: ServiceName,
+        target: SocketAddr,
+        slots: u32,
+    },
+    TargetWithdrawn {
+        service: ServiceName,
+        target: SocketAddr,
+        reason: EventReason,
+    },
+    TargetDraining {
+        service: ServiceName,
+        target: SocketAddr,
+    },
+    /// A router stopped sending to a target that fails.
+    TargetEjected {
+        service: ServiceName,
+        peer: SocketAddr,
+        reason: EventReason,
+    },
+    TargetRestored {
+        service: ServiceName,
+        peer: SocketAddr,
+    },
+    MemberJoined {
+        member: MemberId,
+    },
+    MemberSuspected {
+        member: MemberId,
+    },
+    MemberLeft {
+        member: MemberId,
+    },
+    MemberDied {
+        member: MemberId,
+    },
+    /// The table service committed a version that an operator submitted here.
+    PolicyAccepted {
+        version: u64,
+        hash: PolicyHash,
+    },
+    PolicyEnforced {
+        version: u64,
+        hash: PolicyHash,
+    },
+    PolicyRejected {
+        version: u64,
+        reason: EventReason,
+    },
+    ShutdownStep {
+        step: EventReason,
+    },
+    /// The lowest priority that a service admits here has moved.
+    ThresholdChanged {
+        service: ServiceName,
+        threshold: CallPriority,
+    },
+}
+
+impl EventKind {
+    #[must_use]
+    pub fn name(&self) -> EventName {
+        self.into()
+    }
+
+    /// The request that the event belongs to.
+    #[must_use]
+    pub const fn request(&self) -> Option<RequestId> {
+        match self.request_call() {
+            Some((request, _)) => Some(request),
+            None => None,
+        }
+    }
+
+    /// The call that the event belongs to.
+    #[must_use]
+    pub const fn call(&self) -> Option<CallId> {
+        match self.request_call() {
+            Some((_, call)) => Some(call),
+            None => None,
+        }
+    }
+
+    const fn request_call(&self) -> Option<(RequestId, CallId)> {
+        match self {
+            Self::RequestMinted { request, call, .. }
+            | Self::RequestAnswered { request, call, .. }
+            | Self::CallStarted { request, call, .. }
+            | Self::CallAdmitted { request, call, .. }
+            | Self::CallQueued { request, call, .. }
+            | Self::CallRefused { request, call, .. }
+            | Self::CallRetried { request, call, .. }
+            | Self::PermitGranted { request, call, .. }
+            | Self::PermitDenied { request, call, .. }
+            | Self::CallCancelled { request, call, .. }
+            | Self::CallCompleted { request, call, .. }
+            | Self::ClaimWon { request, call, .. }
+            | Self::ClaimLost { request, call, .. }
+            | Self::ClaimUnknown { request, call, .. }
+            | Self::ClaimReleased { request, call, .. } => Some((*request, *call)),
+            _ => None,
+        }
+    }
+
+    /// The call that made this one.
+    #[must_use]
+    pub const fn parent(&self) -> Option<CallId> {
+        match self {
+            Self::CallStarted { parent, .. } => *parent,
+            _ => None,
+        }
+    }
+
+    /// The target or daemon that the event is about.
+    #[must_use]
+    pub const fn peer(&self) -> Option<SocketAddr> {
+        match self {
+            Self::CallStarted { peer, .. }
+            | Self::TargetEjected { peer, .. }
+            | Self::TargetRestored { peer, .. } => Some(*peer),
+            Self::CallCompleted { target, .. }
+            | Self::TargetAnnounced { target, .. }
+            | Self::TargetWithdrawn { target, .. }
+            | Self::TargetDraining { target, .. } => Some(*target),
+            Self::MemberJoined { member }
+            | Self::MemberSuspected { member }
+            | Self::MemberLeft { member }
+            | Self::MemberDied { member } => Some(member.address),
+            _ => None,
+        }
+    }
+
+    /// The service that the event is about.
+    #[must_use]
+    pub const fn service(&self) -> Option<&ServiceName> {
+        match self {
+            Self::RequestMinted { service, .. }
+            | Self::CallStarted { service, .. }
+            | Self::CallAdmitted { service, .. }
+            | Self::CallQueued { service, .. }
+            | Self::CallRefused { service, .. }
+            | Self::CallRetried { service, .. }
+            | Self::CallCompleted { service, .. }
+            | Self::ClaimWon { service, .. }
+            | Self::ClaimLost { service, .. }
+            | Self::ClaimUnknown { service, .. }
+            | Self::ClaimReleased { service, .. }
+            | Self::TargetAnnounced { service, .. }
+            | Self::TargetWithdrawn { service, .. }
+            | Self::TargetDraining { service, .. }
+            | Self::TargetEjected { service, .. }
+            | Self::TargetRestored { service, .. }
+            | Self::ThresholdChanged { service, .. } => Some(service),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/events/event_log.rs
@@ -0,0 +1,114 @@
+use {
+    super::{EventKind, EventPage, EventRecord, HybridClock, HybridStamp, MAX_PAGE_EVENTS},
+    crate::{membership::MemberId, time::ProcessClock},
+    std::{
+        collections::VecDeque,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+    },
+};
+
+/// Bounded log of the events of one process; clones share it.
+#[derive(Clone, Debug)]
+pub struct EventLog {
+    process: MemberId,
+    clock: ProcessClock,
+    ring: Arc<Mutex<EventRing>>,
+}
+
+#[derive(Debug)]
+struct EventRing {
+    clock: HybridClock,
+    next_seq: u64,
+    capacity: usize,
+    records: VecDeque<EventRecord>,
+}
+
+impl EventLog {
+    /// A log that keeps the latest `capacity` events, at least one.
+    #[must_use]
+    pub fn new(process: MemberId, clock: ProcessClock, capacity: usize) -> Self {
+        let ring = EventRing {
+            clock: HybridClock::default(),
+            next_seq: 1,
+            capacity: capacity.max(1),
+            records: VecDeque::new(),
+        };
+        Self {
+            process,
+            clock,
+            ring: Arc::new(Mutex::new(ring)),
+        }
+    }
+
+    #[must_use]
+    pub const fn process(&self) -> MemberId {
+        self.process
+    }
+
+    /// Keeps an event, at the cost of the oldest if the log is full.
+    pub fn record(&self, kind: EventKind) {
+        let wall_ms = self.clock.wall_ms();
+        self.ring().push(kind, wall_ms);
+    }
+
+    /// Stamp to send along with a message.
+    #[must_use]
+    pub fn stamp(&self) -> HybridStamp {
+        let wall_ms = self.clock.wall_ms();
+        self.ring().clock.tick(wall_ms)
+    }
+
+    /// Takes in the stamp that came with a message; what follows sorts after it.
+    pub fn observe(&self, remote: HybridStamp) {
+        let wall_ms = self.clock.wall_ms();
+        self.ring().clock.observe(remote, wall_ms);
+    }
+
+    /// Events after position `seq`, oldest first, up to `limit` or [`MAX_PAGE_EVENTS`].
+    #[must_use]
+    pub fn since(&self, seq: u64, limit: usize) -> EventPage {
+        let limit = limit.min(MAX_PAGE_EVENTS);
+        let ring = self.ring();
+        let oldest = ring.oldest_seq();
+        let skipped = seq.saturating_add(1).saturating_sub(oldest);
+        let skipped = usize::try_from(skipped).unwrap_or(usize::MAX);
+        let events: Vec<_> = ring
+            .records
+            .iter()
+            .skip(skipped)
+            .take(limit)
+            .cloned()
+            .collect();
+        EventPage {
+            process: self.process,
+            dropped: oldest.saturating_sub(seq.saturating_add(1)),
+            next: events.last().map_or(seq, |record| record.seq),
+            events,
+        }
+    }
+
+    fn ring(&self) -> MutexGuard<'_, EventRing> {
+        self.ring.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl EventRing {
+    fn push(&mut self, kind: EventKind, wall_ms: u64) {
+        let stamp = self.clock.tick(wall_ms);
+        if self.records.len() == self.capacity {
+            self.records.pop_front();
+        }
+        self.records.push_back(EventRecord {
+            seq: self.next_seq,
+            stamp,
+            kind,
+        });
+        self.next_seq += 1;
+    }
+
+    fn oldest_seq(&self) -> u64 {
+        self.records
+            .front()
+            .map_or(self.next_seq, |record| record.seq)
+    }
+}
--- /dev/null
+++ b/src/events/event_reason.rs
@@ -0,0 +1,60 @@
+use {
+    serde::{Deserialize, Serialize},
+    std::{borrow::Cow, fmt},
+};
+
+/// Characters of the longest reason that is kept.
+pub const MAX_REASON_LENGTH: usize = 200;
+
+/// Why something happened, in a short printable phrase.
+///
+/// Text from other processes is cut to [`MAX_REASON_LENGTH`] and its control characters are
+/// replaced, so that it can be printed on a terminal.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(from = "String", into = "String")]
+pub struct EventReason(Cow<'static, str>);
+
+impl EventReason {
+    /// A reason known at compile time; costs no allocation.
+    #[must_use]
+    pub const fn fixed(text: &'static str) -> Self {
+        Self(Cow::Borrowed(text))
+    }
+
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<&'static str> for EventReason {
+    fn from(text: &'static str) -> Self {
+        Self::fixed(text)
+    }
+}
+
+impl From<String> for EventReason {
+    fn from(text: String) -> Self {
+        let printable = |character: char| {
+            if character.is_control() {
+                char::REPLACEMENT_CHARACTER
+            } else {
+                character
+            }
+        };
+        let text = text.chars().take(MAX_REASON_LENGTH).map(printable);
+        Self(Cow::Owned(text.collect()))
+    }
+}
+
+impl From<EventReason> for String {
+    fn from(reason: EventReason) -> Self {
+        reason.0.into_owned()
+    }
+}
+
+impl fmt::Display for EventReason {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,8 @@
 pub mod auth;
 pub mod context;
 pub mod error;
+pub mod events;
+pub mod jsonc;
 pub mod membership;
 pub mod platform;
 pub mod policy;
--- /dev/null
+++ b/src/policy/active_policy.rs
@@ -0,0 +1,100 @@
+use {
+    super::{
+        ClassRule, PolicyDocument, PolicyHash, VersionedPolicy,
+        path_form::without_query,
+        route_table::{ClassIndex, DefaultVerdicts, RouteTable, RouteVerdict},
+    },
+    crate::{
+        context::{ClassName, ServiceName},
+        jsonc::FieldError,
+    },
+};
+
+/// A policy in force, compiled for look-ups.
+#[derive(Clone, Debug)]
+pub struct ActivePolicy {
+    pub version: u64,
+    pub hash: PolicyHash,
+    pub document: PolicyDocument,
+    rules: Vec<ClassRule>,
+    routes: RouteTable,
+}
+
+impl ActivePolicy {
+    /// Checks and compiles a policy.
+    ///
+    /// # Errors
+    /// One error for each value out of its bounds.
+    pub fn compile(policy: VersionedPolicy) -> Result<Self, Vec<FieldError>> {
+        policy.document.check()?;
+        Ok(Self::compile_checked(policy))
+    }
+
+    /// The built-in policy, version 0.
+    #[must_use]
+    pub fn initial() -> Self {
+        Self::compile_checked(VersionedPolicy::initial())
+    }
+
+    fn compile_checked(policy: VersionedPolicy) -> Self {
+        let hash = policy.hash();
+        let document = policy.document;
+        let verdict = |name: &ClassName| {
+            let position = document.class_position(name).unwrap_or_default();
+            RouteVerdict {
+                class: ClassIndex(position),
+                non_idempotent: document.classes[position].non_idempotent,
+            }
+        };
+        let safe_method = verdict(&document.default_class);
+        let unsafe_class = document.default_unsafe_class.as_ref();
+        let defaults = DefaultVerdicts {
+            safe_method,
+            unsafe_method: unsafe_class.map_or(safe_method, verdict),
+        };
+        let routes = RouteTable::new(&document.routes, defaults, |route| verdict(&route.class));
+        let ranks = (1..=u8::MAX).take(document.classes.len()).rev();
+        let rules = document.classes.iter().zip(ranks);
+        Self {
+            version: policy.version,
+            hash,
+            rules: rules
+                .map(|(class, rank)| ClassRule::new(class, rank))
+                .collect(),
+            routes,
+            document,
+        }
+    }
+
+    /// The rule for a call; a query after the path is ignored.
+    ///
+    /// The first route that matches names the class. A path that servers may read in several ways
+    /// gets a non-idempotent class if any reading does, otherwise the least important class of its
+    /// readings.
+    #[must_use]
+    pub fn classify(&self, service: &ServiceName, method: &str, path: &str) -> &ClassRule {
+        let class = self.routes.find(service, method, without_query(path));
+        &self.rules[class.0]
+    }
+
+    /// The rule of a class by its name.
+    #[must_use]
+    pub fn rule(&self, name: &ClassName) -> Option<&ClassRule> {
+        self.rules.iter().find(|rule| rule.name == *name)
+    }
+
+    /// Rules of all classes, the most important first.
+    #[must_use]
+    pub fn rules(&self) -> &[ClassRule] {
+        &self.rules
+    }
+
+    /// The policy as it travels between daemons.
+    #[must_use]
+    pub fn to_versioned(&self) -> VersionedPolicy {
+        VersionedPolicy {
+            version: self.version,
+            document: self.document.clone(),
+        }
+    }
+}
--- a/src/policy/policy_document.rs
+++ b/src/policy/policy_document.rs
@@ -3,6 +3,8 @@
     serde::{Deserialize, Serialize},
 };
 
+const INITIAL_DEADLINE_MS: u64 = 10_000;
+
 /// All that the operators of one deployment decide.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -15,11 +17,49 @@
     pub routes: Vec<RoutePolicy>,
     /// Class of a call that no route matches.
     pub default_class: ClassName,
+    /// Class of such a call if its method is not safe (RFC 9110, section 9.2.1); `default_class`
+    /// if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub default_unsafe_class: Option<ClassName>,
     pub retry: RetryPolicy,
     #[serde(default)]
     pub overload: OverloadPolicy,
 }
 
+impl PolicyDocument {
+    /// The built-in policy: calls whose method is safe are read, all others are non-idempotent.
+    #[must_use]
+    pub fn initial() -> Self {
+        let class = |name: &'static str, non_idempotent| ClassPolicy {
+            name: ClassName::known(name),
+            weight: 1,
+            deadline_ms: INITIAL_DEADLINE_MS,
+            non_idempotent,
+            key_window_s: default_key_window_s(),
+        };
+        let write = class("write", true);
+        let read = class("read", false);
+        Self {
+            deployment: "initial".into(),
+            default_class: read.name.clone(),
+            default_unsafe_class: Some(write.name.clone()),
+            classes: vec![write, read],
+            routes: Vec::new(),
+            retry: RetryPolicy {
+                per_request: 3,
+                ratio_percent: 10,
+            },
+            overload: OverloadPolicy::default(),
+        }
+    }
+
+    /// Position of a class; the first is the most important.
+    #[must_use]
+    pub fn class_position(&self, name: &ClassName) -> Option<usize> {
+        self.classes.iter().position(|class| class.name == *name)
+    }
+}
+
 /// One request class.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/src/policy/versioned_policy.rs
@@ -0,0 +1,29 @@
+use {
+    super::{PolicyDocument, PolicyHash},
+    serde::{Deserialize, Serialize},
+};
+
+/// A policy document with the version under which it was accepted.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct VersionedPolicy {
+    /// From 1; 0 is the built-in policy.
+    pub version: u64,
+    pub document: PolicyDocument,
+}
+
+impl VersionedPolicy {
+    /// The built-in policy, in force until the first one is accepted.
+    #[must_use]
+    pub fn initial() -> Self {
+        Self {
+            version: 0,
+            document: PolicyDocument::initial(),
+        }
+    }
+
+    #[must_use]
+    pub fn hash(&self) -> PolicyHash {
+        PolicyHash::of(&self.document)
+    }
+}
--- a/src/settings/daemon_settings.rs
+++ b/src/settings/daemon_settings.rs
@@ -1,10 +1,10 @@
 use {
     serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
+    std::{fmt, net::SocketAddr},
 };
 
-/// Settings of one daemon.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+/// Settings of one daemon. Its debug form leaves the secrets out.
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DaemonSettings {
     pub region: String,
@@ -24,6 +24,21 @@
     pub limits: LimitSettings,
 }
 
+impl fmt::Debug for DaemonSettings {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("DaemonSettings")
+            .field("region", &self.region)
+            .field("data_centre", &self.data_centre)
+            .field("listen", &self.listen)
+            .field("platform", &self.platform)
+            .field("peers", &self.peers)
+            .field("log", &self.log)
+            .field("limits", &self.limits)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Addresses that a daemon listens on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,7 +1,35 @@
 //! Settings of one daemon, in JSON with comments.
+//!
+//! [`load`] reads and checks a file. Each fault is one line with file, line and field, and all
+//! values out of their bounds are told at once.
 
 mod daemon_settings;
+mod settings_check;
 
-pub use daemon_settings::{
-    DaemonSettings, LimitSettings, ListenSettings, LogSettings, PlatformSettings,
+pub use {
+    crate::jsonc::DocumentError as SettingsError,
+    daemon_settings::{
+        DaemonSettings, LimitSettings, ListenSettings, LogSettings, PlatformSettings,
+    },
+    settings_check::{MAX_PEERS, MAX_SECRET_LENGTH, MIN_SECRET_LENGTH},
 };
+
+use {crate::jsonc::DocumentText, std::path::Path};
+
+/// Reads and checks the settings in the file at `path`.
+///
+/// # Errors
+/// The file cannot be read, is not in the shape of the settings, or has values out of bounds.
+pub fn load(path: &Path) -> Result<DaemonSettings, SettingsError> {
+    parse(&DocumentText::read(path)?)
+}
+
+/// Reads and checks settings from their text.
+///
+/// # Errors
+/// The text is not in the shape of the settings, or has values out of bounds.
+pub fn parse(text: &DocumentText) -> Result<DaemonSettings, SettingsError> {
+    let settings: DaemonSettings = text.parse()?;
+    settings.check().map_err(|faults| text.locate(faults))?;
+    Ok(settings)
+}
