--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,8 @@
 pub mod auth;
 pub mod context;
 pub mod error;
+pub mod events;
+pub mod jsonc;
 pub mod membership;
 pub mod net;
 pub mod platform;
