--- /dev/null
+++ b/src/daemon/announce_service.rs
@@ -0,0 +1,138 @@
+use {
+    super::{
+        call_entry::{EntryAnswer, serve_local},
+        daemon_state::DaemonState,
+        local_target::AnnounceChange,
+    },
+    crate::{
+        events::EventKind,
+        membership::TargetAnnouncement,
+        net::{AnswerBody, CallRefusal, RefusalKind, read_request},
+    },
+    bytes::Bytes,
+    http::{Method, Request, Response, StatusCode},
+    hyper::body::Incoming,
+    std::{sync::Arc, time::Duration},
+};
+
+/// Path at which the target announces itself on the local listener.
+pub(crate) const ANNOUNCE_PATH: &str = "/announce";
+
+const MAX_ANNOUNCEMENT_BYTES: usize = 4 * 1024;
+const MAX_SLOTS: u32 = 65_536;
+const MAX_CONNECTIONS: u32 = 65_536;
+const MAX_ENDPOINT_BYTES: usize = 256;
+const BODY_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Answers the target: its announcements and its calls to other services.
+pub(crate) async fn serve_target(
+    state: Arc<DaemonState>,
+    request: Request<Incoming>,
+) -> EntryAnswer {
+    if request.uri().path() != ANNOUNCE_PATH {
+        return serve_local(state, request).await;
+    }
+    let result = match *request.method() {
+        Method::POST => announce(&state, request).await,
+        Method::DELETE => {
+            withdraw(&state, "withdrawn by the target");
+            Ok(())
+        }
+        _ => Err(CallRefusal::not_run(
+            RefusalKind::BadRequest,
+            format!("{ANNOUNCE_PATH} takes POST and DELETE"),
+        )),
+    };
+    match result {
+        Ok(()) => no_content(),
+        Err(refusal) => refusal
+            .to_response()
+            .map(|body| AnswerBody::whole(body, None)),
+    }
+}
+
+async fn announce(state: &DaemonState, request: Request<Incoming>) -> Result<(), CallRefusal> {
+    let body = read_request(request.into_body(), MAX_ANNOUNCEMENT_BYTES, BODY_PATIENCE)
+        .await
+        .map_err(|error| bad_announcement(error.to_string()))?;
+    let announcement: TargetAnnouncement =
+        serde_json::from_slice(&body).map_err(|error| bad_announcement(error.to_string()))?;
+    check(&announcement)?;
+    let change = state
+        .target
+        .announce(&announcement, &state.policy().document.overload);
+    match change {
+        AnnounceChange::Renewed => return Ok(()),
+        AnnounceChange::New => state.events.record(EventKind::TargetAnnounced {
+            service: announcement.service.clone(),
+            target: announcement.address,
+            slots: announcement.slots,
+        }),
+        AnnounceChange::Draining => state.events.record(EventKind::TargetDraining {
+            service: announcement.service.clone(),
+            target: announcement.address,
+        }),
+    }
+    slog::info!(state.log, "target announced";
+        "service" => %announcement.service,
+        "target" => %announcement.address,
+        "state" => %announcement.state);
+    state.membership.announce(announcement);
+    Ok(())
+}
+
+/// Takes the target out of service.
+pub(crate) fn withdraw(state: &DaemonState, reason: &'static str) {
+    if let Some(target) = state.target.withdraw() {
+        note_withdrawn(state, &target.announcement, reason);
+    }
+}
+
+/// Spreads that the target is gone.
+pub(crate) fn note_withdrawn(
+    state: &DaemonState,
+    announcement: &TargetAnnouncement,
+    reason: &'static str,
+) {
+    state.events.record(EventKind::TargetWithdrawn {
+        service: announcement.service.clone(),
+        target: announcement.address,
+        reason: reason.into(),
+    });
+    slog::info!(state.log, "target withdrawn";
+        "service" => %announcement.service,
+        "target" => %announcement.address,
+        "reason" => reason);
+    state.membership.withdraw();
+}
+
+fn check(announcement: &TargetAnnouncement) -> Result<(), CallRefusal> {
+    if !(1..=MAX_SLOTS).contains(&announcement.slots) {
+        return Err(out_of_bounds("slots", MAX_SLOTS));
+    }
+    if !(1..=MAX_CONNECTIONS).contains(&announcement.connections) {
+        return Err(out_of_bounds("connections", MAX_CONNECTIONS));
+    }
+    let paths = [&announcement.health_path, &announcement.load_path];
+    for path in paths.into_iter().flatten() {
+        if !path.starts_with('/') || path.len() > MAX_ENDPOINT_BYTES {
+            let detail = format!("{path:?} is not a path of at most {MAX_ENDPOINT_BYTES} bytes");
+            return Err(bad_announcement(detail));
+        }
+    }
+    Ok(())
+}
+
+fn out_of_bounds(field: &str, most: u32) -> CallRefusal {
+    bad_announcement(format!("{field} is not 1 to {most}"))
+}
+
+fn bad_announcement(detail: String) -> CallRefusal {
+    CallRefusal::not_run(RefusalKind::BadRequest, format!("announcement: {detail}"))
+}
+
+fn no_content() -> EntryAnswer {
+    let mut response = Response::new(AnswerBody::whole(Bytes::new(), None));
+    *response.status_mut() = StatusCode::NO_CONTENT;
+    response
+}
--- /dev/null
+++ b/src/daemon/call_entry.rs
@@ -0,0 +1,324 @@
+use {
+    super::{
+        active_calls::{ActiveCall, ChildCall},
+        call_router::{CallRouter, RoutedAnswer, RoutedRefusal, RunSafety},
+        daemon_phase::DaemonPhase,
+        daemon_state::DaemonState,
+        in_flight_call::InFlightCall,
+        permit_client::ask_permit,
+        root_entry::RootEntry,
+    },
+    crate::{
+        context::{
+            CONTEXT_HEADER, CallContext, CallPriority, OUTCOME_HEADER, RunOutcome, ServiceName,
+        },
+        events::EventKind,
+        net::{
+            AnswerBody, CallRefusal, CallRequest, KEY_HEADER, RefusalKind, RequestError,
+            parse_route, read_request, remove_hop_headers, remove_own_headers, set_header,
+        },
+        policy::ClassRule,
+        retry::RetryBudget,
+        time::TimePoint,
+    },
+    http::{Request, Response, header::CONTENT_LENGTH},
+    hyper::body::Incoming,
+    rapidhash::v3::RapidHasher,
+    std::{hash::Hasher, sync::Arc, time::Duration},
+};
+
+/// Longest time for a request body to arrive.
+const BODY_PATIENCE: Duration = Duration::from_secs(10);
+const DRAIN_RETRY: Duration = Duration::from_secs(1);
+const ROOM_RETRY: Duration = Duration::from_secs(1);
+
+pub(crate) type EntryAnswer = Response<AnswerBody<InFlightCall>>;
+
+/// Answers a caller from outside.
+pub(crate) async fn serve_edge(state: Arc<DaemonState>, request: Request<Incoming>) -> EntryAnswer {
+    let result = enter(&state, request).await;
+    finish(result)
+}
+
+/// Answers the target beside the daemon, which calls on.
+pub(crate) async fn serve_local(
+    state: Arc<DaemonState>,
+    request: Request<Incoming>,
+) -> EntryAnswer {
+    let result = match request.headers().get(CONTEXT_HEADER) {
+        None => enter(&state, request).await,
+        Some(value) => {
+            let parent = value
+                .to_str()
+                .ok()
+                .and_then(|text| CallContext::decode(text, state.clock.now()))
+                .and_then(|context| state.active.get(context.request, context.call));
+            match parent {
+                Some(parent) => descend(&state, &parent, request).await,
+                None => Err(context_refusal()),
+            }
+        }
+    };
+    finish(result)
+}
+
+/// A call from outside becomes a request of its own.
+async fn enter(
+    state: &Arc<DaemonState>,
+    request: Request<Incoming>,
+) -> Result<EntryAnswer, CallRefusal> {
+    if state.phase() >= DaemonPhase::Draining {
+        let refusal = CallRefusal::not_run(RefusalKind::Draining, "this daemon is leaving");
+        return Err(refusal.with_retry_after(DRAIN_RETRY));
+    }
+    let started = state.clock.now();
+    let request = read_call(state, request).await?;
+    let policy = state.policy();
+    let rule = policy.classify(
+        &request.service,
+        request.method.as_str(),
+        request.path.as_str(),
+    );
+    let safety = run_safety(rule, &request)?;
+    let context = mint_context(state, rule, started);
+    record_minted(state, &context, &request);
+    pass_gate(state, &context, &request)?;
+    let budget = RetryBudget::new(policy.document.retry.per_request, context.deadline);
+    let Some(root) = RootEntry::open(state, context.request, budget) else {
+        let detail = "too many requests are in flight at this daemon";
+        let refusal = CallRefusal::not_run(RefusalKind::TooManyRequests, detail);
+        return Err(refusal.with_retry_after(ROOM_RETRY));
+    };
+    let router = CallRouter::new(state, &request, &context, safety).with_root(root);
+    let result = router.run().await;
+    note_gate(state, &context, &request.service, &result);
+    record_answered(state, &context, &result, started);
+    result
+        .map(|answer| answer.response)
+        .map_err(|refused| refused.refusal)
+}
+
+/// A call of the target becomes part of the request that it serves.
+async fn descend(
+    state: &Arc<DaemonState>,
+    parent: &Arc<ActiveCall>,
+    request: Request<Incoming>,
+) -> Result<EntryAnswer, CallRefusal> {
+    let request = read_call(state, request).await?;
+    let Some(context) = parent.context.child(parent.context.call) else {
+        let detail = format!("a call to {} is too deep in its chain", request.service);
+        return Err(CallRefusal::not_run(RefusalKind::ChainTooDeep, detail));
+    };
+    let policy = state.policy();
+    let rule = policy.classify(
+        &request.service,
+        request.method.as_str(),
+        request.path.as_str(),
+    );
+    let safety = run_safety(rule, &request)?;
+    pass_repeat(state, parent, &context, &request).await?;
+    let router = CallRouter::new(state, &request, &context, safety);
+    // Nobody waits for the answer once the parent has ended.
+    let result = tokio::select! {
+        result = router.run() => result,
+        () = parent.cancelled.cancelled() => return Err(cancelled_refusal(&request.service)),
+    };
+    if let Some(threshold) = chain_threshold(&result) {
+        parent.note_threshold(threshold);
+    }
+    result
+        .map(|answer| answer.response)
+        .map_err(|refused| refused.refusal)
+}
+
+async fn read_call(
+    state: &DaemonState,
+    request: Request<Incoming>,
+) -> Result<CallRequest, CallRefusal> {
+    let (mut head, body) = request.into_parts();
+    let (service, path) = parse_route(&head.uri)
+        .map_err(|error| CallRefusal::not_run(RefusalKind::BadRequest, error.to_string()))?;
+    if !state.routing().is_known(&service) && !state.policy().is_named(&service) {
+        let detail = format!("no service {service} is announced or named by the policy");
+        return Err(CallRefusal::not_run(RefusalKind::UnknownService, detail));
+    }
+    let limit = state.settings.limits.request_buffer_bytes;
+    let body = read_request(body, limit, BODY_PATIENCE)
+        .await
+        .map_err(|error| body_refusal(&error))?;
+    remove_hop_headers(&mut head.headers);
+    remove_own_headers(&mut head.headers);
+    head.headers.remove(CONTENT_LENGTH);
+    Ok(CallRequest {
+        method: head.method,
+        service,
+        path,
+        headers: head.headers,
+        body,
+    })
+}
+
+fn mint_context(state: &DaemonState, rule: &ClassRule, started: TimePoint) -> CallContext {
+    let request = state.mint_request();
+    CallContext {
+        request,
+        call: state.mint_call(),
+        class: rule.name.clone(),
+        priority: CallPriority::new(rule.rank, request),
+        depth: 0,
+        deadline: started + rule.deadline,
+        root: state.mesh_address,
+    }
+}
+
+fn run_safety(rule: &ClassRule, request: &CallRequest) -> Result<RunSafety, CallRefusal> {
+    if !rule.non_idempotent {
+        return Ok(RunSafety::Idempotent);
+    }
+    if request.headers.contains_key(KEY_HEADER) {
+        return Ok(RunSafety::NonIdempotent);
+    }
+    let detail = format!("calls of class {} need the header {KEY_HEADER}", rule.name);
+    Err(CallRefusal::not_run(RefusalKind::KeyMissing, detail))
+}
+
+/// Sheds at the front what a service down the chain would refuse.
+fn pass_gate(
+    state: &DaemonState,
+    context: &CallContext,
+    request: &CallRequest,
+) -> Result<(), CallRefusal> {
+    if !state.options.has_front_gate {
+        return Ok(());
+    }
+    let now = state.clock.now();
+    let mut gate = state.gate();
+    if gate.is_admitted(now, &request.service, &context.class, context.priority) {
+        return Ok(());
+    }
+    let refusal = gate.refusal(&mut rand::rng());
+    let detail = format!("the chain below {} is overloaded", request.service);
+    let refused = CallRefusal::not_run(RefusalKind::Overload, detail);
+    Err(refused.with_retry_after(refusal.retry_after))
+}
+
+fn note_gate(
+    state: &DaemonState,
+    context: &CallContext,
+    service: &ServiceName,
+    result: &Result<RoutedAnswer, RoutedRefusal>,
+) {
+    if let Some(threshold) = chain_threshold(result) {
+        state.note_threshold(service, &context.class, threshold);
+    }
+}
+
+fn chain_threshold(result: &Result<RoutedAnswer, RoutedRefusal>) -> Option<CallPriority> {
+    let load = match result {
+        Ok(answer) => answer.load,
+        Err(refused) => refused.load,
+    };
+    load.map(|load| load.chain_threshold)
+}
+
+/// A service that repeats a call of the same request needs a permit for it.
+async fn pass_repeat(
+    state: &Arc<DaemonState>,
+    parent: &ActiveCall,
+    context: &CallContext,
+    request: &CallRequest,
+) -> Result<(), CallRefusal> {
+    let is_allowed = match parent.note_child(fingerprint(request)) {
+        ChildCall::First => true,
+        ChildCall::Repeat => ask_permit(state, context, &request.service).await,
+        ChildCall::TooMany => false,
+    };
+    if is_allowed {
+        return Ok(());
+    }
+    let detail = format!("no retry of a call to {} is left", request.service);
+    let refusal = CallRefusal::not_run(RefusalKind::RetriesExhausted, detail);
+    Err(refusal.with_retry_after(ROOM_RETRY))
+}
+
+fn fingerprint(request: &CallRequest) -> u64 {
+    let mut hasher = RapidHasher::default();
+    let key = request.headers.get(KEY_HEADER).map(|key| key.as_bytes());
+    let parts = [
+        request.method.as_str().as_bytes(),
+        request.service.as_str().as_bytes(),
+        request.path.as_str().as_bytes(),
+        key.unwrap_or_default(),
+        &request.body,
+    ];
+    for part in parts {
+        hasher.write_usize(part.len());
+        hasher.write(part);
+    }
+    hasher.finish()
+}
+
+fn finish(result: Result<EntryAnswer, CallRefusal>) -> EntryAnswer {
+    match result {
+        Ok(mut response) => {
+            set_header(
+                response.headers_mut(),
+                OUTCOME_HEADER,
+                RunOutcome::Run.into(),
+            );
+            response
+        }
+        Err(refusal) => refusal
+            .to_response()
+            .map(|body| AnswerBody::whole(body, None)),
+    }
+}
+
+fn record_minted(state: &DaemonState, context: &CallContext, request: &CallRequest) {
+    state.events.record(EventKind::RequestMinted {
+        request: context.request,
+        call: context.call,
+        class: context.class.clone(),
+        priority: context.priority,
+        service: request.service.clone(),
+    });
+}
+
+fn record_answered(
+    state: &DaemonState,
+    context: &CallContext,
+    result: &Result<RoutedAnswer, RoutedRefusal>,
+    started: TimePoint,
+) {
+    let (status, outcome) = match result {
+        Ok(answer) => (answer.response.status(), RunOutcome::Run),
+        Err(refused) => (refused.refusal.status(), refused.refusal.outcome),
+    };
+    let elapsed = state.clock.now().since(started).as_micros();
+    state.events.record(EventKind::RequestAnswered {
+        request: context.request,
+        call: context.call,
+        status: status.as_u16(),
+        outcome,
+        elapsed_us: u64::try_from(elapsed).unwrap_or(u64::MAX),
+    });
+}
+
+fn body_refusal(error: &RequestError) -> CallRefusal {
+    let kind = match error {
+        RequestError::TooLarge { .. } => RefusalKind::BodyTooLarge,
+        RequestError::TooSlow { .. } => RefusalKind::BodyTimeout,
+        RequestError::Broken(_) => RefusalKind::BadRequest,
+    };
+    CallRefusal::not_run(kind, error.to_string())
+}
+
+fn context_refusal() -> CallRefusal {
+    let detail = "the context belongs to no call that the target beside this daemon is running";
+    CallRefusal::not_run(RefusalKind::ContextInvalid, detail)
+}
+
+fn cancelled_refusal(service: &ServiceName) -> CallRefusal {
+    let detail = format!("the call that waited for {service} has ended");
+    CallRefusal::unknown(RefusalKind::DeadlineExceeded, detail)
+}
--- a/src/daemon/call_router.rs
+++ b/src/daemon/call_router.rs
@@ -1,20 +1,19 @@
 use {
-    super::{daemon_state::DaemonState, in_flight_call::InFlightCall, permit_client::ask_permit},
+    super::{daemon_state::DaemonState, in_flight_call::InFlightCall,
+        permit_client::ask_permit, root_entry::RootEntry},
     crate::{
         context::{CONTEXT_HEADER, CallContext, OUTCOME_HEADER, RunOutcome},
         events::EventKind,
         net::{
             AnswerBody, AnswerPrefix, CallRefusal, CallRequest, LOAD_HEADER, MeshFailure,
-            RefusalKind, TAG_HEADER, call_tag, encode_tag, read_answer, remove_hop_headers,
-            remove_own_headers,
+            RefusalKind, TAG_HEADER, call_tag, clean_answer_headers, encode_tag, read_answer,
+            remove_length, set_header,
         },
-        platform::TableStore,
         routing::{CallEnd, LoadNote, PickVerdict, TargetKey},
     },
     bytes::Bytes,
     http::{
-        HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri,
-        header::{CONTENT_LENGTH, HOST},
+        HeaderMap, Request, Response, Uri, header::HOST,
     },
     http_body_util::Full,
     hyper::body::Incoming,
@@ -26,8 +25,8 @@
 
 /// An answer on its way back to the caller.
 #[derive(Debug)]
-pub(crate) struct RoutedAnswer<S: TableStore> {
-    pub(crate) response: Response<AnswerBody<InFlightCall<S>>>,
+pub(crate) struct RoutedAnswer {
+    pub(crate) response: Response<AnswerBody<InFlightCall>>,
     pub(crate) load: Option<LoadNote>,
 }
 
@@ -47,8 +46,8 @@
 
 /// One call on its way to a target of its service.
 #[derive(Debug)]
-pub(crate) struct CallRouter<'a, S: TableStore> {
-    state: &'a Arc<DaemonState<S>>,
+pub(crate) struct CallRouter<'a> {
+    state: &'a Arc<DaemonState>,
     request: &'a CallRequest,
     /// Context of the call that is made; each attempt gets a call id of its own below it.
     context: &'a CallContext,
@@ -58,11 +57,13 @@
     outcome: RunOutcome,
     /// The connection of the latest attempt broke off.
     is_broken: bool,
+    /// Kept open as long as the answer is streamed.
+    root: Option<RootEntry>,
 }
 
-impl<'a, S: TableStore> CallRouter<'a, S> {
+impl<'a> CallRouter<'a> {
     pub(crate) fn new(
-        state: &'a Arc<DaemonState<S>>,
+        state: &'a Arc<DaemonState>,
         request: &'a CallRequest,
         context: &'a CallContext,
         safety: RunSafety,
@@ -75,11 +76,18 @@
             tried: Vec::new(),
             outcome: RunOutcome::NotRun,
             is_broken: false,
+            root: None,
         }
     }
 
+    /// Keeps the retry budget of the request open until the answer has ended.
+    pub(crate) fn with_root(mut self, root: RootEntry) -> Self {
+        self.root = Some(root);
+        self
+    }
+
     /// Tries targets until one answers, none is left, or no retry is allowed.
-    pub(crate) async fn run(mut self) -> Result<RoutedAnswer<S>, RoutedRefusal> {
+    pub(crate) async fn run(mut self) -> Result<RoutedAnswer, RoutedRefusal> {
         self.state.note_attempt(&self.request.service);
         let mut last = None;
         loop {
@@ -136,10 +144,10 @@
     }
 
     async fn attempt(
-        &self,
+        &mut self,
         key: TargetKey,
         peer: SocketAddr,
-    ) -> Result<RoutedAnswer<S>, RoutedRefusal> {
+    ) -> Result<RoutedAnswer, RoutedRefusal> {
         let in_flight = InFlightCall::start(self.state.clone(), key);
         let context = self.attempt_context();
         self.record_start(&context, peer);
@@ -165,11 +173,11 @@
     }
 
     async fn read_response(
-        &self,
+        &mut self,
         peer: SocketAddr,
-        in_flight: InFlightCall<S>,
+        in_flight: InFlightCall,
         response: Response<Incoming>,
-    ) -> Result<RoutedAnswer<S>, RoutedRefusal> {
+    ) -> Result<RoutedAnswer, RoutedRefusal> {
         let load = parse_load(response.headers());
         let Some(outcome) = parse_outcome(response.headers()) else {
             in_flight.end(CallEnd::Broken);
@@ -185,11 +193,11 @@
     }
 
     async fn read_whole(
-        &self,
-        in_flight: InFlightCall<S>,
+        &mut self,
+        in_flight: InFlightCall,
         response: Response<Incoming>,
         load: Option<LoadNote>,
-    ) -> Result<RoutedAnswer<S>, RoutedRefusal> {
+    ) -> Result<RoutedAnswer, RoutedRefusal> {
         let limit = self.state.settings.limits.answer_buffer_bytes;
         let deadline = self.state.clock.instant_of(self.context.deadline);
         let (mut head, body) = response.into_parts();
@@ -202,7 +210,8 @@
                 AnswerBody::whole(data, trailers)
             }
             Ok(Ok(AnswerPrefix::Longer { prefix, rest })) => {
-                AnswerBody::stream(prefix, rest, deadline, in_flight)
+                let hold = in_flight.with_root(self.root.take());
+                AnswerBody::stream(prefix, rest, deadline, hold)
             }
             Ok(Err(error)) => {
                 in_flight.end(CallEnd::Broken);
@@ -246,6 +255,7 @@
         *request.uri_mut() = mesh_uri(peer, &path);
         let headers = request.headers_mut();
         *headers = self.request.headers.clone();
+        headers.remove(HOST);
         set_header(headers, CONTEXT_HEADER, &context);
         set_header(headers, TAG_HEADER, &tag);
         self.state.stamp_clock(headers);
@@ -303,19 +313,6 @@
     }
 }
 
-/// An answer's length is that of the body that is sent, unless the answer has no body by rule.
-fn remove_length(method: &Method, status: StatusCode, headers: &mut HeaderMap) {
-    let has_no_body = method == Method::HEAD || status == StatusCode::NOT_MODIFIED;
-    if !has_no_body {
-        headers.remove(CONTENT_LENGTH);
-    }
-}
-
-fn clean_answer_headers(headers: &mut HeaderMap) {
-    remove_hop_headers(headers);
-    remove_own_headers(headers);
-}
-
 fn mesh_uri(peer: SocketAddr, path: &str) -> Uri {
     Uri::builder()
         .scheme("http")
@@ -325,13 +322,6 @@
         .unwrap_or_default()
 }
 
-fn set_header(headers: &mut HeaderMap, name: &'static str, value: &str) {
-    headers.remove(HOST);
-    if let Ok(value) = HeaderValue::from_str(value) {
-        headers.insert(name, value);
-    }
-}
-
 fn parse_load(headers: &HeaderMap) -> Option<LoadNote> {
     LoadNote::decode(headers.get(LOAD_HEADER)?.to_str().ok()?)
 }
--- /dev/null
+++ b/src/daemon/daemon_state.rs
@@ -0,0 +1,148 @@
+use {
+    super::{
+        DaemonOptions, active_calls::ActiveCalls, daemon_phase::DaemonPhase,
+        local_target::TargetSlot,
+    },
+    crate::{
+        admission::FrontGate,
+        auth::SharedKey,
+        context::{CallId, CallPriority, ClassName, RequestId, ServiceName},
+        events::{EventLog, HybridStamp, STAMP_HEADER},
+        membership::MemberId,
+        net::{MeshPool, set_header},
+        policy::ActivePolicy,
+        retry::{PermitVerdict, RetryRatio, RootTable},
+        routing::TargetTable,
+        settings::DaemonSettings,
+        time::ProcessClock,
+    },
+    http::HeaderMap,
+    rand::RngExt,
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+    },
+    tokio::sync::watch,
+};
+
+/// What the listeners of one daemon share.
+#[derive(Debug)]
+pub(crate) struct DaemonState {
+    pub(crate) clock: ProcessClock,
+    pub(crate) settings: DaemonSettings,
+    pub(crate) options: DaemonOptions,
+    pub(crate) log: slog::Logger,
+    pub(crate) key: SharedKey,
+    pub(crate) member: MemberId,
+    pub(crate) mesh_address: SocketAddr,
+    pub(crate) mesh: MeshPool,
+    pub(crate) events: EventLog,
+    pub(crate) active: ActiveCalls,
+    pub(crate) target: TargetSlot,
+    pub(crate) phase: watch::Sender<DaemonPhase>,
+    pub(crate) policy: watch::Receiver<Arc<ActivePolicy>>,
+    pub(crate) tables: RoutingTables,
+}
+
+/// Tables of the router and the root.
+#[derive(Debug)]
+pub(crate) struct RoutingTables {
+    pub(crate) targets: Mutex<TargetTable>,
+    pub(crate) roots: Mutex<RootTable>,
+    pub(crate) ratios: Mutex<HashMap<ServiceName, RetryRatio>>,
+    pub(crate) gate: Mutex<FrontGate>,
+}
+
+impl DaemonState {
+    pub(crate) fn routing(&self) -> MutexGuard<'_, TargetTable> {
+        lock(&self.tables.targets)
+    }
+
+    pub(crate) fn roots(&self) -> MutexGuard<'_, RootTable> {
+        lock(&self.tables.roots)
+    }
+
+    pub(crate) fn gate(&self) -> MutexGuard<'_, FrontGate> {
+        lock(&self.tables.gate)
+    }
+
+    /// The policy in force.
+    pub(crate) fn policy(&self) -> Arc<ActivePolicy> {
+        self.policy.borrow().clone()
+    }
+
+    pub(crate) fn phase(&self) -> DaemonPhase {
+        *self.phase.borrow()
+    }
+
+    pub(crate) fn mint_request(&self) -> RequestId {
+        RequestId::from_u128(rand::rng().random())
+    }
+
+    pub(crate) fn mint_call(&self) -> CallId {
+        CallId::from_u64(rand::rng().random())
+    }
+
+    /// Takes one retry of a request that entered here.
+    pub(crate) fn take_permit(&self, request: RequestId) -> PermitVerdict {
+        self.roots().take(self.clock.now(), request)
+    }
+
+    /// Notes a first attempt of a call to a service.
+    pub(crate) fn note_attempt(&self, service: &ServiceName) {
+        let percent = self.policy().document.retry.ratio_percent;
+        let mut ratios = lock(&self.tables.ratios);
+        if let Some(ratio) = ratios.get_mut(service) {
+            ratio.note_attempt(percent);
+        } else {
+            ratios.insert(service.clone(), RetryRatio::new());
+        }
+    }
+
+    /// Takes one retry of the share that a service is allowed.
+    pub(crate) fn take_retry(&self, service: &ServiceName) -> bool {
+        lock(&self.tables.ratios)
+            .get_mut(service)
+            .is_some_and(RetryRatio::take)
+    }
+
+    /// The priority that is held against thresholds of targets.
+    pub(crate) fn shed_priority(&self, priority: CallPriority) -> CallPriority {
+        if self.options.has_threshold {
+            priority
+        } else {
+            CallPriority::HIGHEST
+        }
+    }
+
+    /// Notes the threshold that an answer brought from down the chain.
+    pub(crate) fn note_threshold(
+        &self,
+        service: &ServiceName,
+        class: &ClassName,
+        threshold: CallPriority,
+    ) {
+        let now = self.clock.now();
+        self.gate().note(now, service, class, threshold);
+    }
+
+    /// Sends the clock of this process along.
+    pub(crate) fn stamp_clock(&self, headers: &mut HeaderMap) {
+        set_header(headers, STAMP_HEADER, &self.events.stamp().encode());
+    }
+
+    /// Takes in the clock that came along.
+    pub(crate) fn observe_clock(&self, headers: &HeaderMap) {
+        let stamp = headers
+            .get(STAMP_HEADER)
+            .and_then(|value| HybridStamp::decode(value.to_str().ok()?));
+        if let Some(stamp) = stamp {
+            self.events.observe(stamp);
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/daemon/guarded_call.rs
@@ -0,0 +1,259 @@
+use {
+    super::{
+        active_calls::ActiveEntry,
+        admission_desk::AdmittedTicket,
+        daemon_state::DaemonState,
+        local_target::{DaemonLimit, LocalTarget},
+    },
+    crate::{
+        admission::{AdmissionRefusal, AdmissionRequest, CompletionKind, RefusalReason},
+        context::{CONTEXT_HEADER, CallContext, CallPriority, OUTCOME_HEADER, RunOutcome},
+        events::EventKind,
+        net::{
+            AnswerBody, AnswerPrefix, CallRefusal, CallRequest, LOAD_HEADER, RefusalKind,
+            SendFailure, StreamEnd, StreamHold, TargetConnection, clean_answer_headers,
+            read_answer, remove_length, set_header,
+        },
+        routing::LoadNote,
+        time::TimePoint,
+    },
+    bytes::Bytes,
+    http::{HeaderMap, Request, Response, header::HOST},
+    http_body_util::Full,
+    hyper::body::Incoming,
+    std::sync::Arc,
+    tokio::time::timeout_at,
+};
+
+/// Earliest return of a call whose target does not listen.
+const DEAD_TARGET_RETRY: std::time::Duration = std::time::Duration::from_secs(2);
+
+/// A call that the target beside the daemon may run.
+#[derive(Debug)]
+pub(crate) struct GuardedCall {
+    pub(crate) state: Arc<DaemonState>,
+    pub(crate) target: Arc<LocalTarget>,
+    pub(crate) request: CallRequest,
+    pub(crate) context: CallContext,
+}
+
+/// A call that has a slot at the target.
+#[derive(Debug)]
+pub(crate) struct AdmittedCall {
+    call: GuardedCall,
+    ticket: AdmittedTicket<DaemonLimit>,
+    started: TimePoint,
+}
+
+/// Held until a streamed answer of the target has ended.
+#[derive(Debug)]
+pub(crate) struct GuardHold {
+    ticket: AdmittedTicket<DaemonLimit>,
+    connection: TargetConnection,
+    _entry: ActiveEntry,
+}
+
+pub(crate) type GuardAnswer = Response<AnswerBody<GuardHold>>;
+
+impl GuardedCall {
+    /// Waits for a slot at the target.
+    pub(crate) async fn admit(self) -> Result<AdmittedCall, CallRefusal> {
+        let request = AdmissionRequest {
+            priority: self.context.priority,
+            depth: self.context.depth,
+            deadline: self.context.deadline,
+        };
+        match self.target.desk.admit(request).await {
+            Ok(ticket) => {
+                self.record_admitted();
+                let started = self.state.clock.now();
+                Ok(AdmittedCall {
+                    call: self,
+                    ticket,
+                    started,
+                })
+            }
+            Err(refusal) => {
+                self.record_refused(&refusal);
+                Err(admission_refusal(&refusal, &self.request))
+            }
+        }
+    }
+
+    fn record_admitted(&self) {
+        self.state.events.record(EventKind::CallAdmitted {
+            request: self.context.request,
+            call: self.context.call,
+            service: self.request.service.clone(),
+        });
+    }
+
+    fn record_refused(&self, refusal: &AdmissionRefusal) {
+        let retry_after = refusal.retry_after.as_millis();
+        self.state.events.record(EventKind::CallRefused {
+            request: self.context.request,
+            call: self.context.call,
+            service: self.request.service.clone(),
+            reason: <&'static str>::from(refusal.reason).into(),
+            retry_after_ms: u64::try_from(retry_after).unwrap_or(u64::MAX),
+        });
+    }
+}
+
+impl AdmittedCall {
+    pub(crate) fn context(&self) -> &CallContext {
+        &self.call.context
+    }
+
+    /// Sends the call to the target and reads its answer.
+    pub(crate) async fn dispatch(self) -> Result<GuardAnswer, CallRefusal> {
+        let entry = self.call.state.active.enter(self.call.context.clone());
+        let deadline = self.call.state.clock.instant_of(self.call.context.deadline);
+        let message = self.target_request();
+        match self.call.target.pool.send(message, deadline).await {
+            Ok((response, connection)) => self.read_whole(entry, response, connection).await,
+            Err(SendFailure::NotSent(error)) => {
+                self.ticket.finish(CompletionKind::Failure);
+                let refusal = CallRefusal::not_run(RefusalKind::NoTarget, error.to_string());
+                Err(refusal.with_retry_after(DEAD_TARGET_RETRY))
+            }
+            Err(SendFailure::Broken(error)) => {
+                self.ticket.finish(CompletionKind::Failure);
+                let kind = RefusalKind::AnswerBroken;
+                Err(CallRefusal::unknown(kind, error.to_string()))
+            }
+            Err(SendFailure::TimedOut(error)) => {
+                self.ticket.finish(CompletionKind::Cancelled);
+                let kind = RefusalKind::DeadlineExceeded;
+                Err(CallRefusal::unknown(kind, error.to_string()))
+            }
+        }
+    }
+
+    async fn read_whole(
+        self,
+        entry: ActiveEntry,
+        response: Response<Incoming>,
+        connection: TargetConnection,
+    ) -> Result<GuardAnswer, CallRefusal> {
+        let state = self.call.state.clone();
+        let limit = state.settings.limits.answer_buffer_bytes;
+        let deadline = state.clock.instant_of(self.call.context.deadline);
+        let (mut head, body) = response.into_parts();
+        clean_answer_headers(&mut head.headers);
+        let kind = if head.status.is_server_error() {
+            CompletionKind::Failure
+        } else {
+            CompletionKind::Success
+        };
+        let prefix = timeout_at(deadline, read_answer(body, limit)).await;
+        let chain_threshold = entry.call.chain_threshold();
+        let body = match prefix {
+            Ok(Ok(AnswerPrefix::Whole { data, trailers })) => {
+                connection.release();
+                self.record_completed(head.status.as_u16());
+                self.ticket.finish(kind);
+                remove_length(&self.call.request.method, head.status, &mut head.headers);
+                AnswerBody::whole(data, trailers)
+            }
+            Ok(Ok(AnswerPrefix::Longer { prefix, rest })) => {
+                self.record_completed(head.status.as_u16());
+                let hold = GuardHold {
+                    ticket: self.ticket,
+                    connection,
+                    _entry: entry,
+                };
+                AnswerBody::stream(prefix, rest, deadline, hold)
+            }
+            Ok(Err(error)) => {
+                self.ticket.finish(CompletionKind::Failure);
+                let detail = format!("answer of {} broke off: {error}", connection.target());
+                return Err(CallRefusal::unknown(RefusalKind::AnswerBroken, detail));
+            }
+            Err(_) => {
+                self.ticket.finish(CompletionKind::Cancelled);
+                let detail = "deadline passed before the answer was whole";
+                let kind = RefusalKind::DeadlineExceeded;
+                return Err(CallRefusal::unknown(kind, detail));
+            }
+        };
+        let mut response = Response::from_parts(head, body);
+        let load = state.load_note(chain_threshold);
+        stamp_answer(response.headers_mut(), RunOutcome::Run, load);
+        Ok(response)
+    }
+
+    fn target_request(&self) -> Request<Full<Bytes>> {
+        let request = &self.call.request;
+        let mut message = Request::new(Full::new(request.body.clone()));
+        *message.method_mut() = request.method.clone();
+        *message.uri_mut() = request.path.clone().into();
+        let headers = message.headers_mut();
+        *headers = request.headers.clone();
+        let now = self.call.state.clock.now();
+        set_header(headers, CONTEXT_HEADER, &self.call.context.encode(now));
+        let host = self.call.target.announcement.address.to_string();
+        set_header(headers, HOST.as_str(), &host);
+        message
+    }
+
+    fn record_completed(&self, status: u16) {
+        let elapsed = self.call.state.clock.now().since(self.started);
+        self.call.state.events.record(EventKind::CallCompleted {
+            request: self.call.context.request,
+            call: self.call.context.call,
+            service: self.call.request.service.clone(),
+            target: self.call.target.announcement.address,
+            status,
+            outcome: RunOutcome::Run,
+            elapsed_us: u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX),
+        });
+    }
+}
+
+impl StreamHold for GuardHold {
+    fn end(self, end: StreamEnd) {
+        match end {
+            StreamEnd::Whole => {
+                self.connection.release();
+                self.ticket.finish(CompletionKind::Success);
+            }
+            StreamEnd::Broken => self.ticket.finish(CompletionKind::Failure),
+            StreamEnd::Abandoned => self.ticket.finish(CompletionKind::Cancelled),
+        }
+    }
+}
+
+/// Sets what an answer tells the router.
+pub(crate) fn stamp_answer(headers: &mut HeaderMap, outcome: RunOutcome, load: LoadNote) {
+    set_header(headers, OUTCOME_HEADER, outcome.into());
+    set_header(headers, LOAD_HEADER, &load.encode());
+}
+
+fn admission_refusal(refusal: &AdmissionRefusal, request: &CallRequest) -> CallRefusal {
+    let kind = match refusal.reason {
+        RefusalReason::Draining => RefusalKind::Draining,
+        RefusalReason::DeadlineTooNear => RefusalKind::DeadlineExceeded,
+        RefusalReason::BelowThreshold
+        | RefusalReason::QueueFull
+        | RefusalReason::Sojourn
+        | RefusalReason::FrontGate => RefusalKind::Overload,
+    };
+    let detail = format!("guard of {}: {}", request.service, refusal.reason);
+    CallRefusal::not_run(kind, detail).with_retry_after(refusal.retry_after)
+}
+
+impl DaemonState {
+    /// The load that an answer of the guard carries.
+    pub(crate) fn load_note(&self, chain_threshold: CallPriority) -> LoadNote {
+        let Some(target) = self.target.get() else {
+            return LoadNote::default();
+        };
+        let load = target.desk.load();
+        LoadNote {
+            threshold: load.threshold,
+            chain_threshold: chain_threshold.max(load.threshold),
+            utilization_percent: load.utilization_percent,
+        }
+    }
+}
--- a/src/daemon/in_flight_call.rs
+++ b/src/daemon/in_flight_call.rs
@@ -1,8 +1,7 @@
 use {
-    super::daemon_state::DaemonState,
+    super::{daemon_state::DaemonState, root_entry::RootEntry},
     crate::{
         net::{StreamEnd, StreamHold},
-        platform::TableStore,
         routing::{CallEnd, LoadNote, TargetKey},
     },
     std::sync::Arc,
@@ -10,19 +9,21 @@
 
 /// Counts a call against its target until it has ended; abandoned on drop.
 #[derive(Debug)]
-pub(crate) struct InFlightCall<S: TableStore> {
-    state: Arc<DaemonState<S>>,
+pub(crate) struct InFlightCall {
+    state: Arc<DaemonState>,
     key: Option<TargetKey>,
     load: Option<LoadNote>,
+    root: Option<RootEntry>,
 }
 
-impl<S: TableStore> InFlightCall<S> {
-    pub(crate) fn start(state: Arc<DaemonState<S>>, key: TargetKey) -> Self {
+impl InFlightCall {
+    pub(crate) fn start(state: Arc<DaemonState>, key: TargetKey) -> Self {
         state.routing().start(key);
         Self {
             state,
             key: Some(key),
             load: None,
+            root: None,
         }
     }
 
@@ -32,6 +33,12 @@
         self
     }
 
+    /// Keeps the retry budget of the request open until the call has ended.
+    pub(crate) fn with_root(mut self, root: Option<RootEntry>) -> Self {
+        self.root = root;
+        self
+    }
+
     pub(crate) fn end(mut self, end: CallEnd) {
         self.note(end);
     }
@@ -44,7 +51,7 @@
     }
 }
 
-impl<S: TableStore> StreamHold for InFlightCall<S> {
+impl StreamHold for InFlightCall {
     fn end(mut self, end: StreamEnd) {
         let end = match end {
             StreamEnd::Whole => CallEnd::Answered(self.load),
@@ -55,7 +62,7 @@
     }
 }
 
-impl<S: TableStore> Drop for InFlightCall<S> {
+impl Drop for InFlightCall {
     fn drop(&mut self) {
         self.note(CallEnd::Abandoned);
     }
--- /dev/null
+++ b/src/daemon/local_target.rs
@@ -0,0 +1,166 @@
+use {
+    super::admission_desk::AdmissionDesk,
+    crate::{
+        admission::{AdmissionGuard, GradientLimit, GuardSettings},
+        membership::{TargetAnnouncement, TargetState},
+        net::TargetPool,
+        policy::OverloadPolicy,
+        time::{ProcessClock, TimePoint},
+    },
+    std::{
+        sync::{Arc, Mutex, PoisonError, RwLock},
+        time::Duration,
+    },
+};
+
+/// Time after which a target that does not announce itself again is withdrawn.
+pub(crate) const ANNOUNCE_EXPIRY: Duration = Duration::from_secs(5);
+/// Time for which a draining target still gets what routers send that do not know of it yet.
+const DRAIN_GRACE: Duration = Duration::from_secs(2);
+
+/// The concurrency limit that daemons run with.
+pub(crate) type DaemonLimit = GradientLimit;
+
+/// The target beside the daemon.
+#[derive(Debug)]
+pub(crate) struct LocalTarget {
+    pub(crate) announcement: TargetAnnouncement,
+    pub(crate) pool: Arc<TargetPool>,
+    pub(crate) desk: Arc<AdmissionDesk<DaemonLimit>>,
+    seen: Mutex<TimePoint>,
+    draining_since: Option<TimePoint>,
+}
+
+/// Holds the target beside the daemon, if one is announced.
+#[derive(Debug)]
+pub(crate) struct TargetSlot {
+    clock: ProcessClock,
+    target: RwLock<Option<Arc<LocalTarget>>>,
+}
+
+/// What an announcement changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AnnounceChange {
+    /// Known already.
+    Renewed,
+    New,
+    Draining,
+}
+
+impl LocalTarget {
+    /// The target takes a call that arrives now.
+    pub(crate) fn is_open(&self, now: TimePoint) -> bool {
+        self.draining_since
+            .is_none_or(|since| now.since(since) < DRAIN_GRACE)
+    }
+}
+
+impl TargetSlot {
+    pub(crate) fn new(clock: ProcessClock) -> Self {
+        Self {
+            clock,
+            target: RwLock::default(),
+        }
+    }
+
+    pub(crate) fn get(&self) -> Option<Arc<LocalTarget>> {
+        let target = self.target.read().unwrap_or_else(PoisonError::into_inner);
+        target.clone()
+    }
+
+    /// Takes an announcement in.
+    pub(crate) fn announce(
+        &self,
+        announcement: &TargetAnnouncement,
+        policy: &OverloadPolicy,
+    ) -> AnnounceChange {
+        let now = self.clock.now();
+        let mut slot = self.target.write().unwrap_or_else(PoisonError::into_inner);
+        if let Some(target) = slot.as_ref() {
+            *target.seen.lock().unwrap_or_else(PoisonError::into_inner) = now;
+            if target.announcement == *announcement {
+                return AnnounceChange::Renewed;
+            }
+        }
+        let target = match slot.as_ref() {
+            Some(earlier) if is_same_target(&earlier.announcement, announcement) => {
+                self.changed(earlier, announcement, now)
+            }
+            _ => self.fresh(announcement, policy, now),
+        };
+        let change = match announcement.state {
+            TargetState::Serving => AnnounceChange::New,
+            TargetState::Draining => AnnounceChange::Draining,
+        };
+        *slot = Some(Arc::new(target));
+        change
+    }
+
+    /// Takes the target out; what is in flight to it goes on.
+    pub(crate) fn withdraw(&self) -> Option<Arc<LocalTarget>> {
+        let mut slot = self.target.write().unwrap_or_else(PoisonError::into_inner);
+        slot.take()
+    }
+
+    /// Takes the target out if it has been silent for [`ANNOUNCE_EXPIRY`].
+    pub(crate) fn expire(&self, now: TimePoint) -> Option<Arc<LocalTarget>> {
+        let target = self.get()?;
+        let seen = *target.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        if now.since(seen) < ANNOUNCE_EXPIRY {
+            return None;
+        }
+        self.withdraw()
+    }
+
+    fn changed(
+        &self,
+        earlier: &LocalTarget,
+        announcement: &TargetAnnouncement,
+        now: TimePoint,
+    ) -> LocalTarget {
+        earlier
+            .desk
+            .adjust(|guard, now| guard.set_slots(now, announcement.slots));
+        LocalTarget {
+            announcement: announcement.clone(),
+            pool: earlier.pool.clone(),
+            desk: earlier.desk.clone(),
+            seen: Mutex::new(now),
+            draining_since: draining_since(announcement, earlier.draining_since, now),
+        }
+    }
+
+    fn fresh(
+        &self,
+        announcement: &TargetAnnouncement,
+        policy: &OverloadPolicy,
+        now: TimePoint,
+    ) -> LocalTarget {
+        let settings = GuardSettings::new(announcement.slots, policy);
+        let guard = AdmissionGuard::new(settings, now);
+        LocalTarget {
+            announcement: announcement.clone(),
+            pool: TargetPool::new(announcement.address, announcement.connections),
+            desk: AdmissionDesk::new(self.clock, guard),
+            seen: Mutex::new(now),
+            draining_since: draining_since(announcement, None, now),
+        }
+    }
+}
+
+fn is_same_target(earlier: &TargetAnnouncement, later: &TargetAnnouncement) -> bool {
+    earlier.service == later.service
+        && earlier.address == later.address
+        && earlier.connections == later.connections
+}
+
+fn draining_since(
+    announcement: &TargetAnnouncement,
+    earlier: Option<TimePoint>,
+    now: TimePoint,
+) -> Option<TimePoint> {
+    match announcement.state {
+        TargetState::Serving => None,
+        TargetState::Draining => earlier.or(Some(now)),
+    }
+}
--- /dev/null
+++ b/src/daemon/mesh_service.rs
@@ -0,0 +1,163 @@
+use {
+    super::{
+        daemon_phase::DaemonPhase,
+        daemon_state::DaemonState,
+        guarded_call::{GuardAnswer, GuardedCall, stamp_answer},
+        mesh_client::MAX_MESSAGE_BYTES,
+        permit_client::PermitRequest,
+    },
+    crate::{
+        context::{CONTEXT_HEADER, CallContext, CallPriority, ServiceName},
+        net::{
+            AnswerBody, CallRefusal, CallRequest, MESH_PREFIX, PERMIT_PATH, RefusalKind,
+            TAG_HEADER, is_valid_call_tag, is_valid_message_tag, parse_route, read_request,
+            remove_own_headers,
+        },
+    },
+    bytes::Bytes,
+    http::{HeaderMap, Request, Response, StatusCode, header::CONTENT_LENGTH},
+    hyper::body::Incoming,
+    serde::{Serialize, de::DeserializeOwned},
+    std::{sync::Arc, time::Duration},
+};
+
+/// Longest time for a message of another daemon to arrive.
+const BODY_PATIENCE: Duration = Duration::from_secs(5);
+const DRAIN_RETRY: Duration = Duration::from_secs(1);
+
+/// Answers another daemon.
+pub(crate) async fn serve_mesh_call(
+    state: Arc<DaemonState>,
+    request: Request<Incoming>,
+) -> GuardAnswer {
+    if request.uri().path().starts_with(MESH_PREFIX) {
+        return serve_message(&state, request).await;
+    }
+    state.observe_clock(request.headers());
+    let mut response = match serve_call(&state, request).await {
+        Ok(response) => response,
+        Err(refusal) => refuse(&state, &refusal),
+    };
+    state.stamp_clock(response.headers_mut());
+    response
+}
+
+async fn serve_call(
+    state: &Arc<DaemonState>,
+    request: Request<Incoming>,
+) -> Result<GuardAnswer, CallRefusal> {
+    let (mut head, body) = request.into_parts();
+    let context = check_context(state, &head)?;
+    let (service, path) = parse_route(&head.uri)
+        .map_err(|error| CallRefusal::not_run(RefusalKind::BadRequest, error.to_string()))?;
+    let target = open_target(state, &service)?;
+    let limit = state.settings.limits.request_buffer_bytes;
+    let body = read_request(body, limit, BODY_PATIENCE)
+        .await
+        .map_err(|error| CallRefusal::not_run(RefusalKind::BadRequest, error.to_string()))?;
+    remove_own_headers(&mut head.headers);
+    head.headers.remove(CONTENT_LENGTH);
+    let call = GuardedCall {
+        state: state.clone(),
+        target,
+        request: CallRequest {
+            method: head.method,
+            service,
+            path,
+            headers: head.headers,
+            body,
+        },
+        context,
+    };
+    call.admit().await?.dispatch().await
+}
+
+fn check_context(
+    state: &DaemonState,
+    head: &http::request::Parts,
+) -> Result<CallContext, CallRefusal> {
+    let text = header_text(&head.headers, CONTEXT_HEADER).unwrap_or_default();
+    let tag = header_text(&head.headers, TAG_HEADER).unwrap_or_default();
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    if !is_valid_call_tag(&state.key, head.method.as_str(), path, text, tag) {
+        metrics::counter!("banyantrestle_mesh_forbidden_total").increment(1);
+        let detail = "the call is not from a daemon of this deployment";
+        return Err(CallRefusal::not_run(RefusalKind::Forbidden, detail));
+    }
+    CallContext::decode(text, state.clock.now()).ok_or_else(|| {
+        let detail = format!("header {CONTEXT_HEADER} cannot be read");
+        CallRefusal::not_run(RefusalKind::ContextInvalid, detail)
+    })
+}
+
+fn open_target(
+    state: &DaemonState,
+    service: &ServiceName,
+) -> Result<Arc<super::local_target::LocalTarget>, CallRefusal> {
+    let now = state.clock.now();
+    let target = state
+        .target
+        .get()
+        .filter(|target| target.announcement.service == *service)
+        .ok_or_else(|| {
+            let detail = format!("no target of {service} is announced here");
+            CallRefusal::not_run(RefusalKind::NoTarget, detail).with_retry_after(DRAIN_RETRY)
+        })?;
+    if state.phase() >= DaemonPhase::Draining || !target.is_open(now) {
+        let detail = format!("the target of {service} is leaving");
+        let refusal = CallRefusal::not_run(RefusalKind::Draining, detail);
+        return Err(refusal.with_retry_after(DRAIN_RETRY));
+    }
+    Ok(target)
+}
+
+fn refuse(state: &DaemonState, refusal: &CallRefusal) -> GuardAnswer {
+    let mut response = refusal.to_response();
+    let load = state.load_note(CallPriority::LOWEST);
+    stamp_answer(response.headers_mut(), refusal.outcome, load);
+    response.map(|body| AnswerBody::whole(body, None))
+}
+
+async fn serve_message(state: &Arc<DaemonState>, request: Request<Incoming>) -> GuardAnswer {
+    let (head, body) = request.into_parts();
+    let path = head.uri.path();
+    let tag = header_text(&head.headers, TAG_HEADER).unwrap_or_default();
+    let Ok(body) = read_request(body, MAX_MESSAGE_BYTES, BODY_PATIENCE).await else {
+        return plain(StatusCode::BAD_REQUEST, Bytes::new());
+    };
+    if !is_valid_message_tag(&state.key, path, &body, tag) {
+        metrics::counter!("banyantrestle_mesh_forbidden_total").increment(1);
+        return plain(StatusCode::FORBIDDEN, Bytes::new());
+    }
+    let answer = match path {
+        PERMIT_PATH => answer_message(&body, |message: PermitRequest| {
+            state.take_permit(message.request)
+        }),
+        _ => None,
+    };
+    match answer {
+        Some(answer) => plain(StatusCode::OK, answer),
+        None => plain(StatusCode::BAD_REQUEST, Bytes::new()),
+    }
+}
+
+fn answer_message<Q, A, F>(body: &[u8], answer: F) -> Option<Bytes>
+where
+    Q: DeserializeOwned,
+    A: Serialize,
+    F: FnOnce(Q) -> A,
+{
+    let message = postcard::from_bytes(body).ok()?;
+    let answer = postcard::to_allocvec(&answer(message)).ok()?;
+    Some(answer.into())
+}
+
+fn plain(status: StatusCode, body: Bytes) -> GuardAnswer {
+    let mut response = Response::new(AnswerBody::whole(body, None));
+    *response.status_mut() = status;
+    response
+}
+
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- a/src/daemon/permit_client.rs
+++ b/src/daemon/permit_client.rs
@@ -5,7 +5,6 @@
         error::StepError,
         events::EventKind,
         net::PERMIT_PATH,
-        platform::TableStore,
         retry::PermitVerdict,
     },
     serde::{Deserialize, Serialize},
@@ -22,8 +21,8 @@
 }
 
 /// True if the call may be repeated.
-pub(crate) async fn ask_permit<S: TableStore>(
-    state: &Arc<DaemonState<S>>,
+pub(crate) async fn ask_permit(
+    state: &Arc<DaemonState>,
     context: &CallContext,
     service: &ServiceName,
 ) -> bool {
@@ -48,8 +47,8 @@
     }
 }
 
-async fn ask_root<S: TableStore>(
-    state: &Arc<DaemonState<S>>,
+async fn ask_root(
+    state: &Arc<DaemonState>,
     context: &CallContext,
 ) -> Result<PermitVerdict, StepError> {
     if context.root == state.mesh_address {
@@ -63,8 +62,8 @@
     post_message(&state.mesh, &state.key, context.root, PERMIT_PATH, &message, patience).await
 }
 
-fn record_denial<S: TableStore>(
-    state: &Arc<DaemonState<S>>,
+fn record_denial(
+    state: &Arc<DaemonState>,
     context: &CallContext,
     reason: &'static str,
 ) {
--- a/src/net/header_names.rs
+++ b/src/net/header_names.rs
@@ -1,6 +1,6 @@
 use http::{
-    HeaderMap,
-    header::{CONNECTION, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE},
+    HeaderMap, HeaderValue, Method, StatusCode,
+    header::{CONNECTION, CONTENT_LENGTH, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE},
 };
 
 /// Media type of RFC 9457.
@@ -56,3 +56,24 @@
         headers.remove(name);
     }
 }
+
+/// Removes from an answer what concerns one connection only or only daemons may set.
+pub(crate) fn clean_answer_headers(headers: &mut HeaderMap) {
+    remove_hop_headers(headers);
+    remove_own_headers(headers);
+}
+
+/// An answer's length is that of the body that is sent, unless the answer has no body by rule.
+pub(crate) fn remove_length(method: &Method, status: StatusCode, headers: &mut HeaderMap) {
+    let has_no_body = method == Method::HEAD || status == StatusCode::NOT_MODIFIED;
+    if !has_no_body {
+        headers.remove(CONTENT_LENGTH);
+    }
+}
+
+/// Sets a header; a value that no header can hold is left out.
+pub(crate) fn set_header(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,8 +19,8 @@
     answer_reader::{AnswerPrefix, read_answer},
     call_request::{CallRequest, RouteError, parse_route},
     header_names::{
-        KEY_HEADER, LOAD_HEADER, REASON_HEADER, TAG_HEADER, remove_hop_headers,
-        remove_own_headers,
+        KEY_HEADER, LOAD_HEADER, REASON_HEADER, TAG_HEADER, clean_answer_headers,
+        remove_hop_headers, remove_length, remove_own_headers, set_header,
     },
     listener::{ConnectionGate, ListenerLimits, bind, serve_http, serve_mesh},
     mesh_pool::{MeshFailure, MeshPool},
--- a/src/net/target_pool.rs
+++ b/src/net/target_pool.rs
@@ -141,6 +141,11 @@
 }
 
 impl TargetConnection {
+    /// Address of the target.
+    pub(crate) fn target(&self) -> SocketAddr {
+        self.pool.target
+    }
+
     /// Gives the connection back after a whole answer.
     pub(crate) fn release(self) {
         let mut idle = self
