Stand-in targets and callers

Weighed: a checksum header against answers whose bytes follow from the call. The latter also finds answers of other calls and needs no trailer.

--- /dev/null
+++ b/standins/src/bin/standin-caller.rs
@@ -0,0 +1,80 @@
+//! Runs stand-in callers of one class against daemons and prints what became of their requests.
+
+use {
+    banyantrestle::context::ServiceName,
+    standins::{
+        caller::{CallerClass, CallerFleet, CallerSettings, RetryHabit},
+        client::{CallClient, CallPath, CallRouter},
+        http::process_end,
+    },
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::sleep,
+};
+
+xflags::xflags! {
+    /// Calls a service at a given rate, and prints counts as JSON at the end.
+    cmd standin-caller {
+        /// Address of a daemon's `edge` listener; may be repeated.
+        repeated --edge address: SocketAddr
+        /// Service to call.
+        required --service name: String
+        /// Path within the service; `call` by default.
+        optional --path path: String
+        /// Arrivals a second; 10 by default.
+        optional --rate count: f64
+        /// Time to run, in s; 10 by default.
+        optional --seconds seconds: u64
+        /// Time for each whole answer, in ms; 2000 by default.
+        optional --timeout-ms ms: u64
+        /// Each request carries an idempotency key.
+        optional --keyed
+        /// Calls of one request, made at once after a failure; 1 by default.
+        optional --hard attempts: u32
+        /// Calls of one request, made when `Retry-After` says.
+        optional --patient attempts: u32
+        /// Seed of the arrivals.
+        optional --seed number: u64
+    }
+}
+
+impl StandinCaller {
+    fn habit(&self) -> RetryHabit {
+        match (self.hard, self.patient) {
+            (Some(attempts), _) => RetryHabit::Hard { attempts },
+            (None, Some(attempts)) => RetryHabit::Patient { attempts },
+            (None, None) => RetryHabit::Never,
+        }
+    }
+
+    fn settings(&self) -> anyhow::Result<CallerSettings> {
+        let path = self.path.as_deref().unwrap_or("call");
+        let class = CallerClass {
+            name: "call".into(),
+            service: ServiceName::new(&self.service)?,
+            path: CallPath::parse(path),
+            rate: self.rate.unwrap_or(10.0),
+            is_keyed: self.keyed,
+            timeout: Duration::from_millis(self.timeout_ms.unwrap_or(2_000)),
+        };
+        Ok(CallerSettings {
+            classes: vec![class],
+            habit: self.habit(),
+            seed: self.seed.unwrap_or(1),
+        })
+    }
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let flags = StandinCaller::from_env_or_exit();
+    let client = CallClient::new(CallRouter::daemons(flags.edge.clone()));
+    let fleet = CallerFleet::start(flags.settings()?, client);
+    let seconds = Duration::from_secs(flags.seconds.unwrap_or(10));
+    tokio::select! {
+        () = sleep(seconds) => {}
+        ended = process_end() => ended?,
+    }
+    let report = fleet.stop().await;
+    println!("{}", serde_json::to_string(&report)?);
+    Ok(())
+}
--- /dev/null
+++ b/standins/src/bin/standin-target.rs
@@ -0,0 +1,77 @@
+//! Runs one stand-in target beside a daemon.
+
+use {
+    anyhow::Context,
+    banyantrestle::context::ServiceName,
+    standins::{
+        client::CallRouter,
+        http::process_end,
+        target::{RunLedger, TargetSettings, TargetStandin},
+    },
+    std::{net::SocketAddr, time::Duration},
+};
+
+xflags::xflags! {
+    /// Runs a target that announces itself to a daemon; POST /control changes what it does.
+    cmd standin-target {
+        /// Name of its service.
+        required --service name: String
+        /// Address of the daemon's `local` listener; without it nothing is announced.
+        optional --daemon address: SocketAddr
+        /// Address to listen on; a free loopback port by default.
+        optional --listen address: SocketAddr
+        /// Calls that run at once; 20 by default.
+        optional --slots count: u32
+        /// Connections that are accepted; 1024 by default.
+        optional --connections count: u32
+        /// Mean service time in ms; 10 by default.
+        optional --service-ms ms: u64
+        /// Service that each call calls on to; may be repeated.
+        repeated --call name: String
+        /// Calls on are made all at once.
+        optional --fan-out
+        /// Time in s after the start in which it is slow.
+        optional --cold-s seconds: u64
+        /// Age in ms of what it reports of its load and health.
+        optional --report-lag-ms ms: u64
+        /// Seed of its service times.
+        optional --seed number: u64
+    }
+}
+
+fn settings(flags: &StandinTarget) -> anyhow::Result<TargetSettings> {
+    let service = ServiceName::new(&flags.service)?;
+    let mut settings = TargetSettings::new(&service);
+    settings.listen = flags.listen.unwrap_or(settings.listen);
+    settings.slots = flags.slots.unwrap_or(settings.slots);
+    settings.connections = flags.connections.unwrap_or(settings.connections);
+    settings.seed = flags.seed.unwrap_or(settings.seed);
+    settings.is_fan_out = flags.fan_out;
+    settings.cold_start = Duration::from_secs(flags.cold_s.unwrap_or(0));
+    settings.report_lag = Duration::from_millis(flags.report_lag_ms.unwrap_or(0));
+    if let Some(ms) = flags.service_ms {
+        settings.service_mean = Duration::from_millis(ms);
+    }
+    for name in &flags.call {
+        settings.calls.push(ServiceName::new(name)?);
+    }
+    Ok(settings)
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let flags = StandinTarget::from_env_or_exit();
+    let settings = settings(&flags)?;
+    let router = CallRouter::daemons(flags.daemon.into_iter().collect());
+    let ledger = RunLedger::default();
+    let target = TargetStandin::start(settings, router, ledger).await;
+    let mut target = target.context("listening")?;
+    let address = target.address();
+    if let Some(daemon) = flags.daemon {
+        target.announce(daemon, address);
+    }
+    println!("{{\"address\":\"{address}\"}}");
+    process_end().await?;
+    target.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/standins/src/caller/caller_record.rs
@@ -0,0 +1,120 @@
+use {
+    super::{CallerClass, CallerReport, ClassReport, SERIES_STEP},
+    crate::client::CallResult,
+    banyantrestle::context::RunOutcome,
+    hdrhistogram::Histogram,
+    std::time::{Duration, Instant},
+};
+
+const LONGEST_LATENCY_US: u64 = 120_000_000;
+const LATENCY_DIGITS: u8 = 3;
+
+/// One request of a caller.
+#[derive(Clone, Copy, Debug)]
+pub struct CallerRequest {
+    /// Index of its class.
+    pub class: usize,
+    pub arrived: Instant,
+}
+
+/// Counts of a running fleet.
+#[derive(Debug)]
+pub struct CallerRecord {
+    started: Instant,
+    report: CallerReport,
+    latencies: Vec<Histogram<u64>>,
+}
+
+impl CallerRecord {
+    pub fn new(classes: &[CallerClass]) -> Self {
+        let report = |class: &CallerClass| ClassReport {
+            name: class.name.clone(),
+            ..ClassReport::default()
+        };
+        let histogram = |_| {
+            Histogram::new_with_max(LONGEST_LATENCY_US, LATENCY_DIGITS)
+                .expect("the bounds are constant and in range")
+        };
+        Self {
+            started: Instant::now(),
+            report: CallerReport {
+                classes: classes.iter().map(report).collect(),
+                ..CallerReport::default()
+            },
+            latencies: classes.iter().map(histogram).collect(),
+        }
+    }
+
+    pub fn offer(&mut self, request: CallerRequest) {
+        self.report.classes[request.class].offered += 1;
+        self.bucket(request).offered += 1;
+    }
+
+    pub fn retry(&mut self, request: CallerRequest) {
+        self.report.classes[request.class].retries += 1;
+    }
+
+    /// Counts the result of an attempt.
+    pub fn attempt(&mut self, request: CallerRequest, attempt: &str, result: &CallResult) {
+        let class = &mut self.report.classes[request.class];
+        match result {
+            CallResult::Whole => {
+                self.report.whole_attempts.insert(attempt.into());
+            }
+            CallResult::Refused { outcome, .. } => match outcome {
+                Some(RunOutcome::NotRun) => {
+                    class.not_run += 1;
+                    self.report.told_not_run.push(attempt.into());
+                }
+                Some(RunOutcome::Unknown) => class.unknown += 1,
+                Some(RunOutcome::Run) => class.run += 1,
+                None => class.unnamed += 1,
+            },
+            CallResult::Wrong(_) => class.wrong += 1,
+            CallResult::Failed(_) => class.failed += 1,
+            CallResult::TimedOut => class.timed_out += 1,
+        }
+    }
+
+    /// Counts a request whose whole answer arrived at its `attempt`, from 0.
+    pub fn whole(&mut self, request: CallerRequest, attempt: u32) {
+        self.report.classes[request.class].whole += 1;
+        let latency = u64::try_from(request.arrived.elapsed().as_micros()).unwrap_or(u64::MAX);
+        self.latencies[request.class].saturating_record(latency);
+        let bucket = self.bucket(request);
+        bucket.whole += 1;
+        bucket.at_once += u32::from(attempt == 0);
+    }
+
+    pub fn elapsed(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    pub fn report(&self) -> CallerReport {
+        let mut report = self.report.clone();
+        for (class, latencies) in report.classes.iter_mut().zip(&self.latencies) {
+            class.p50_ms = quantile_ms(latencies, 0.5);
+            class.p99_ms = quantile_ms(latencies, 0.99);
+        }
+        report
+    }
+
+    fn bucket(&mut self, request: CallerRequest) -> &mut super::SeriesBucket {
+        let since = request.arrived.saturating_duration_since(self.started);
+        let step = since.as_millis() / SERIES_STEP.as_millis();
+        let step = usize::try_from(step).unwrap_or_default();
+        let series = &mut self.report.series;
+        if series.len() <= step {
+            series.resize(step + 1, super::SeriesBucket::default());
+        }
+        &mut series[step]
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "latencies stay far below 2^52 us"
+)]
+fn quantile_ms(latencies: &Histogram<u64>, quantile: f64) -> f64 {
+    latencies.value_at_quantile(quantile) as f64 / 1_000.0
+}
--- /dev/null
+++ b/standins/src/caller/caller_report.rs
@@ -0,0 +1,97 @@
+use {crate::target::RunLedger, serde::Serialize, std::collections::HashSet};
+
+/// What became of the requests of one class.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct ClassReport {
+    pub name: String,
+    /// Requests, each with all its attempts.
+    pub offered: u64,
+    /// Requests whose whole answer arrived.
+    pub whole: u64,
+    /// Attempts after the first.
+    pub retries: u64,
+    /// Attempts refused as `not-run`.
+    pub not_run: u64,
+    /// Attempts refused as `unknown`.
+    pub unknown: u64,
+    /// Attempts that a target answered without success.
+    pub run: u64,
+    /// Attempts refused without an outcome.
+    pub unnamed: u64,
+    /// Attempts that broke off.
+    pub failed: u64,
+    pub timed_out: u64,
+    /// Answers that were whole by the protocol but not those of their calls.
+    pub wrong: u64,
+    /// Time to the whole answer over all attempts, in ms.
+    pub p50_ms: f64,
+    pub p99_ms: f64,
+}
+
+impl ClassReport {
+    /// Share of the requests whose whole answer arrived.
+    #[must_use]
+    pub fn served(&self) -> f64 {
+        share(self.whole, self.offered)
+    }
+
+    #[must_use]
+    pub fn refused(&self) -> u64 {
+        self.not_run + self.unknown + self.run + self.unnamed
+    }
+}
+
+/// Requests of all classes that arrived in one step of the time series.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct SeriesBucket {
+    pub offered: u32,
+    /// Whole at the first attempt.
+    pub at_once: u32,
+    /// Whole at any attempt.
+    pub whole: u32,
+}
+
+/// What became of all requests of a fleet.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct CallerReport {
+    pub classes: Vec<ClassReport>,
+    #[serde(skip)]
+    pub series: Vec<SeriesBucket>,
+    /// Attempts whose whole answer arrived.
+    #[serde(skip)]
+    pub whole_attempts: HashSet<String>,
+    /// Attempts that were told `not-run`.
+    #[serde(skip)]
+    pub told_not_run: Vec<String>,
+}
+
+impl CallerReport {
+    /// Attempts told `not-run` although a target had read them.
+    #[must_use]
+    pub fn false_not_run(&self, ledger: &RunLedger) -> u64 {
+        let told = self.told_not_run.iter();
+        told.filter(|attempt| ledger.has_arrived(attempt)).count() as u64
+    }
+
+    #[must_use]
+    pub fn class(&self, name: &str) -> Option<&ClassReport> {
+        self.classes.iter().find(|class| class.name == name)
+    }
+
+    #[must_use]
+    pub fn total(&self, count: impl Fn(&ClassReport) -> u64) -> u64 {
+        self.classes.iter().map(count).sum()
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts of a run stay far below 2^52"
+)]
+fn share(part: u64, all: u64) -> f64 {
+    if all == 0 {
+        1.0
+    } else {
+        part as f64 / all as f64
+    }
+}
--- /dev/null
+++ b/standins/src/caller/mod.rs
@@ -0,0 +1,14 @@
+//! Callers: open-loop arrivals by class, with hard or patient retries, and what became of them.
+
+mod caller_fleet;
+mod caller_record;
+mod caller_report;
+mod caller_settings;
+mod recovery_time;
+
+pub use {
+    caller_fleet::CallerFleet,
+    caller_report::{CallerReport, ClassReport, SeriesBucket},
+    caller_settings::{CallerClass, CallerSettings, RetryHabit},
+    recovery_time::SERIES_STEP,
+};
--- /dev/null
+++ b/standins/src/client/call_client.rs
@@ -0,0 +1,119 @@
+use {
+    super::{CallResult, CallRouter, OutboundCall},
+    crate::answer::{AnswerPattern, AnswerVerdict, AnswerVerifier},
+    banyantrestle::context::OUTCOME_HEADER,
+    bytes::Bytes,
+    http::{Response, header::RETRY_AFTER},
+    http_body_util::{BodyExt, Full},
+    hyper::body::Incoming,
+    hyper_util::{
+        client::legacy::{Client, connect::HttpConnector},
+        rt::{TokioExecutor, TokioTimer},
+    },
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::timeout,
+};
+
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Sends calls over pooled connections and verifies their answers.
+#[derive(Clone, Debug)]
+pub struct CallClient {
+    http: Client<HttpConnector, Full<Bytes>>,
+    router: CallRouter,
+}
+
+impl CallClient {
+    /// A client that speaks HTTP/1.1.
+    #[must_use]
+    pub fn new(router: CallRouter) -> Self {
+        Self::build(router, false)
+    }
+
+    /// A client that speaks h2.
+    #[must_use]
+    pub fn h2(router: CallRouter) -> Self {
+        Self::build(router, true)
+    }
+
+    fn build(router: CallRouter, is_h2: bool) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let http = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .http2_only(is_h2)
+            .build(connector);
+        Self { http, router }
+    }
+
+    /// Sends a call until it succeeds or the router's tries are used up.
+    pub async fn call(&self, call: &OutboundCall) -> CallResult {
+        let mut result = CallResult::Failed("no target known".into());
+        for _ in 0..self.router.tries() {
+            let path = call.path.to_string();
+            let Some((address, path)) = self.router.route(&call.service, &path) else {
+                return result;
+            };
+            result = self.send(call, address, &path).await;
+            if result.is_whole() {
+                break;
+            }
+        }
+        result
+    }
+
+    async fn send(&self, call: &OutboundCall, address: SocketAddr, path: &str) -> CallResult {
+        match timeout(call.timeout, self.exchange(call, address, path)).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(error)) => CallResult::Failed(format!("{error:#}")),
+            Err(_) => CallResult::TimedOut,
+        }
+    }
+
+    async fn exchange(
+        &self,
+        call: &OutboundCall,
+        address: SocketAddr,
+        path: &str,
+    ) -> anyhow::Result<CallResult> {
+        let request = call.request(address, path)?;
+        let response = self.http.request(request).await?;
+        if !response.status().is_success() {
+            let refusal = refusal(&response);
+            response.into_body().collect().await?;
+            return Ok(refusal);
+        }
+        let verdict = verify(call, response.into_body()).await?;
+        Ok(match verdict {
+            AnswerVerdict::Whole => CallResult::Whole,
+            verdict => CallResult::Wrong(verdict),
+        })
+    }
+}
+
+async fn verify(call: &OutboundCall, mut body: Incoming) -> Result<AnswerVerdict, hyper::Error> {
+    let path = call.path.to_string();
+    let service = call.service.as_str();
+    let pattern = AnswerPattern::new(service, &path, call.identity(), call.path.bytes);
+    let mut verifier = AnswerVerifier::new(pattern);
+    while let Some(frame) = body.frame().await {
+        if let Ok(chunk) = frame?.into_data() {
+            verifier.feed(&chunk);
+        }
+    }
+    Ok(verifier.verdict())
+}
+
+fn refusal(response: &Response<Incoming>) -> CallResult {
+    let header = |name: &str| response.headers().get(name)?.to_str().ok();
+    let outcome = header(OUTCOME_HEADER).and_then(|text| text.parse().ok());
+    let seconds = header(RETRY_AFTER.as_str()).and_then(|text| text.parse().ok());
+    CallResult::Refused {
+        status: response.status(),
+        outcome,
+        retry_after: seconds.map(Duration::from_secs),
+    }
+}
--- /dev/null
+++ b/standins/src/client/call_path.rs
@@ -0,0 +1,78 @@
+use {
+    banyantrestle::context::ServiceName,
+    std::fmt::{self, Display, Formatter},
+};
+
+/// Bytes of an answer for which the path names no other length.
+pub const ANSWER_BYTES: u64 = 256;
+
+/// Path of a call, as `/name?bytes=N&via=service,service`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallPath {
+    pub name: String,
+    /// Length of the answer.
+    pub bytes: u64,
+    /// Services still to be called in a chain; the target's own next hops if empty.
+    pub via: Vec<ServiceName>,
+}
+
+impl CallPath {
+    #[must_use]
+    pub fn new(name: &str) -> Self {
+        Self {
+            name: name.trim_start_matches('/').into(),
+            bytes: ANSWER_BYTES,
+            via: Vec::new(),
+        }
+    }
+
+    #[must_use]
+    pub fn with_bytes(self, bytes: u64) -> Self {
+        Self { bytes, ..self }
+    }
+
+    #[must_use]
+    pub fn with_via(self, via: Vec<ServiceName>) -> Self {
+        Self { via, ..self }
+    }
+
+    /// Reads a path and its query; what it does not know is passed over.
+    #[must_use]
+    pub fn parse(text: &str) -> Self {
+        let (name, query) = text.split_once('?').unwrap_or((text, ""));
+        let mut path = Self::new(name);
+        for pair in query.split('&') {
+            match pair.split_once('=') {
+                Some(("bytes", value)) => path.bytes = value.parse().unwrap_or(ANSWER_BYTES),
+                Some(("via", value)) => path.via = parse_services(value),
+                _ => {}
+            }
+        }
+        path
+    }
+
+    /// The first service of the chain and the path of the call to it.
+    #[must_use]
+    pub fn next_hop(&self) -> Option<(ServiceName, Self)> {
+        let (service, rest) = self.via.split_first()?;
+        let path = Self::new(&self.name).with_via(rest.to_vec());
+        Some((service.clone(), path))
+    }
+}
+
+impl Display for CallPath {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        write!(formatter, "/{}?bytes={}", self.name, self.bytes)?;
+        for (index, service) in self.via.iter().enumerate() {
+            let lead = if index == 0 { "&via=" } else { "," };
+            write!(formatter, "{lead}{service}")?;
+        }
+        Ok(())
+    }
+}
+
+fn parse_services(text: &str) -> Vec<ServiceName> {
+    text.split(',')
+        .filter_map(|name| ServiceName::new(name).ok())
+        .collect()
+}
--- /dev/null
+++ b/standins/src/client/call_result.rs
@@ -0,0 +1,38 @@
+use {
+    crate::answer::AnswerVerdict, banyantrestle::context::RunOutcome, http::StatusCode,
+    std::time::Duration,
+};
+
+/// What became of one call, as its caller saw it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallResult {
+    /// The whole answer to this very call.
+    Whole,
+    /// An answer with another status than success.
+    Refused {
+        status: StatusCode,
+        outcome: Option<RunOutcome>,
+        retry_after: Option<Duration>,
+    },
+    /// The answer was whole by the protocol but not that of the call.
+    Wrong(AnswerVerdict),
+    /// The connection failed or the answer broke off.
+    Failed(String),
+    TimedOut,
+}
+
+impl CallResult {
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        *self == Self::Whole
+    }
+
+    /// What the system said of the call, if it said anything.
+    #[must_use]
+    pub fn outcome(&self) -> Option<RunOutcome> {
+        match self {
+            Self::Refused { outcome, .. } => *outcome,
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/client/mod.rs
@@ -0,0 +1,15 @@
+//! How a stand-in calls a service: through a daemon, or straight with retries at every hop.
+
+mod call_client;
+mod call_path;
+mod call_result;
+mod call_router;
+mod outbound_call;
+
+pub use {
+    call_client::CallClient,
+    call_path::CallPath,
+    call_result::CallResult,
+    call_router::{CallRouter, DirectRoutes},
+    outbound_call::{ATTEMPT_HEADER, KEY_HEADER, OutboundCall},
+};
--- /dev/null
+++ b/standins/src/http/process_end.rs
@@ -0,0 +1,17 @@
+use tokio::signal::{
+    ctrl_c,
+    unix::{SignalKind, signal},
+};
+
+/// Waits for SIGTERM or ctrl-c.
+///
+/// # Errors
+/// The handler of SIGTERM could not be set.
+pub async fn process_end() -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = ctrl_c() => {}
+    }
+    Ok(())
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,11 @@
-//! x
+//! Small stand-ins for what lies around the daemons: targets, callers, and the network.
+//!
+//! Each is a library part that tests embed and a thin program that one command starts. A program
+//! prints its addresses as one line of JSON and ends on SIGTERM or ctrl-c.
+
+pub mod answer;
+pub mod caller;
+pub mod client;
+pub mod http;
+pub mod process;
+pub mod target;
--- /dev/null
+++ b/standins/src/process/mod.rs
@@ -0,0 +1,9 @@
+//! Processes under test: started with settings of their own, signalled, killed at the end.
+
+mod condition_wait;
+mod service_process;
+
+pub use {
+    condition_wait::wait_until,
+    service_process::{ProcessSignal, ServiceProcess},
+};
