--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,11 +17,17 @@
 //! assert!(purchase > browse);
 //! ```
 
+pub mod admission;
 pub mod auth;
 pub mod context;
 pub mod error;
+pub mod events;
+pub mod jsonc;
 pub mod membership;
+pub mod net;
 pub mod platform;
 pub mod policy;
+pub mod retry;
+pub mod routing;
 pub mod settings;
 pub mod time;
