Stand-in relay for TCP and UDP

Purpose: delay, reset, silence for good, one-way loss and loss of a share of the datagrams, between a daemon and whatever it talks to.

A silenced connection is read to its end and never closed at the far side, as when something between the two ends has lost track of it.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod http;
 pub mod platform;
 pub mod process;
+pub mod relay;
 pub mod target;
--- /dev/null
+++ b/standins/src/relay/relay_control.rs
@@ -0,0 +1,53 @@
+use {
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// Direction in which a relay delivers nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BlockedWay {
+    #[default]
+    None,
+    ToTarget,
+    ToCaller,
+    Both,
+}
+
+/// Behaviour of a relay that can be changed while it runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RelayControl {
+    /// Delay of each direction, in ms.
+    pub delay_ms: u64,
+    pub blocked: BlockedWay,
+    /// Datagrams that are lost, in %.
+    pub loss_percent: u8,
+    /// TCP connections numbered below this are silent for good: their bytes are read and dropped.
+    pub silent_below: u64,
+    /// TCP connections numbered below this are reset.
+    pub reset_below: u64,
+}
+
+/// Direction of bytes through a relay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RelayWay {
+    ToTarget,
+    ToCaller,
+}
+
+impl RelayControl {
+    #[must_use]
+    pub fn delay(&self) -> Duration {
+        Duration::from_millis(self.delay_ms)
+    }
+
+    pub(super) fn is_blocked(&self, way: RelayWay) -> bool {
+        match self.blocked {
+            BlockedWay::None => false,
+            BlockedWay::Both => true,
+            BlockedWay::ToTarget => way == RelayWay::ToTarget,
+            BlockedWay::ToCaller => way == RelayWay::ToCaller,
+        }
+    }
+}
