--- /dev/null
+++ b/standins/src/target/run_ledger.rs
@@ -0,0 +1,143 @@
+use {
+    serde::Serialize,
+    std::{
+        collections::{BTreeMap, HashMap, HashSet},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+};
+
+/// How far a call came at a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RunStage {
+    /// Its request was read.
+    Arrived,
+    /// It held a slot.
+    Started,
+    /// Its answer was handed over.
+    Finished,
+}
+
+/// Counter of all calls at the targets that share it.
+#[derive(Clone, Debug, Default)]
+pub struct RunLedger(Arc<Mutex<LedgerTables>>);
+
+#[derive(Debug, Default)]
+struct LedgerTables {
+    attempts: HashMap<String, AttemptRuns>,
+    keys: BTreeMap<String, u32>,
+    wrong_answers: u64,
+}
+
+#[derive(Debug, Default)]
+struct AttemptRuns {
+    arrived: u32,
+    services: BTreeMap<String, u32>,
+    finished: u32,
+    busy: Duration,
+}
+
+/// Totals of a ledger.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct RunReport {
+    pub arrived: u64,
+    pub started: u64,
+    pub finished: u64,
+    /// Started and given up before the answer was handed over.
+    pub cancelled: u64,
+    /// Most runs of one attempt beyond one at each service.
+    pub most_repeats: u32,
+    /// Keys that were started more than once.
+    pub doubled_keys: u64,
+    /// Starts by service and key.
+    pub keys: BTreeMap<String, u32>,
+    /// Answers of other services that were not those of their calls.
+    pub wrong_answers: u64,
+}
+
+impl RunLedger {
+    pub fn record(&self, service: &str, attempt: &str, key: Option<&str>, stage: RunStage) {
+        let mut tables = self.tables();
+        if let (Some(key), RunStage::Started) = (key, stage) {
+            *tables.keys.entry(format!("{service} {key}")).or_default() += 1;
+        }
+        let runs = tables.attempts.entry(attempt.into()).or_default();
+        match stage {
+            RunStage::Arrived => runs.arrived += 1,
+            RunStage::Started => *runs.services.entry(service.into()).or_default() += 1,
+            RunStage::Finished => runs.finished += 1,
+        }
+    }
+
+    /// Adds time for which an attempt held a slot.
+    pub fn record_busy(&self, attempt: &str, busy: Duration) {
+        let mut tables = self.tables();
+        tables.attempts.entry(attempt.into()).or_default().busy += busy;
+    }
+
+    pub fn record_wrong_answer(&self) {
+        self.tables().wrong_answers += 1;
+    }
+
+    /// Whether any target read the request of the attempt.
+    #[must_use]
+    pub fn has_arrived(&self, attempt: &str) -> bool {
+        let tables = self.tables();
+        let runs = tables.attempts.get(attempt);
+        runs.is_some_and(|runs| runs.arrived > 0)
+    }
+
+    /// Starts of a key at a service.
+    #[must_use]
+    pub fn key_runs(&self, service: &str, key: &str) -> u32 {
+        let tables = self.tables();
+        let runs = tables.keys.get(&format!("{service} {key}"));
+        runs.copied().unwrap_or_default()
+    }
+
+    /// Runs of attempts that are not among `whole`, whose answers reached their callers.
+    #[must_use]
+    pub fn wasted_runs(&self, whole: &HashSet<String>) -> u64 {
+        let tables = self.tables();
+        let wasted = tables
+            .attempts
+            .iter()
+            .filter(|(attempt, _)| !whole.contains(*attempt));
+        wasted.map(|(_, runs)| runs.started()).sum()
+    }
+
+    #[must_use]
+    pub fn report(&self) -> RunReport {
+        let tables = self.tables();
+        let mut report = RunReport {
+            keys: tables.keys.clone(),
+            wrong_answers: tables.wrong_answers,
+            ..RunReport::default()
+        };
+        for runs in tables.attempts.values() {
+            report.arrived += u64::from(runs.arrived);
+            report.started += runs.started();
+            report.finished += u64::from(runs.finished);
+            report.most_repeats = report.most_repeats.max(runs.repeats());
+        }
+        report.cancelled = report.started.saturating_sub(report.finished);
+        let doubled = report.keys.values().filter(|starts| **starts > 1);
+        report.doubled_keys = doubled.count() as u64;
+        report
+    }
+
+    fn tables(&self) -> MutexGuard<'_, LedgerTables> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl AttemptRuns {
+    fn started(&self) -> u64 {
+        self.services.values().copied().map(u64::from).sum()
+    }
+
+    fn repeats(&self) -> u32 {
+        let repeats = self.services.values().map(|starts| starts - 1);
+        repeats.sum()
+    }
+}
--- /dev/null
+++ b/standins/src/target/target_standin.rs
@@ -0,0 +1,167 @@
+use {
+    super::{
+        RunLedger, TargetControl, TargetFault, TargetSettings, target_announcer::TargetAnnouncer,
+        target_service::TargetService,
+    },
+    crate::{
+        client::{CallClient, CallRouter},
+        http::HttpServer,
+    },
+    banyantrestle::{context::ServiceName, membership::TargetState},
+    std::{io, net::SocketAddr, time::Duration},
+    tokio::{sync::watch, task::JoinHandle, time::sleep},
+};
+
+const DRAIN_GRACE: Duration = Duration::from_millis(200);
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// A running stand-in target; dropping it kills it.
+#[derive(Debug)]
+pub struct TargetStandin {
+    settings: TargetSettings,
+    server: HttpServer,
+    service: TargetService,
+    ledger: RunLedger,
+    state: watch::Sender<TargetState>,
+    announcers: Vec<JoinHandle<()>>,
+    announced: Option<AnnouncedPlace>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct AnnouncedPlace {
+    daemon: SocketAddr,
+    address: SocketAddr,
+}
+
+impl TargetStandin {
+    /// Starts a target whose own calls go to `router`; it announces itself to no daemon yet.
+    ///
+    /// # Errors
+    /// The address cannot be bound.
+    pub async fn start(
+        settings: TargetSettings,
+        router: CallRouter,
+        ledger: RunLedger,
+    ) -> io::Result<Self> {
+        let client = CallClient::new(router);
+        let service = TargetService::new(settings.clone(), client, ledger.clone());
+        let connections = settings.connections as usize;
+        let server = HttpServer::start(settings.listen, connections, service.clone()).await?;
+        Ok(Self {
+            settings,
+            server,
+            service,
+            ledger,
+            state: watch::Sender::new(TargetState::Serving),
+            announcers: Vec::new(),
+            announced: None,
+        })
+    }
+
+    /// Starts a target beside the daemon whose `local` listener is `daemon`.
+    ///
+    /// # Errors
+    /// The address cannot be bound.
+    pub async fn beside(
+        settings: TargetSettings,
+        daemon: SocketAddr,
+        ledger: RunLedger,
+    ) -> io::Result<Self> {
+        let router = CallRouter::daemons(vec![daemon]);
+        let mut target = Self::start(settings, router, ledger).await?;
+        let address = target.address();
+        target.announce(daemon, address);
+        Ok(target)
+    }
+
+    /// Announces to a daemon that the target listens on `address`, every second.
+    pub fn announce(&mut self, daemon: SocketAddr, address: SocketAddr) {
+        self.announced = Some(AnnouncedPlace { daemon, address });
+        if let Some(announcer) = self.announcer() {
+            self.announcers.push(tokio::spawn(announcer.run()));
+        }
+    }
+
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    #[must_use]
+    pub fn service_name(&self) -> &ServiceName {
+        &self.settings.service
+    }
+
+    #[must_use]
+    pub fn ledger(&self) -> &RunLedger {
+        &self.ledger
+    }
+
+    #[must_use]
+    pub fn open_connections(&self) -> usize {
+        self.server.open_connections()
+    }
+
+    /// Calls that run or wait here.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        self.service.in_flight()
+    }
+
+    /// Makes every call go wrong in one way, from now on.
+    pub fn set_fault(&self, fault: TargetFault) {
+        let change = |control: &mut TargetControl| control.fault = fault;
+        self.service.control().send_modify(change);
+    }
+
+    pub fn control(&self, control: TargetControl) {
+        self.service.control().send_replace(control);
+    }
+
+    /// Multiplies the service time from now on.
+    pub fn slow_down(&self, factor: f64) {
+        let change = |control: &mut TargetControl| control.service_factor = factor;
+        self.service.control().send_modify(change);
+    }
+
+    /// Announces that no new work is wanted.
+    pub fn drain(&self) {
+        self.state.send_replace(TargetState::Draining);
+    }
+
+    /// Drains, lets the calls in flight end, and takes the announcement back.
+    pub async fn stop(mut self) {
+        self.end_announcers();
+        self.drain();
+        let announcer = self.announcer();
+        if let Some(announcer) = &announcer {
+            announcer.announce().await;
+            sleep(DRAIN_GRACE).await;
+        }
+        while self.service.in_flight() > 0 {
+            sleep(DRAIN_POLL).await;
+        }
+        if let Some(announcer) = &announcer {
+            announcer.withdraw().await;
+        }
+        self.server.begin_stop();
+    }
+
+    fn announcer(&self) -> Option<TargetAnnouncer> {
+        let AnnouncedPlace { daemon, address } = self.announced?;
+        let state = self.state.subscribe();
+        Some(TargetAnnouncer::new(&self.settings, daemon, address, state))
+    }
+
+    fn end_announcers(&mut self) {
+        for announcer in self.announcers.drain(..) {
+            announcer.abort();
+        }
+    }
+}
+
+impl Drop for TargetStandin {
+    fn drop(&mut self) {
+        self.end_announcers();
+    }
+}
