Policy service: commit by compare-and-swap, spread, never back

One row in the table service holds version, document and the latest writes that led to it. A submission replaces exactly the write that it was made from, so a lost answer is settled by reading back and by sending the same write again: it takes effect at most once however late a copy lands. Weighed and left out: a fencing write after a lost answer, which would tell 'not accepted' for sure but costs the operator the change; and the row version as the condition, which a restored backup can repeat.

A daemon moves to a higher version only, whether it comes from the table, a peer or an operator.

--- /dev/null
+++ b/src/policy/field_change.rs
@@ -0,0 +1,98 @@
+use {
+    super::PolicyDocument,
+    serde::{Deserialize, Serialize},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// A field that differs between versions of a policy; an absent value has no such field.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FieldChange {
+    /// Path with classes and routes by name, such as `classes[purchase].weight`.
+    pub field: String,
+    /// In the version that was edited, if it is still known.
+    pub base: Option<String>,
+    /// In the version that stands.
+    pub current: Option<String>,
+    /// In the document that was submitted.
+    pub mine: Option<String>,
+}
+
+type FieldValues = BTreeMap<String, String>;
+
+impl FieldChange {
+    /// Fields that differ in any of the three documents.
+    #[must_use]
+    pub fn compare(
+        base: Option<&PolicyDocument>,
+        current: &PolicyDocument,
+        mine: &PolicyDocument,
+    ) -> Vec<Self> {
+        let base = base.map(field_values).unwrap_or_default();
+        let current = field_values(current);
+        let mine = field_values(mine);
+        let fields: BTreeSet<_> = base
+            .keys()
+            .chain(current.keys())
+            .chain(mine.keys())
+            .collect();
+        let changes = fields.into_iter().map(|field| Self {
+            field: field.clone(),
+            base: base.get(field).cloned(),
+            current: current.get(field).cloned(),
+            mine: mine.get(field).cloned(),
+        });
+        changes.filter(Self::is_change).collect()
+    }
+
+    /// Whether both sides changed the field, to different values.
+    #[must_use]
+    pub fn is_clash(&self) -> bool {
+        self.current != self.base && self.mine != self.base && self.current != self.mine
+    }
+
+    fn is_change(&self) -> bool {
+        self.current != self.mine || self.base != self.mine
+    }
+}
+
+fn field_values(document: &PolicyDocument) -> FieldValues {
+    let mut values = FieldValues::new();
+    let mut add = |field: String, value: String| {
+        values.insert(field, value);
+    };
+    add("deployment".into(), document.deployment.clone());
+    add("default_class".into(), document.default_class.to_string());
+    if let Some(class) = &document.default_unsafe_class {
+        add("default_unsafe_class".into(), class.to_string());
+    }
+    let retry = document.retry;
+    add("retry.per_request".into(), retry.per_request.to_string());
+    add(
+        "retry.ratio_percent".into(),
+        retry.ratio_percent.to_string(),
+    );
+    let overload = document.overload;
+    let target = overload.queue_target_ms;
+    let interval = overload.queue_interval_ms;
+    add("overload.queue_target_ms".into(), target.to_string());
+    add("overload.queue_interval_ms".into(), interval.to_string());
+    for class in &document.classes {
+        let field = |name| format!("classes[{}].{name}", class.name);
+        add(field("weight"), class.weight.to_string());
+        add(field("deadline_ms"), class.deadline_ms.to_string());
+        add(field("non_idempotent"), class.non_idempotent.to_string());
+        add(field("key_window_s"), class.key_window_s.to_string());
+    }
+    let names: Vec<_> = document
+        .classes
+        .iter()
+        .map(|class| class.name.as_str())
+        .collect();
+    add("classes.order".into(), names.join(", "));
+    for route in &document.routes {
+        let method = route.method.as_deref().unwrap_or("*");
+        let field = format!("routes[{} {method} {}]", route.service, route.path);
+        add(field, route.class.to_string());
+    }
+    values
+}
--- /dev/null
+++ b/src/policy/policy_accepted.rs
@@ -0,0 +1,11 @@
+use {
+    super::PolicyHash,
+    serde::{Deserialize, Serialize},
+};
+
+/// A policy that the table service has committed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PolicyAccepted {
+    pub version: u64,
+    pub hash: PolicyHash,
+}
--- /dev/null
+++ b/src/policy/policy_row.rs
@@ -0,0 +1,93 @@
+use {
+    super::{PolicyDocument, VersionedPolicy},
+    crate::{
+        error::{ProcessStep, StepError},
+        platform::{TableRow, TableWrite, WriteCondition},
+    },
+    rand::{Rng, RngExt},
+    serde::{Deserialize, Serialize},
+};
+
+/// Table that holds the policy.
+pub const POLICY_TABLE: &str = "policy";
+/// Key of its one row.
+pub const POLICY_KEY: &str = "current";
+/// Bytes of the longest row that is read.
+pub const MAX_ROW_BYTES: usize = 1024 * 1024;
+
+/// Earlier writes that a row remembers.
+const RECENT_WRITES: usize = 16;
+
+/// The policy as the table service holds it.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct PolicyRow {
+    pub policy: VersionedPolicy,
+    /// Identity of the write that committed it.
+    pub write_id: String,
+    recent_writes: Vec<String>,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RowValue {
+    version: u64,
+    document: PolicyDocument,
+    /// Writes that led to this one, the latest first.
+    recent_writes: Vec<String>,
+}
+
+impl PolicyRow {
+    /// Reads a row.
+    pub(super) fn decode(row: TableRow) -> Result<Self, StepError> {
+        let step = ProcessStep::LoadPolicy;
+        if row.value.len() > MAX_ROW_BYTES {
+            let length = row.value.len();
+            let message = format!("row of {length} bytes is over {MAX_ROW_BYTES}");
+            return Err(StepError::new(step, "table policy", message));
+        }
+        let value: RowValue = serde_json::from_str(&row.value)
+            .map_err(|error| StepError::new(step, "table policy", error))?;
+        Ok(Self {
+            policy: VersionedPolicy {
+                version: value.version,
+                document: value.document,
+            },
+            write_id: row.write_id,
+            recent_writes: value.recent_writes,
+        })
+    }
+
+    /// The write that puts `policy` in the place of `row`, or of no row.
+    pub(super) fn replace(
+        row: Option<&Self>,
+        policy: &VersionedPolicy,
+        rng: &mut impl Rng,
+    ) -> Result<TableWrite, StepError> {
+        let condition = row.map_or(WriteCondition::Absent, |row| {
+            WriteCondition::WriteId(row.write_id.clone())
+        });
+        let earlier = row.into_iter().flat_map(|row| {
+            let writes = row.recent_writes.iter().cloned();
+            std::iter::once(row.write_id.clone()).chain(writes)
+        });
+        let value = RowValue {
+            version: policy.version,
+            document: policy.document.clone(),
+            recent_writes: earlier.take(RECENT_WRITES).collect(),
+        };
+        let value = serde_json::to_string(&value)
+            .map_err(|error| StepError::new(ProcessStep::CommitPolicy, "table policy", error))?;
+        Ok(TableWrite {
+            table: POLICY_TABLE.into(),
+            key: POLICY_KEY.into(),
+            write_id: format!("policy-{:032x}", rng.random::<u128>()),
+            value: Some(value),
+            condition,
+        })
+    }
+
+    /// Whether the row is that write or one made from it.
+    pub(super) fn is_after(&self, write_id: &str) -> bool {
+        self.write_id == write_id || self.recent_writes.iter().any(|write| write == write_id)
+    }
+}
--- /dev/null
+++ b/src/policy/policy_service.rs
@@ -0,0 +1,160 @@
+use {
+    super::{
+        ActivePolicy, PeerReport, PolicyAccepted, PolicyDocument, PolicyHash, PolicySource,
+        PollSchedule, SubmitError, VersionReport, VersionTracker, VersionedPolicy,
+        policy_actor::{
+            self, FindVersion, MembersChanged, PolicyActor, PolicyCommitted, PolicyHeard,
+            PolicyState, process_rng,
+        },
+        policy_commit::PolicyCommit,
+        policy_table::PolicyTable,
+    },
+    crate::{
+        events::EventLog,
+        platform::TableStore,
+        time::{ProcessClock, TimerService},
+    },
+    slog::Logger,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::sync::watch,
+    xtra::Address,
+};
+
+/// Time between two rounds of the version decisions.
+const POLICY_TICK: Duration = Duration::from_millis(100);
+
+/// What the policy service works with.
+pub struct PolicyParts<T, S> {
+    pub table: T,
+    pub source: S,
+    pub events: EventLog,
+    pub logger: Logger,
+    pub clock: ProcessClock,
+}
+
+/// Handle of the policy service of one daemon; clones share it.
+pub struct PolicyService<T: TableStore, S: PolicySource> {
+    table: PolicyTable<T>,
+    actor: Address<PolicyActor<T, S>>,
+    current: watch::Receiver<Arc<ActivePolicy>>,
+    ready: watch::Receiver<bool>,
+}
+
+impl<T: TableStore, S: PolicySource> Clone for PolicyService<T, S> {
+    fn clone(&self) -> Self {
+        Self {
+            table: self.table.clone(),
+            actor: self.actor.clone(),
+            current: self.current.clone(),
+            ready: self.ready.clone(),
+        }
+    }
+}
+
+impl<T: TableStore, S: PolicySource> PolicyService<T, S> {
+    /// Starts with the built-in policy; the first poll of the table service runs at once.
+    #[must_use]
+    pub fn start(parts: PolicyParts<T, S>) -> Self {
+        let tracker = VersionTracker::new();
+        let (current_sender, current) = watch::channel(Arc::clone(tracker.current()));
+        let (ready_sender, ready) = watch::channel(false);
+        let table = PolicyTable::new(parts.table);
+        let schedule = PollSchedule::new(parts.clock.now());
+        let actor = policy_actor::spawn(PolicyActor {
+            table: table.clone(),
+            source: parts.source,
+            events: parts.events,
+            logger: parts.logger,
+            clock: parts.clock,
+            current: current_sender,
+            ready: ready_sender,
+            state: PolicyState::new(tracker, schedule, process_rng()),
+        });
+        TimerService::new(parts.clock).subscribe(POLICY_TICK, actor.clone());
+        Self {
+            table,
+            actor,
+            current,
+            ready,
+        }
+    }
+
+    /// The policy in force, and each one that follows.
+    #[must_use]
+    pub fn current(&self) -> watch::Receiver<Arc<ActivePolicy>> {
+        self.current.clone()
+    }
+
+    /// Whether the daemon knows enough to take work, and each change of that.
+    #[must_use]
+    pub fn ready(&self) -> watch::Receiver<bool> {
+        self.ready.clone()
+    }
+
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        *self.ready.borrow()
+    }
+
+    /// Takes in the version that the daemon with the mesh address `peer` has.
+    pub async fn heard(&self, version: u64, hash: PolicyHash, peer: SocketAddr) {
+        let report = VersionReport { version, hash };
+        // A stopped actor needs no reports.
+        let _ = self
+            .actor
+            .send(PolicyHeard(PeerReport { peer, report }))
+            .await;
+    }
+
+    /// Members of the deployment, this one included; the rate of polls is shared out over them.
+    pub async fn set_member_count(&self, members: u32) {
+        // A stopped actor polls no more.
+        let _ = self.actor.send(MembersChanged(members)).await;
+    }
+
+    /// Commits a document that was made from version `base_version` and enforces it here.
+    ///
+    /// It goes on to its end even if the caller stops waiting.
+    ///
+    /// # Errors
+    /// The document is invalid, another version was accepted since, or the table service does not
+    /// answer.
+    pub async fn submit(
+        &self,
+        document: PolicyDocument,
+        base_version: u64,
+    ) -> Result<PolicyAccepted, SubmitError> {
+        let service = self.clone();
+        let running = tokio::spawn(async move { service.commit(document, base_version).await });
+        running.await.unwrap_or(Err(SubmitError::Stopped))
+    }
+
+    async fn commit(
+        &self,
+        document: PolicyDocument,
+        base_version: u64,
+    ) -> Result<PolicyAccepted, SubmitError> {
+        let find = self.actor.send(FindVersion(base_version)).await;
+        let base = find.map_err(|_| SubmitError::Stopped)?;
+        let enforced = self.current.borrow().to_versioned();
+        let commit = PolicyCommit {
+            table: self.table.clone(),
+            document,
+            base_version,
+            base,
+            enforced,
+        };
+        let committed = commit.run(&mut process_rng()).await?;
+        self.enforce(committed).await
+    }
+
+    async fn enforce(&self, committed: VersionedPolicy) -> Result<PolicyAccepted, SubmitError> {
+        let accepted = PolicyAccepted {
+            version: committed.version,
+            hash: committed.hash(),
+        };
+        let enforced = self.actor.send(PolicyCommitted(committed)).await;
+        enforced.map_err(|_| SubmitError::Stopped)?;
+        Ok(accepted)
+    }
+}
