--- a/src/daemon/announce_service.rs
+++ b/src/daemon/announce_service.rs
@@ -35,7 +35,7 @@
     let result = match *request.method() {
         Method::POST => announce(&state, request).await,
         Method::DELETE => {
-            withdraw(&state, "withdrawn by the target");
+            withdraw(&state, "withdrawn by the target").await;
             Ok(())
         }
         _ => Err(CallRefusal::not_run(
@@ -77,19 +77,19 @@
         "service" => %announcement.service,
         "target" => %announcement.address,
         "state" => %announcement.state);
-    state.membership.announce(announcement);
+    state.membership.announce(announcement).await;
     Ok(())
 }
 
 /// Takes the target out of service.
-pub(crate) fn withdraw(state: &DaemonState, reason: &'static str) {
+pub(crate) async fn withdraw(state: &DaemonState, reason: &'static str) {
     if let Some(target) = state.target.withdraw() {
-        note_withdrawn(state, &target.announcement, reason);
+        note_withdrawn(state, &target.announcement, reason).await;
     }
 }
 
 /// Spreads that the target is gone.
-pub(crate) fn note_withdrawn(
+pub(crate) async fn note_withdrawn(
     state: &DaemonState,
     announcement: &TargetAnnouncement,
     reason: &'static str,
@@ -103,7 +103,7 @@
         "service" => %announcement.service,
         "target" => %announcement.address,
         "reason" => reason);
-    state.membership.withdraw();
+    state.membership.withdraw().await;
 }
 
 fn check(announcement: &TargetAnnouncement) -> Result<(), CallRefusal> {
--- /dev/null
+++ b/src/daemon/daemon_process.rs
@@ -0,0 +1,270 @@
+use {
+    super::{
+        announce_service::{note_withdrawn, serve_target, withdraw},
+        call_entry::serve_edge,
+        daemon_options::DaemonOptions,
+        daemon_phase::DaemonPhase,
+        daemon_sockets::DaemonSockets,
+        daemon_state::{DaemonState, RoutingTables},
+        local_target::TargetSlot,
+        member_watch::{follow_members, follow_policy, follow_sightings},
+        mesh_service::serve_mesh_call,
+        mesh_transport::MeshTransport,
+        target_probe::probe_target,
+    },
+    crate::{
+        admission::FrontGate,
+        auth::SharedKey,
+        error::StepError,
+        events::{EventKind, EventLog},
+        membership::{MemberId, MembershipHandle, MembershipSettings},
+        net::{ConnectionGate, ListenerLimits, MeshPool, serve_http, serve_mesh},
+        platform::HttpTable,
+        policy::{PolicyParts, PolicyService},
+        retry::RootTable,
+        routing::{RouterPlace, TargetTable},
+        settings::{DaemonSettings, LimitSettings, ListenSettings},
+        time::{ProcessClock, TimerService},
+    },
+    std::{
+        collections::HashMap,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{
+        sync::watch,
+        time::{Instant, interval, sleep, sleep_until},
+    },
+};
+
+/// Time between two rounds of the guard.
+const GUARD_TICK: Duration = Duration::from_millis(10);
+/// Time between two looks at what has expired.
+const EXPIRY_TICK: Duration = Duration::from_millis(500);
+/// Time for which work still arrives while leaving is spread.
+const LEAVE_GRACE: Duration = Duration::from_secs(2);
+/// Time between two looks at what is in flight during a shutdown.
+const DRAIN_CHECK: Duration = Duration::from_millis(20);
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    state: Arc<DaemonState>,
+    gate: ConnectionGate,
+    listen: ListenSettings,
+}
+
+impl Daemon {
+    /// Binds the listeners and starts all parts.
+    ///
+    /// # Errors
+    /// A listener cannot be bound.
+    pub async fn start(
+        settings: DaemonSettings,
+        options: DaemonOptions,
+        log: slog::Logger,
+    ) -> Result<Self, StepError> {
+        let clock = ProcessClock::start();
+        let timers = TimerService::new(clock);
+        let sockets = DaemonSockets::bind(&settings.listen).await?;
+        let bound = sockets.addresses(settings.listen.gossip)?;
+        let key = SharedKey::derive(&settings.shared_secret);
+        let table = HttpTable::from_settings(&settings.platform);
+        let membership = MembershipHandle::start(
+            membership_settings(&settings, &bound, &key, clock),
+            table.clone(),
+            timers,
+            clock,
+            log.clone(),
+        )?;
+        let listen = ListenSettings {
+            gossip: membership.address(),
+            ..bound
+        };
+        let member = MemberId {
+            address: listen.gossip,
+            started_ms: clock.wall_ms(),
+        };
+        let events = EventLog::new(member, clock, settings.limits.events);
+        let silence = Duration::from_millis(settings.limits.silence_ms);
+        let mesh = Arc::new(MeshPool::new(silence));
+        let policies = PolicyService::start(PolicyParts {
+            table,
+            source: MeshTransport::new(mesh.clone(), key.clone()),
+            events: events.clone(),
+            logger: log.clone(),
+            clock,
+        });
+        let place = RouterPlace {
+            region: settings.region.as_str().into(),
+            data_centre: settings.data_centre.as_str().into(),
+        };
+        let state = Arc::new(DaemonState {
+            clock,
+            options,
+            log,
+            key,
+            member,
+            membership,
+            mesh_address: listen.mesh,
+            mesh,
+            events,
+            active: super::active_calls::ActiveCalls::default(),
+            target: TargetSlot::new(clock),
+            phase: watch::Sender::new(DaemonPhase::Starting),
+            policy: policies.current(),
+            policies,
+            tables: RoutingTables {
+                targets: Mutex::new(TargetTable::new(place)),
+                roots: Mutex::new(RootTable::new()),
+                ratios: Mutex::new(HashMap::new()),
+                gate: Mutex::new(FrontGate::default()),
+            },
+            settings,
+        });
+        let daemon = Self {
+            state,
+            gate: ConnectionGate::default(),
+            listen,
+        };
+        daemon.spawn_systems(timers);
+        daemon.spawn_listeners(sockets);
+        Ok(daemon)
+    }
+
+    /// Where the daemon listens.
+    #[must_use]
+    pub fn listen(&self) -> ListenSettings {
+        self.listen
+    }
+
+    /// Where the daemon stands between start and exit, and each change of that.
+    #[must_use]
+    pub fn phase(&self) -> watch::Receiver<DaemonPhase> {
+        self.state.phase.subscribe()
+    }
+
+    /// Waits until the daemon has a policy in force and takes work.
+    pub async fn ready(&self) {
+        let mut ready = self.state.policies.ready();
+        // The policy service lives as long as the daemon.
+        ready.wait_for(|is_ready| *is_ready).await.ok();
+    }
+
+    /// Leaves the deployment, lets what is in flight end, and stops.
+    ///
+    /// Ends early when `hurry` does.
+    pub async fn shutdown<H: Future<Output = ()>>(self, hurry: H) {
+        let limit = Duration::from_secs(self.state.settings.limits.shutdown_s);
+        let deadline = Instant::now() + limit;
+        tokio::select! {
+            () = self.drain() => {}
+            () = hurry => slog::warn!(self.state.log, "shutdown hurried, calls are cut off"),
+            () = sleep_until(deadline) => {
+                slog::warn!(self.state.log, "shutdown took too long, calls are cut off";
+                    "limit_s" => limit.as_secs());
+            }
+        }
+        self.gate.draining.cancel();
+        self.gate.closed.cancel();
+        self.state.membership.stop().await;
+        self.enter(DaemonPhase::Stopped);
+    }
+
+    async fn drain(&self) {
+        self.enter(DaemonPhase::Leaving);
+        self.state.membership.leave().await;
+        sleep(LEAVE_GRACE).await;
+        self.enter(DaemonPhase::Draining);
+        self.gate.draining.cancel();
+        self.gate.tracker.close();
+        let mut checks = interval(DRAIN_CHECK);
+        while !self.gate.tracker.is_empty() {
+            checks.tick().await;
+        }
+        withdraw(&self.state, "daemon stopped").await;
+    }
+
+    fn enter(&self, phase: DaemonPhase) {
+        self.state.phase.send_replace(phase);
+        self.state.events.record(EventKind::ShutdownStep {
+            step: <&'static str>::from(phase).into(),
+        });
+        slog::info!(self.state.log, "phase"; "phase" => %phase);
+    }
+
+    fn spawn_systems(&self, timers: TimerService) {
+        tokio::spawn(follow_members(self.state.clone()));
+        tokio::spawn(follow_policy(self.state.clone()));
+        tokio::spawn(follow_sightings(self.state.clone()));
+        tokio::spawn(probe_target(self.state.clone()));
+        tokio::spawn(expire(self.state.clone()));
+        let state = Arc::downgrade(&self.state);
+        timers.run(GUARD_TICK, move |now| {
+            let Some(state) = state.upgrade() else {
+                return false;
+            };
+            if let Some(target) = state.target.get() {
+                target.desk.tick(now);
+            }
+            state.gate().tick(now);
+            true
+        });
+    }
+
+    fn spawn_listeners(&self, sockets: DaemonSockets) {
+        let limits = listener_limits(&self.state.settings.limits);
+        let gate = || self.gate.clone();
+        let state = self.state.clone();
+        let edge = move |request| serve_edge(state.clone(), request);
+        tokio::spawn(serve_http(sockets.edge, limits, gate(), edge));
+        let state = self.state.clone();
+        let local = move |request| serve_target(state.clone(), request);
+        tokio::spawn(serve_http(sockets.local, limits, gate(), local));
+        let state = self.state.clone();
+        let mesh = move |request| serve_mesh_call(state.clone(), request);
+        tokio::spawn(serve_mesh(sockets.mesh, limits, gate(), mesh));
+    }
+}
+
+/// Withdraws a target that does not announce itself any more.
+async fn expire(state: Arc<DaemonState>) {
+    let mut ticks = interval(EXPIRY_TICK);
+    loop {
+        ticks.tick().await;
+        let now = state.clock.now();
+        if let Some(target) = state.target.expire(now) {
+            note_withdrawn(&state, &target.announcement, "no announcement").await;
+        }
+    }
+}
+
+fn membership_settings(
+    settings: &DaemonSettings,
+    bound: &ListenSettings,
+    key: &SharedKey,
+    clock: ProcessClock,
+) -> MembershipSettings {
+    MembershipSettings {
+        id: MemberId {
+            address: settings.listen.gossip,
+            started_ms: clock.wall_ms(),
+        },
+        region: settings.region.clone(),
+        data_centre: settings.data_centre.clone(),
+        mesh: bound.mesh,
+        admin: bound.admin,
+        gossip: settings.listen.gossip,
+        peers: settings.peers.clone(),
+        key: key.clone(),
+    }
+}
+
+fn listener_limits(limits: &LimitSettings) -> ListenerLimits {
+    ListenerLimits {
+        header_bytes: limits.header_bytes,
+        header_timeout: Duration::from_millis(limits.header_timeout_ms),
+        connections: limits.connections,
+        silence: Duration::from_millis(limits.silence_ms),
+    }
+}
--- a/src/daemon/daemon_state.rs
+++ b/src/daemon/daemon_state.rs
@@ -1,16 +1,17 @@
 use {
     super::{
         DaemonOptions, active_calls::ActiveCalls, daemon_phase::DaemonPhase,
-        local_target::TargetSlot,
+        local_target::TargetSlot, mesh_transport::MeshTransport,
     },
     crate::{
         admission::FrontGate,
         auth::SharedKey,
         context::{CallId, CallPriority, ClassName, RequestId, ServiceName},
         events::{EventLog, HybridStamp, STAMP_HEADER},
-        membership::MemberId,
+        membership::{MemberId, MembershipHandle},
         net::{MeshPool, set_header},
-        policy::ActivePolicy,
+        platform::HttpTable,
+        policy::{ActivePolicy, PolicyService},
         retry::{PermitVerdict, RetryRatio, RootTable},
         routing::TargetTable,
         settings::DaemonSettings,
@@ -20,6 +21,7 @@
     rand::RngExt,
     std::{
         collections::HashMap,
+        fmt,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
@@ -27,7 +29,6 @@
 };
 
 /// What the listeners of one daemon share.
-#[derive(Debug)]
 pub(crate) struct DaemonState {
     pub(crate) clock: ProcessClock,
     pub(crate) settings: DaemonSettings,
@@ -35,12 +36,14 @@
     pub(crate) log: slog::Logger,
     pub(crate) key: SharedKey,
     pub(crate) member: MemberId,
+    pub(crate) membership: MembershipHandle,
     pub(crate) mesh_address: SocketAddr,
-    pub(crate) mesh: MeshPool,
+    pub(crate) mesh: Arc<MeshPool>,
     pub(crate) events: EventLog,
     pub(crate) active: ActiveCalls,
     pub(crate) target: TargetSlot,
     pub(crate) phase: watch::Sender<DaemonPhase>,
+    pub(crate) policies: PolicyService<HttpTable, MeshTransport>,
     pub(crate) policy: watch::Receiver<Arc<ActivePolicy>>,
     pub(crate) tables: RoutingTables,
 }
@@ -54,6 +57,12 @@
     pub(crate) gate: Mutex<FrontGate>,
 }
 
+impl fmt::Debug for DaemonState {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "DaemonState({})", self.member)
+    }
+}
+
 impl DaemonState {
     pub(crate) fn routing(&self) -> MutexGuard<'_, TargetTable> {
         lock(&self.tables.targets)
--- /dev/null
+++ b/src/daemon/member_watch.rs
@@ -0,0 +1,68 @@
+use {
+    super::{daemon_phase::DaemonPhase, daemon_state::DaemonState},
+    crate::policy::PolicyHash,
+    std::{collections::HashSet, sync::Arc},
+};
+
+/// Brings each change of the membership into the tables of the daemon.
+pub(crate) async fn follow_members(state: Arc<DaemonState>) {
+    let mut views = state.membership.view();
+    loop {
+        let view = views.borrow_and_update().clone();
+        let now = state.clock.now();
+        let records = view.members.iter().map(AsRef::as_ref);
+        state.routing().update(now, records);
+        let meshes: HashSet<_> = view.members.iter().map(|record| record.mesh).collect();
+        state.mesh.retain(|peer| meshes.contains(peer));
+        let count = u32::try_from(view.members.len()).unwrap_or(u32::MAX);
+        state.policies.set_member_count(count.max(1)).await;
+        if views.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Applies each policy that comes into force, and spreads its version.
+pub(crate) async fn follow_policy(state: Arc<DaemonState>) {
+    let mut ready = state.policies.ready();
+    let mut policies = state.policies.current();
+    loop {
+        let policy = policies.borrow_and_update().clone();
+        let hash = policy.hash.as_u64();
+        state.membership.policy_in_force(policy.version, hash).await;
+        if let Some(target) = state.target.get() {
+            let overload = policy.document.overload;
+            target.desk.adjust(|guard, _| guard.set_policy(&overload));
+        }
+        if *ready.borrow_and_update() {
+            serve(&state);
+        }
+        tokio::select! {
+            changed = policies.changed() => if changed.is_err() { return },
+            changed = ready.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
+/// Tells the policy service of versions that gossip brings.
+pub(crate) async fn follow_sightings(state: Arc<DaemonState>) {
+    let mut sightings = state.membership.policy_seen();
+    while sightings.changed().await.is_ok() {
+        let seen = *sightings.borrow_and_update();
+        let hash = PolicyHash::from_u64(seen.hash);
+        state
+            .policies
+            .heard(seen.version, hash, seen.from_mesh)
+            .await;
+    }
+}
+
+fn serve(state: &DaemonState) {
+    state.phase.send_if_modified(|phase| {
+        let is_starting = *phase == DaemonPhase::Starting;
+        if is_starting {
+            *phase = DaemonPhase::Serving;
+        }
+        is_starting
+    });
+}
--- a/src/daemon/mesh_service.rs
+++ b/src/daemon/mesh_service.rs
@@ -4,12 +4,13 @@
         daemon_state::DaemonState,
         guarded_call::{GuardAnswer, GuardedCall, stamp_answer},
         mesh_client::MAX_MESSAGE_BYTES,
+        mesh_transport::{PolicyAnswer, PolicyRequest},
         permit_client::PermitRequest,
     },
     crate::{
         context::{CONTEXT_HEADER, CallContext, CallPriority, ServiceName},
         net::{
-            AnswerBody, CallRefusal, CallRequest, MESH_PREFIX, PERMIT_PATH, RefusalKind,
+            AnswerBody, CallRefusal, CallRequest, MESH_PREFIX, PERMIT_PATH, POLICY_PATH, RefusalKind,
             TAG_HEADER, is_valid_call_tag, is_valid_message_tag, parse_route, read_request,
             remove_own_headers,
         },
@@ -133,6 +134,9 @@
         PERMIT_PATH => answer_message(&body, |message: PermitRequest| {
             state.take_permit(message.request)
         }),
+        POLICY_PATH => answer_message(&body, |_: PolicyRequest| PolicyAnswer {
+            json: serde_json::to_string(&state.policy().to_versioned()).unwrap_or_default(),
+        }),
         _ => None,
     };
     match answer {
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,30 @@
+//! One daemon: its listeners, and the parts that run behind them.
+//!
+//! A call enters at the edge or from the target beside the daemon (`call_entry`), is routed to a
+//! target of its service (`call_router`), and is admitted there by the daemon beside that target
+//! (`mesh_service`, `guarded_call`).
+
+mod active_calls;
+mod admission_desk;
+mod announce_service;
+mod call_entry;
+mod call_router;
+mod daemon_options;
+mod daemon_phase;
+mod daemon_process;
+mod daemon_sockets;
+mod daemon_state;
+mod guarded_call;
+mod in_flight_call;
+mod local_target;
+mod member_watch;
+mod mesh_client;
+mod mesh_service;
+mod mesh_transport;
+mod permit_client;
+mod root_entry;
+mod target_probe;
+
+pub use {
+    daemon_options::DaemonOptions, daemon_phase::DaemonPhase, daemon_process::Daemon,
+};
--- /dev/null
+++ b/src/daemon/target_probe.rs
@@ -0,0 +1,52 @@
+use {
+    super::{daemon_state::DaemonState, local_target::LocalTarget},
+    crate::{
+        admission::LoadReport,
+        net::{AnswerPrefix, read_answer},
+    },
+    bytes::Bytes,
+    http::{HeaderValue, Request, header::HOST},
+    http_body_util::Full,
+    std::{sync::Arc, time::Duration},
+    tokio::time::{Instant, interval},
+};
+
+/// Time between two looks at the load that the target reports.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+const MAX_REPORT_BYTES: usize = 4 * 1024;
+
+/// Asks the target for its load, which the guard takes as a hint.
+pub(crate) async fn probe_target(state: Arc<DaemonState>) {
+    let mut ticks = interval(PROBE_PERIOD);
+    loop {
+        ticks.tick().await;
+        let Some(target) = state.target.get() else {
+            continue;
+        };
+        if let Some(report) = read_load(&target).await {
+            target
+                .desk
+                .adjust(|guard, now| guard.report_load(now, report));
+        }
+    }
+}
+
+async fn read_load(target: &LocalTarget) -> Option<LoadReport> {
+    let path = target.announcement.load_path.as_ref()?;
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = path.parse().ok()?;
+    let host = target.announcement.address.to_string();
+    request
+        .headers_mut()
+        .insert(HOST, HeaderValue::from_str(&host).ok()?);
+    let deadline = Instant::now() + PROBE_TIMEOUT;
+    let (response, connection) = target.pool.send(request, deadline).await.ok()?;
+    let reading = read_answer(response.into_body(), MAX_REPORT_BYTES);
+    let answer = tokio::time::timeout_at(deadline, reading).await.ok()?.ok()?;
+    let AnswerPrefix::Whole { data, .. } = answer else {
+        return None;
+    };
+    connection.release();
+    serde_json::from_slice(&data).ok()
+}
--- /dev/null
+++ b/tests/retry.rs
@@ -0,0 +1,165 @@
+//! Retries of one user request are bounded across its whole chain.
+
+use {
+    banyantrestle::{
+        context::RequestId,
+        retry::{MAX_ROOT_REQUESTS, PermitVerdict, RetryBudget, RetryRatio, RootTable},
+        time::TimePoint,
+    },
+    proptest::{
+        prelude::*,
+        test_runner::{Config, RngSeed},
+    },
+    std::time::Duration,
+};
+
+const NOW: TimePoint = TimePoint::from_millis(1_000);
+const LATER: TimePoint = TimePoint::from_millis(2_000);
+
+fn request(number: u128) -> RequestId {
+    RequestId::from_u128(number)
+}
+
+fn fixed_seed() -> Config {
+    Config {
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+#[test]
+fn budget_grants_its_limit_and_no_more() {
+    let mut roots = RootTable::new();
+    roots.open(request(1), RetryBudget::new(2, LATER));
+    let verdicts: Vec<_> = (0..4).map(|_| roots.take(NOW, request(1))).collect();
+    assert_eq!(
+        verdicts,
+        [
+            PermitVerdict::Granted,
+            PermitVerdict::Granted,
+            PermitVerdict::Exhausted,
+            PermitVerdict::Exhausted,
+        ]
+    );
+    assert_eq!(roots.close(request(1)), 2);
+}
+
+#[test]
+fn ended_or_foreign_requests_get_no_retry() {
+    let mut roots = RootTable::new();
+    roots.open(request(1), RetryBudget::new(2, LATER));
+    assert_eq!(roots.take(NOW, request(2)), PermitVerdict::UnknownRequest);
+    assert_eq!(roots.take(LATER, request(1)), PermitVerdict::UnknownRequest);
+    roots.close(request(1));
+    assert_eq!(roots.take(NOW, request(1)), PermitVerdict::UnknownRequest);
+}
+
+#[test]
+fn opening_again_does_not_refill_a_budget() {
+    let mut roots = RootTable::new();
+    roots.open(request(1), RetryBudget::new(1, LATER));
+    roots.take(NOW, request(1));
+    roots.open(request(1), RetryBudget::new(1, LATER));
+    assert_eq!(roots.take(NOW, request(1)), PermitVerdict::Exhausted);
+}
+
+#[test]
+fn root_table_is_bounded() {
+    let mut roots = RootTable::new();
+    for number in 0..MAX_ROOT_REQUESTS {
+        assert!(roots.open(request(number as u128), RetryBudget::new(1, LATER)));
+    }
+    assert!(!roots.open(request(u128::MAX), RetryBudget::new(1, LATER)));
+    assert_eq!(roots.len(), MAX_ROOT_REQUESTS);
+}
+
+#[test]
+fn ratio_allows_its_share_of_first_attempts() {
+    let mut ratio = RetryRatio::new();
+    while ratio.take() {}
+    for _ in 0..100 {
+        ratio.note_attempt(10);
+    }
+    let granted = std::iter::repeat_with(|| ratio.take())
+        .take_while(|is_granted| *is_granted)
+        .count();
+    assert_eq!(granted, 10);
+}
+
+#[test]
+fn ratio_saves_up_no_more_than_its_bound() {
+    let mut ratio = RetryRatio::new();
+    for _ in 0..100_000 {
+        ratio.note_attempt(100);
+    }
+    let granted = std::iter::repeat_with(|| ratio.take())
+        .take_while(|is_granted| *is_granted)
+        .count();
+    assert_eq!(granted, 10);
+}
+
+/// One call of a chain: how often it fails before it succeeds, and the calls that it makes.
+#[derive(Clone, Debug)]
+struct ChainCall {
+    failures: u8,
+    /// The answer of the root about a permit is lost this often.
+    lost_permits: u8,
+    children: Vec<ChainCall>,
+}
+
+fn chain_call() -> impl Strategy<Value = ChainCall> {
+    let leaf = (0_u8..4, 0_u8..2).prop_map(|(failures, lost_permits)| ChainCall {
+        failures,
+        lost_permits,
+        children: Vec::new(),
+    });
+    leaf.prop_recursive(12, 64, 3, |inner| {
+        (0_u8..4, 0_u8..2, prop::collection::vec(inner, 0..3)).prop_map(
+            |(failures, lost_permits, children)| ChainCall {
+                failures,
+                lost_permits,
+                children,
+            },
+        )
+    })
+}
+
+/// Runs a call and what it calls; returns the retries that were made.
+fn run_call(roots: &mut RootTable, id: RequestId, call: &ChainCall, now: &mut TimePoint) -> u32 {
+    let mut retries = 0;
+    let mut lost = call.lost_permits;
+    for attempt in 0..=call.failures {
+        *now = *now + Duration::from_millis(1);
+        if attempt > 0 {
+            let verdict = roots.take(*now, id);
+            if lost > 0 {
+                lost -= 1;
+                break;
+            }
+            if verdict != PermitVerdict::Granted {
+                break;
+            }
+            retries += 1;
+        }
+        for child in &call.children {
+            retries += run_call(roots, id, child, now);
+        }
+    }
+    retries
+}
+
+proptest! {
+    #![proptest_config(fixed_seed())]
+
+    #[test]
+    fn retries_are_bounded_at_any_depth_and_fan_out(call in chain_call(), limit in 0_u32..6) {
+        let mut roots = RootTable::new();
+        let mut now = NOW;
+        let deadline = NOW + Duration::from_secs(3_600);
+        roots.open(request(1), RetryBudget::new(limit, deadline));
+        let retries = run_call(&mut roots, request(1), &call, &mut now);
+        prop_assert!(retries <= limit);
+        prop_assert!(roots.close(request(1)) <= limit);
+    }
+}
--- /dev/null
+++ b/tests/routing.rs
@@ -0,0 +1,320 @@
+//! Choice of targets: near first, two choices, ejection with a cap, nothing to what is leaving.
+
+use {
+    banyantrestle::{
+        context::{CallPriority, RequestId, ServiceName},
+        membership::{MemberId, MemberRecord, MemberState, TargetAnnouncement, TargetState},
+        routing::{CallEnd, LoadNote, PickVerdict, RouterPlace, TargetKey, TargetTable},
+        time::TimePoint,
+    },
+    proptest::{
+        prelude::*,
+        test_runner::{Config, RngSeed},
+    },
+    rand::{SeedableRng, rngs::SmallRng},
+    std::{collections::HashMap, net::SocketAddr, time::Duration},
+};
+
+const START: TimePoint = TimePoint::from_millis(1_000);
+const SLOTS: u32 = 4;
+
+fn service() -> ServiceName {
+    ServiceName::new("catalogue").expect("a valid name")
+}
+
+fn place() -> RouterPlace {
+    RouterPlace {
+        region: "nz-north".into(),
+        data_centre: "akl-a".into(),
+    }
+}
+
+fn record(number: u16, data_centre: &str) -> MemberRecord {
+    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    MemberRecord {
+        id: MemberId {
+            address: address(10_000 + number),
+            started_ms: 1,
+        },
+        incarnation: 1,
+        state: MemberState::Alive,
+        region: "nz-north".into(),
+        data_centre: data_centre.into(),
+        mesh: address(20_000 + number),
+        admin: address(30_000 + number),
+        target: Some(TargetAnnouncement {
+            service: service(),
+            address: address(40_000 + number),
+            slots: SLOTS,
+            connections: 100,
+            state: TargetState::Serving,
+            health_path: None,
+            load_path: None,
+        }),
+        policy_version: 1,
+    }
+}
+
+fn records(data_centres: &[&str]) -> Vec<MemberRecord> {
+    (0..)
+        .zip(data_centres)
+        .map(|(number, data_centre)| record(number, data_centre))
+        .collect()
+}
+
+fn table_of(records: &[MemberRecord]) -> TargetTable {
+    let mut table = TargetTable::new(place());
+    table.update(TimePoint::ORIGIN, records);
+    table
+}
+
+fn rng() -> SmallRng {
+    SmallRng::seed_from_u64(5)
+}
+
+fn priority(rank: u8) -> CallPriority {
+    CallPriority::new(rank, RequestId::from_u128(3))
+}
+
+fn pick(
+    table: &TargetTable,
+    now: TimePoint,
+    tried: &[TargetKey],
+    rng: &mut SmallRng,
+) -> PickVerdict {
+    table.pick(now, &service(), priority(2), tried, rng)
+}
+
+fn picked(table: &TargetTable, now: TimePoint, rng: &mut SmallRng) -> TargetKey {
+    match pick(table, now, &[], rng) {
+        PickVerdict::Target(key) => key,
+        other => panic!("no target was picked: {other:?}"),
+    }
+}
+
+fn mesh_port(table: &TargetTable, key: TargetKey) -> u16 {
+    table.get(key).expect("a known target").mesh().port()
+}
+
+fn fail(table: &mut TargetTable, now: TimePoint, key: TargetKey) {
+    table.start(key);
+    table.end(now, key, CallEnd::Unreachable);
+}
+
+fn loaded(threshold: CallPriority, utilization_percent: u8) -> CallEnd {
+    CallEnd::Answered(Some(LoadNote {
+        threshold,
+        chain_threshold: threshold,
+        utilization_percent,
+    }))
+}
+
+#[test]
+fn own_data_centre_goes_first_while_it_has_room() {
+    let mut table = table_of(&records(&["akl-a", "ham-a", "wlg-a"]));
+    let mut rng = rng();
+    for _ in 0..SLOTS {
+        let key = picked(&table, START, &mut rng);
+        assert_eq!(mesh_port(&table, key), 20_000);
+        table.start(key);
+    }
+    let key = picked(&table, START, &mut rng);
+    assert_ne!(mesh_port(&table, key), 20_000);
+}
+
+#[test]
+fn leaving_dead_and_draining_targets_get_nothing() {
+    let mut leaving = record(1, "akl-a");
+    leaving.state = MemberState::Leaving;
+    let mut dead = record(2, "akl-a");
+    dead.state = MemberState::Dead;
+    let mut draining = record(3, "akl-a");
+    draining.target.as_mut().expect("a target").state = TargetState::Draining;
+    let table = table_of(&[leaving, dead, draining]);
+    assert_eq!(pick(&table, START, &[], &mut rng()), PickVerdict::NoTarget);
+}
+
+#[test]
+fn a_target_that_starts_to_leave_gets_nothing_more() {
+    let mut records = records(&["akl-a", "akl-a"]);
+    let mut table = table_of(&records);
+    records[0].state = MemberState::Leaving;
+    table.update(START, &records);
+    let mut rng = rng();
+    for _ in 0..100 {
+        let key = picked(&table, START, &mut rng);
+        assert_eq!(mesh_port(&table, key), 20_001);
+    }
+}
+
+#[test]
+fn a_target_that_failed_in_the_request_is_not_tried_again() {
+    let table = table_of(&records(&["akl-a", "akl-a"]));
+    let mut rng = rng();
+    let first = picked(&table, START, &mut rng);
+    for _ in 0..100 {
+        match pick(&table, START, &[first], &mut rng) {
+            PickVerdict::Target(key) => assert_ne!(key, first),
+            other => panic!("no target was picked: {other:?}"),
+        }
+    }
+}
+
+#[test]
+fn an_unreachable_target_is_ejected_and_comes_back() {
+    let mut table = table_of(&records(&["akl-a", "akl-a", "akl-a"]));
+    let mut rng = rng();
+    let failed = picked(&table, START, &mut rng);
+    fail(&mut table, START, failed);
+    for _ in 0..100 {
+        assert_ne!(picked(&table, START, &mut rng), failed);
+    }
+    let later = START + Duration::from_secs(60);
+    let is_back = (0..100).any(|_| picked(&table, later, &mut rng) == failed);
+    assert!(is_back);
+}
+
+#[test]
+fn ejection_stops_at_its_cap() {
+    let mut table = table_of(&records(&["akl-a", "akl-a", "akl-a", "akl-a"]));
+    let mut rng = rng();
+    for _ in 0..64 {
+        let key = picked(&table, START, &mut rng);
+        fail(&mut table, START, key);
+    }
+    assert!(matches!(
+        pick(&table, START, &[], &mut rng),
+        PickVerdict::Target(_)
+    ));
+}
+
+#[test]
+fn a_call_is_shed_only_below_every_fresh_threshold() {
+    let mut table = table_of(&records(&["akl-a", "akl-a"]));
+    let mut rng = rng();
+    let high = priority(9);
+    let keys = [
+        picked(&table, START, &mut rng),
+        match pick(&table, START, &[picked(&table, START, &mut rng)], &mut rng) {
+            PickVerdict::Target(key) => key,
+            other => panic!("no target was picked: {other:?}"),
+        },
+    ];
+    let mut all: Vec<TargetKey> = keys.to_vec();
+    all.dedup();
+    if all.len() < 2 {
+        let other = pick(&table, START, &all, &mut rng);
+        if let PickVerdict::Target(key) = other {
+            all.push(key);
+        }
+    }
+    table.start(all[0]);
+    table.end(START, all[0], loaded(high, 50));
+    for _ in 0..50 {
+        assert_eq!(picked(&table, START, &mut rng), all[1]);
+    }
+    table.start(all[1]);
+    table.end(START, all[1], loaded(high, 50));
+    assert!(matches!(
+        pick(&table, START, &[], &mut rng),
+        PickVerdict::Shed { retry_after } if retry_after > Duration::ZERO
+    ));
+    let later = START + Duration::from_secs(2);
+    assert!(matches!(
+        pick(&table, later, &[], &mut rng),
+        PickVerdict::Target(_)
+    ));
+}
+
+#[test]
+fn a_new_target_is_ramped_up() {
+    let mut records = records(&["akl-a", "akl-a"]);
+    let mut table = table_of(&records);
+    records.push(record(2, "akl-a"));
+    table.update(START, &records);
+    let now = START + Duration::from_millis(100);
+    let mut rng = rng();
+    let mut counts: HashMap<u16, u32> = HashMap::new();
+    for _ in 0..3_000 {
+        // One call in flight at each old target makes the ramp visible.
+        let key = picked(&table, now, &mut rng);
+        *counts.entry(mesh_port(&table, key)).or_default() += 1;
+        table.start(key);
+        if counts.values().sum::<u32>() % 6 == 0 {
+            table = table_of(&records[..2]);
+            table.update(START, &records);
+        }
+    }
+    let fresh = counts.get(&20_002).copied().unwrap_or_default();
+    let old = counts.get(&20_000).copied().unwrap_or_default();
+    assert!(fresh < old, "new target got {fresh}, old one {old}");
+}
+
+proptest! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(17),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn pick_is_always_a_present_target(
+        states in prop::collection::vec(0_u8..5, 1..12),
+        ends in prop::collection::vec((0_usize..12, 0_u8..4), 0..60),
+        seed in any::<u64>(),
+    ) {
+        let mut records: Vec<MemberRecord> = (0..)
+            .zip(&states)
+            .map(|(number, _)| record(number, ["akl-a", "ham-a"][usize::from(number % 2)]))
+            .collect();
+        let mut table = table_of(&records);
+        let mut rng = SmallRng::seed_from_u64(seed);
+        for (step, (_, end)) in ends.iter().enumerate() {
+            let now = START + Duration::from_millis(step as u64 * 50);
+            if let PickVerdict::Target(key) = pick(&table, now, &[], &mut rng) {
+                table.start(key);
+                table.end(now, key, match end {
+                    0 => CallEnd::Broken,
+                    1 => CallEnd::Unreachable,
+                    2 => CallEnd::Abandoned,
+                    _ => loaded(CallPriority::LOWEST, 30),
+                });
+            }
+        }
+        for (record, state) in records.iter_mut().zip(&states) {
+            match state {
+                0 => record.state = MemberState::Leaving,
+                1 => record.state = MemberState::Dead,
+                2 => record.state = MemberState::Suspect,
+                3 => record.target.as_mut().expect("a target").state = TargetState::Draining,
+                _ => {}
+            }
+        }
+        table.update(START, &records);
+        let present = states.iter().filter(|state| matches!(state, 2 | 4)).count();
+        match pick(&table, START, &[], &mut rng) {
+            PickVerdict::Target(key) => {
+                let port = mesh_port(&table, key);
+                let state = states[usize::from(port - 20_000)];
+                prop_assert!(matches!(state, 2 | 4));
+            }
+            PickVerdict::NoTarget => prop_assert_eq!(present, 0),
+            PickVerdict::Shed { .. } => prop_assert!(false, "no threshold was reported"),
+        }
+    }
+
+    #[test]
+    fn load_note_survives_its_header(threshold in any::<u32>(), chain in any::<u32>(), percent in any::<u8>()) {
+        let note = LoadNote {
+            threshold: CallPriority::from_u32(threshold),
+            chain_threshold: CallPriority::from_u32(chain),
+            utilization_percent: percent,
+        };
+        prop_assert_eq!(LoadNote::decode(&note.encode()), Some(note));
+    }
+
+    #[test]
+    fn any_load_header_is_read_or_refused(text in ".{0,64}") {
+        LoadNote::decode(&text);
+    }
+}
