--- /dev/null
+++ b/examples/admission_weigh/adaptive_lifo.rs
@@ -0,0 +1,56 @@
+use {
+    banyantrestle::admission::{AdmissionQueue, CallOrder, QueuedTicket, TicketKey},
+    std::collections::VecDeque,
+};
+
+/// Queued calls from which the newest starts first.
+const PRESSURE_LENGTH: usize = 8;
+
+/// Queue in the order of arrival, and the reverse under pressure; the oldest is dropped first.
+#[derive(Clone, Debug, Default)]
+pub struct AdaptiveLifo {
+    tickets: VecDeque<QueuedTicket>,
+}
+
+impl AdmissionQueue for AdaptiveLifo {
+    fn push(&mut self, ticket: QueuedTicket) {
+        self.tickets.push_back(ticket);
+    }
+
+    fn pop_first(&mut self) -> Option<QueuedTicket> {
+        if self.tickets.len() >= PRESSURE_LENGTH {
+            self.tickets.pop_back()
+        } else {
+            self.tickets.pop_front()
+        }
+    }
+
+    fn pop_last(&mut self) -> Option<QueuedTicket> {
+        self.tickets.pop_front()
+    }
+
+    fn last(&self) -> Option<QueuedTicket> {
+        self.tickets.front().copied()
+    }
+
+    fn remove(&mut self, key: TicketKey) -> Option<QueuedTicket> {
+        let position = self.tickets.iter().position(|ticket| ticket.key == key)?;
+        self.tickets.remove(position)
+    }
+
+    fn goes_before(&self, _: CallOrder, _: &QueuedTicket) -> bool {
+        true
+    }
+
+    fn count_before(&self, _: CallOrder) -> usize {
+        0
+    }
+
+    fn iter(&self) -> impl Iterator<Item = &QueuedTicket> {
+        self.tickets.iter()
+    }
+
+    fn len(&self) -> usize {
+        self.tickets.len()
+    }
+}
--- /dev/null
+++ b/examples/admission_weigh/arrival_queue.rs
@@ -0,0 +1,49 @@
+use {
+    banyantrestle::admission::{AdmissionQueue, CallOrder, QueuedTicket, TicketKey},
+    std::collections::VecDeque,
+};
+
+/// Queue in the order of arrival; a full one refuses the newest.
+#[derive(Clone, Debug, Default)]
+pub struct ArrivalQueue {
+    tickets: VecDeque<QueuedTicket>,
+}
+
+impl AdmissionQueue for ArrivalQueue {
+    fn push(&mut self, ticket: QueuedTicket) {
+        self.tickets.push_back(ticket);
+    }
+
+    fn pop_first(&mut self) -> Option<QueuedTicket> {
+        self.tickets.pop_front()
+    }
+
+    fn pop_last(&mut self) -> Option<QueuedTicket> {
+        self.tickets.pop_back()
+    }
+
+    fn last(&self) -> Option<QueuedTicket> {
+        self.tickets.back().copied()
+    }
+
+    fn remove(&mut self, key: TicketKey) -> Option<QueuedTicket> {
+        let position = self.tickets.iter().position(|ticket| ticket.key == key)?;
+        self.tickets.remove(position)
+    }
+
+    fn goes_before(&self, _: CallOrder, _: &QueuedTicket) -> bool {
+        false
+    }
+
+    fn count_before(&self, _: CallOrder) -> usize {
+        self.tickets.len()
+    }
+
+    fn iter(&self) -> impl Iterator<Item = &QueuedTicket> {
+        self.tickets.iter()
+    }
+
+    fn len(&self) -> usize {
+        self.tickets.len()
+    }
+}
--- /dev/null
+++ b/examples/admission_weigh/scenarios.rs
@@ -0,0 +1,124 @@
+use {
+    standins::model::{ClassDemand, LoadScenario, ScenarioPhase},
+    std::time::Duration,
+};
+
+const SLOTS: u32 = 20;
+/// Demand of an ordinary hour against the capacity.
+const CALM_DEMAND: f64 = 0.7;
+const SURGE_DEMAND: f64 = 3.0;
+const DEEP_SLOWDOWN: f64 = 10.0;
+const BEFORE: Duration = Duration::from_secs(4);
+const PRESSURE: Duration = Duration::from_secs(8);
+const AFTER: Duration = Duration::from_secs(8);
+const THRASH: f64 = 0.3;
+
+/// All scenarios that the ways are weighed on.
+pub fn all() -> Vec<LoadScenario> {
+    vec![
+        surge("threefold surge", SLOTS, 0.0),
+        surge(
+            "threefold surge, slots overstated threefold",
+            SLOTS * 3,
+            THRASH,
+        ),
+        slow_dependency(),
+        cold_start(),
+        misleading_report("threefold surge, reports 200% always", SLOTS, 200),
+        misleading_report(
+            "threefold surge, slots overstated, reports 0% always",
+            SLOTS * 3,
+            0,
+        ),
+    ]
+}
+
+fn surge(name: &'static str, announced: u32, thrash: f64) -> LoadScenario {
+    LoadScenario {
+        name,
+        classes: classes(),
+        capacity: SLOTS,
+        announced,
+        thrash,
+        phases: vec![
+            ScenarioPhase::new(BEFORE, CALM_DEMAND),
+            ScenarioPhase::new(PRESSURE, SURGE_DEMAND),
+            ScenarioPhase::new(AFTER, CALM_DEMAND),
+        ],
+        pressure: 1,
+        hard_retries: 0.5,
+    }
+}
+
+fn slow_dependency() -> LoadScenario {
+    let mut scenario = surge("tenfold slower further down, then healed", SLOTS, 0.0);
+    scenario.phases[1] = ScenarioPhase {
+        slowdown: DEEP_SLOWDOWN,
+        ..ScenarioPhase::new(PRESSURE, CALM_DEMAND)
+    };
+    scenario
+}
+
+fn cold_start() -> LoadScenario {
+    let mut scenario = surge(
+        "cold start, a tenth of the capacity at first",
+        SLOTS,
+        THRASH,
+    );
+    scenario.phases.remove(0);
+    scenario.phases[0] = ScenarioPhase {
+        warmth: 0.1..1.0,
+        ..ScenarioPhase::new(PRESSURE, CALM_DEMAND)
+    };
+    scenario.pressure = 0;
+    scenario
+}
+
+fn misleading_report(name: &'static str, announced: u32, percent: u32) -> LoadScenario {
+    let mut scenario = surge(name, announced, THRASH);
+    for phase in &mut scenario.phases {
+        phase.report = Some(percent);
+    }
+    scenario
+}
+
+fn classes() -> Vec<ClassDemand> {
+    vec![
+        ClassDemand {
+            name: "purchase",
+            rank: 4,
+            weight: 100,
+            share: 0.10,
+            work: Duration::from_millis(40),
+            deadline: Duration::from_secs(2),
+            depth: 2,
+        },
+        ClassDemand {
+            name: "slot-change",
+            rank: 3,
+            weight: 80,
+            share: 0.05,
+            work: Duration::from_millis(30),
+            deadline: Duration::from_secs(2),
+            depth: 1,
+        },
+        ClassDemand {
+            name: "browse",
+            rank: 2,
+            weight: 10,
+            share: 0.45,
+            work: Duration::from_millis(15),
+            deadline: Duration::from_secs(1),
+            depth: 0,
+        },
+        ClassDemand {
+            name: "download",
+            rank: 1,
+            weight: 5,
+            share: 0.40,
+            work: Duration::from_millis(120),
+            deadline: Duration::from_secs(3),
+            depth: 1,
+        },
+    ]
+}
--- a/src/admission/admission_guard.rs
+++ b/src/admission/admission_guard.rs
@@ -67,7 +67,8 @@
         request: AdmissionRequest,
         rng: &mut R,
     ) -> AdmissionVerdict {
-        self.demand.note(request.priority);
+        let work = self.service.mean_time(request.priority.rank());
+        self.demand.note(request.priority, work);
         if let Some(reason) = self.objection(now, &request) {
             return AdmissionVerdict::Refused(self.refusal(reason, rng));
         }
@@ -305,14 +306,14 @@
     }
 
     fn move_threshold(&mut self, now: TimePoint) {
-        self.queue_delay = self.oldest_age(now);
+        self.queue_delay = self.drain.wait_for(self.queue.len());
         if self.settings.threshold == ThresholdMode::Lowest {
             return;
         }
         let pressure = QueuePressure {
             delay: self.queue_delay,
             target: self.target_delay(),
-            drain_rate: self.drain.rate(),
+            limit: self.limit.limit(),
         };
         self.threshold.tick(now, pressure, &self.demand);
     }
--- a/src/admission/admission_threshold.rs
+++ b/src/admission/admission_threshold.rs
@@ -6,34 +6,41 @@
 
 /// Time between two moves.
 const MOVE_PERIOD: Duration = Duration::from_millis(50);
-/// Share of the admitted demand that one move sheds.
-const MIN_SHED_SHARE: f64 = 0.02;
-const MAX_SHED_SHARE: f64 = 0.5;
-/// Share of all demand that the first move after pressure admits again; it doubles with each move.
-const FIRST_ADMIT_SHARE: f64 = 0.02;
+/// Share of the admitted work that a move sheds for a delay of twice the target.
+const DELAY_GAIN: f64 = 0.01;
+/// The same for a delay that has grown by the target since the move before.
+const GROWTH_GAIN: f64 = 0.04;
+const MAX_TRIM: f64 = 0.1;
+/// Work that is admitted beyond the limit, so that the queue does not run dry.
+const ADMITTED_EXCESS: f64 = 1.1;
+/// Share of all work that the first move after pressure admits again; it doubles with each move.
+const FIRST_ADMIT_SHARE: f64 = 0.005;
 
 /// Lowest priority that a guard admits.
 ///
-/// It rises while the queue stands above its target delay, by as much as demand exceeds what the
-/// target works off. Hysteresis: it falls only once the delay stays under half the target.
+/// It moves by the queue delay and its change, as the drop probability of PIE does (RFC 8033). Work
+/// that is far beyond the limit is shed in one move. Once the delay stays under half the target the
+/// threshold falls, each move twice as far as the one before.
 #[derive(Clone, Copy, Debug)]
 pub struct AdmissionThreshold {
     lowest: CallPriority,
     moved: TimePoint,
-    least_delay: Duration,
-    greatest_delay: Duration,
+    /// Delay at the move before.
+    last_delay: Duration,
+    /// Greatest delay since then.
+    peak_delay: Duration,
     admit_share: f64,
 }
 
 /// What a move goes by.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct QueuePressure {
-    /// Age of the oldest queued call.
+    /// Time to work off the queue.
     pub(super) delay: Duration,
     /// Delay above which the queue counts as standing.
     pub(super) target: Duration,
-    /// Calls a second that the target works off, if known.
-    pub(super) drain_rate: Option<f64>,
+    /// Calls that the target runs at once.
+    pub(super) limit: u32,
 }
 
 impl AdmissionThreshold {
@@ -42,8 +49,8 @@
         Self {
             lowest: CallPriority::LOWEST,
             moved: now,
-            least_delay: Duration::MAX,
-            greatest_delay: Duration::ZERO,
+            last_delay: Duration::ZERO,
+            peak_delay: Duration::ZERO,
             admit_share: FIRST_ADMIT_SHARE,
         }
     }
@@ -65,33 +72,44 @@
     }
 
     pub(super) fn tick(&mut self, now: TimePoint, pressure: QueuePressure, demand: &DemandTable) {
-        self.least_delay = self.least_delay.min(pressure.delay);
-        self.greatest_delay = self.greatest_delay.max(pressure.delay);
+        self.peak_delay = self.peak_delay.max(pressure.delay);
         if now.since(self.moved) < MOVE_PERIOD {
             return;
         }
-        if self.least_delay > pressure.target {
-            self.raise(pressure.drain_rate, demand);
-        } else if self.greatest_delay < pressure.target / 2 {
-            self.lower(demand);
+        if self.peak_delay < pressure.target / 2 {
+            self.admit_more(demand);
         } else {
             self.admit_share = FIRST_ADMIT_SHARE;
+            self.trim(pressure, demand);
         }
         self.moved = now;
-        self.least_delay = Duration::MAX;
-        self.greatest_delay = Duration::ZERO;
+        self.last_delay = pressure.delay;
+        self.peak_delay = Duration::ZERO;
     }
 
-    fn raise(&mut self, drain_rate: Option<f64>, demand: &DemandTable) {
-        let admitted = demand.rate_from(self.lowest);
-        let excess = drain_rate.map_or(0.0, |rate| 1.0 - rate / admitted);
-        let share = excess.clamp(MIN_SHED_SHARE, MAX_SHED_SHARE);
-        self.lowest = demand.raised(self.lowest, share);
-        self.admit_share = FIRST_ADMIT_SHARE;
-    }
-
-    fn lower(&mut self, demand: &DemandTable) {
+    fn admit_more(&mut self, demand: &DemandTable) {
         self.lowest = demand.lowered(self.lowest, self.admit_share);
         self.admit_share *= 2.0;
     }
+
+    fn trim(&mut self, pressure: QueuePressure, demand: &DemandTable) {
+        let target = pressure.target.as_secs_f64();
+        let delay = pressure.delay.as_secs_f64() / target;
+        let growth = delay - self.last_delay.as_secs_f64() / target;
+        let trim = DELAY_GAIN * (delay - 1.0) + GROWTH_GAIN * growth;
+        let trim = trim.clamp(-MAX_TRIM, MAX_TRIM);
+        if trim < 0.0 {
+            self.lowest = demand.lowered(self.lowest, -trim);
+        } else {
+            let excess = self.excess(pressure, demand);
+            self.lowest = demand.raised(self.lowest, trim.max(excess));
+        }
+    }
+
+    /// Share of the admitted work that is plainly too much.
+    fn excess(&self, pressure: QueuePressure, demand: &DemandTable) -> f64 {
+        let admitted = demand.work_from(self.lowest);
+        let admissible = f64::from(pressure.limit) * ADMITTED_EXCESS;
+        1.0 - admissible / admitted.max(admissible)
+    }
 }
--- a/src/admission/demand_table.rs
+++ b/src/admission/demand_table.rs
@@ -6,6 +6,8 @@
 
 /// Time over which demand is remembered.
 const DEMAND_MEMORY: Duration = Duration::from_millis(500);
+/// Work of a call whose class is new.
+const MIN_WORK: Duration = Duration::from_millis(1);
 const BIN_BITS: u32 = 5;
 const BINS_PER_RANK: u32 = 1 << BIN_BITS;
 /// Priorities in one bin.
@@ -13,7 +15,7 @@
 /// Share of the whole demand that a bin holds at least, since callers may hold its calls back.
 const MIN_BIN_SHARE: f64 = 1.0 / 128.0;
 
-/// Recent demand by priority.
+/// Recent demand by priority, in time of the target.
 #[derive(Clone, Debug)]
 pub(super) struct DemandTable {
     ranks: RankTable<RankDemand>,
@@ -37,7 +39,7 @@
 #[derive(Clone, Copy, Debug)]
 struct DemandBin {
     start: u32,
-    calls: f64,
+    seconds: f64,
 }
 
 impl DemandBin {
@@ -45,16 +47,17 @@
         self.start + BIN_WIDTH
     }
 
-    /// Calls at `threshold` and above it.
-    fn calls_from(&self, threshold: u32) -> f64 {
+    /// Work at `threshold` and above it.
+    fn seconds_from(&self, threshold: u32) -> f64 {
         let width = self.end().saturating_sub(threshold).min(BIN_WIDTH);
-        self.calls * f64::from(width) / f64::from(BIN_WIDTH)
+        self.seconds * f64::from(width) / f64::from(BIN_WIDTH)
     }
 
-    /// Priorities that `calls` of the bin take up.
+    /// Priorities that so much of the bin's work take up.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    fn width_of(&self, calls: f64) -> u32 {
-        let width = (f64::from(BIN_WIDTH) * calls / self.calls).clamp(0.0, f64::from(BIN_WIDTH));
+    fn width_of(&self, seconds: f64) -> u32 {
+        let width =
+            (f64::from(BIN_WIDTH) * seconds / self.seconds).clamp(0.0, f64::from(BIN_WIDTH));
         width as u32
     }
 }
@@ -67,9 +70,11 @@
         }
     }
 
-    pub(super) fn note(&mut self, priority: CallPriority) {
+    /// `work` is the time that a call of the class takes.
+    pub(super) fn note(&mut self, priority: CallPriority, work: Duration) {
         let index = bin_index(priority);
-        self.ranks.row_mut(priority.rank()).bins[index] += 1.0;
+        let seconds = work.max(MIN_WORK).as_secs_f64();
+        self.ranks.row_mut(priority.rank()).bins[index] += seconds;
     }
 
     pub(super) fn tick(&mut self, now: TimePoint) {
@@ -83,25 +88,25 @@
         self.ticked = now;
     }
 
-    /// Calls a second at `threshold` and above it.
-    pub(super) fn rate_from(&self, threshold: CallPriority) -> f64 {
+    /// Calls at once that the demand at `threshold` and above it would need.
+    pub(super) fn work_from(&self, threshold: CallPriority) -> f64 {
         let threshold = threshold.as_u32();
-        let calls: f64 = self.bins().map(|bin| bin.calls_from(threshold)).sum();
-        calls / DEMAND_MEMORY.as_secs_f64()
+        let seconds: f64 = self.bins().map(|bin| bin.seconds_from(threshold)).sum();
+        seconds / DEMAND_MEMORY.as_secs_f64()
     }
 
     /// Lowest threshold that sheds `share` of the demand which `threshold` admits.
     pub(super) fn raised(&self, threshold: CallPriority, share: f64) -> CallPriority {
         let threshold = threshold.as_u32();
-        let admitted: f64 = self.bins().map(|bin| bin.calls_from(threshold)).sum();
+        let admitted: f64 = self.bins().map(|bin| bin.seconds_from(threshold)).sum();
         let mut rest = share * admitted;
         for bin in self.bins() {
-            let calls = bin.calls_from(threshold);
-            if calls > 0.0 && calls >= rest {
+            let seconds = bin.seconds_from(threshold);
+            if seconds > 0.0 && seconds >= rest {
                 let start = bin.start.max(threshold);
                 return CallPriority::from_u32(start + bin.width_of(rest));
             }
-            rest -= calls;
+            rest -= seconds;
         }
         CallPriority::from_u32(threshold)
     }
@@ -109,17 +114,17 @@
     /// Highest threshold that admits more than `threshold`, by `share` of all demand.
     pub(super) fn lowered(&self, threshold: CallPriority, share: f64) -> CallPriority {
         let threshold = threshold.as_u32();
-        let demand: f64 = self.bins().map(|bin| bin.calls).sum();
+        let demand: f64 = self.bins().map(|bin| bin.seconds).sum();
         let mut rest = share * demand;
         for mut bin in self.bins().rev() {
-            bin.calls = bin.calls.max(MIN_BIN_SHARE * demand);
-            let calls = bin.calls - bin.calls_from(threshold);
-            if calls > rest {
+            bin.seconds = bin.seconds.max(MIN_BIN_SHARE * demand);
+            let seconds = bin.seconds - bin.seconds_from(threshold);
+            if seconds > rest {
                 let end = bin.end().min(threshold);
                 let width = bin.width_of(rest).max(1);
                 return CallPriority::from_u32(end.saturating_sub(width).max(bin.start));
             }
-            rest -= calls;
+            rest -= seconds;
         }
         CallPriority::LOWEST
     }
@@ -129,9 +134,9 @@
         self.ranks.iter().flat_map(|(rank, demand)| {
             let base = u32::from(rank) << 16;
             let indices = 0..BINS_PER_RANK;
-            indices.zip(demand.bins).map(move |(index, calls)| {
+            indices.zip(demand.bins).map(move |(index, seconds)| {
                 let start = base + index * BIN_WIDTH;
-                DemandBin { start, calls }
+                DemandBin { start, seconds }
             })
         })
     }
--- a/src/admission/drain_estimate.rs
+++ b/src/admission/drain_estimate.rs
@@ -63,11 +63,6 @@
         self.refused = 0;
     }
 
-    /// Calls a second; `None` while there was no pressure to measure it.
-    pub(super) fn rate(&self) -> Option<f64> {
-        self.rate
-    }
-
     /// Time until `count` calls have left; zero if the rate is unknown.
     pub(super) fn wait_for(&self, count: usize) -> Duration {
         match self.rate {
--- a/src/admission/guard_load.rs
+++ b/src/admission/guard_load.rs
@@ -10,6 +10,6 @@
     pub in_flight: u32,
     pub limit: u32,
     pub queued: u32,
-    /// Age of the oldest queued call.
+    /// Time to work off the queue.
     pub queue_delay: Duration,
 }
--- a/src/admission/service_estimate.rs
+++ b/src/admission/service_estimate.rs
@@ -6,15 +6,18 @@
 
 /// Weight of the newest sample once there are enough.
 const SAMPLE_GAIN: f64 = 1.0 / 16.0;
+/// Shortest time that is told apart, in s.
+const MIN_SECONDS: f64 = 1e-6;
 /// Time without samples after which an estimate fades.
 const ESTIMATE_HOLD: Duration = Duration::from_millis(500);
 /// Time in which a fading estimate halves.
 const ESTIMATE_HALF_LIFE: Duration = Duration::from_millis(250);
 
-/// Service time that a call of each class is likely to need.
+/// Service time of each class.
 ///
-/// The geometric mean, so that a few slow calls do not get the many fast ones refused. It fades
-/// without samples: an estimate that refuses every call would otherwise never be corrected.
+/// What a call is likely to need is the geometric mean, so that a few slow calls do not get the
+/// many fast ones refused. It fades without samples: an estimate that refuses every call would
+/// otherwise never be corrected.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ServiceEstimate {
     ranks: RankTable<RankEstimate>,
@@ -23,6 +26,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct RankEstimate {
     log_seconds: f64,
+    mean_seconds: f64,
     samples: u32,
     updated: TimePoint,
 }
@@ -38,20 +42,28 @@
         }
     }
 
-    /// Zero if nothing is known.
+    /// What a call is likely to need; zero if nothing is known.
     pub(super) fn service_time(&self, now: TimePoint, rank: u8) -> Duration {
         self.ranks
             .row(rank)
             .map_or(Duration::ZERO, |estimate| estimate.at(now))
     }
+
+    /// What a call takes up on average; zero if nothing is known.
+    pub(super) fn mean_time(&self, rank: u8) -> Duration {
+        self.ranks.row(rank).map_or(Duration::ZERO, |estimate| {
+            as_duration(estimate.mean_seconds)
+        })
+    }
 }
 
 impl RankEstimate {
     fn observe(&mut self, now: TimePoint, latency: Duration) {
-        let log = latency.as_secs_f64().max(f64::MIN_POSITIVE).ln();
+        let seconds = latency.as_secs_f64().max(MIN_SECONDS);
         self.samples = self.samples.saturating_add(1);
         let gain = SAMPLE_GAIN.max(1.0 / f64::from(self.samples));
-        self.log_seconds += gain * (log - self.log_seconds);
+        self.log_seconds += gain * (seconds.ln() - self.log_seconds);
+        self.mean_seconds += gain * (seconds - self.mean_seconds);
         self.updated = now;
     }
 
@@ -62,6 +74,10 @@
         let silent = now.since(self.updated).saturating_sub(ESTIMATE_HOLD);
         let halvings = silent.as_secs_f64() / ESTIMATE_HALF_LIFE.as_secs_f64();
         let seconds = self.log_seconds.exp() * (-halvings).exp2();
-        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+        as_duration(seconds)
     }
 }
+
+fn as_duration(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,3 @@
-//! x
+//! Small stand-ins for the platform, targets, callers and the network, for tests and examples.
+
+pub mod model;
--- /dev/null
+++ b/standins/src/model/call_source.rs
@@ -0,0 +1,92 @@
+use {
+    super::{ClassDemand, LoadScenario},
+    banyantrestle::{
+        admission::AdmissionRequest,
+        context::{CallPriority, RequestId},
+        time::TimePoint,
+    },
+    rand::{Rng, RngExt},
+    std::time::Duration,
+};
+
+/// Part of the service time that every call of a class needs; the rest is exponential.
+const FIXED_WORK: f64 = 0.5;
+
+/// One call of a caller.
+#[derive(Clone, Copy, Debug)]
+pub struct ModelCall {
+    /// Index of its class in the scenario.
+    pub class: usize,
+    pub request: AdmissionRequest,
+    pub offered: TimePoint,
+    pub work: Duration,
+    /// Tries before this one.
+    pub tries: u32,
+}
+
+/// Makes calls at random times.
+#[derive(Clone, Copy, Debug)]
+pub struct CallSource<'a> {
+    scenario: &'a LoadScenario,
+}
+
+impl<'a> CallSource<'a> {
+    #[must_use]
+    pub fn new(scenario: &'a LoadScenario) -> Self {
+        Self { scenario }
+    }
+
+    /// When `class` calls next after `now`.
+    pub fn next_arrival<R: Rng>(&self, now: TimePoint, class: usize, rng: &mut R) -> TimePoint {
+        let demand = self
+            .scenario
+            .phase_at(now)
+            .map_or(0.0, |phase| phase.0.demand);
+        let class = &self.scenario.classes[class];
+        let capacity = f64::from(self.scenario.capacity);
+        let rate = demand * class.share * capacity / class.work.as_secs_f64();
+        let wait = Duration::try_from_secs_f64(exponential(rng) / rate);
+        now + wait.unwrap_or(Duration::MAX)
+    }
+
+    pub fn call<R: Rng>(&self, now: TimePoint, index: usize, rng: &mut R) -> ModelCall {
+        let class = &self.scenario.classes[index];
+        let request = RequestId::from_u128(rng.random());
+        ModelCall {
+            class: index,
+            request: AdmissionRequest {
+                priority: CallPriority::new(class.rank, request),
+                depth: class.depth,
+                deadline: now + class.deadline,
+            },
+            offered: now,
+            work: work_of(class, rng),
+            tries: 0,
+        }
+    }
+
+    /// The next try of a call.
+    #[must_use]
+    pub fn again(&self, now: TimePoint, call: &ModelCall) -> ModelCall {
+        let deadline = now + self.scenario.classes[call.class].deadline;
+        ModelCall {
+            request: AdmissionRequest {
+                deadline,
+                ..call.request
+            },
+            offered: now,
+            tries: call.tries + 1,
+            ..*call
+        }
+    }
+}
+
+fn work_of<R: Rng>(class: &ClassDemand, rng: &mut R) -> Duration {
+    let factor = FIXED_WORK + (1.0 - FIXED_WORK) * exponential(rng);
+    class.work.mul_f64(factor)
+}
+
+fn exponential<R: Rng>(rng: &mut R) -> f64 {
+    let uniform: f64 = rng.random();
+    -(1.0 - uniform).ln()
+}
--- /dev/null
+++ b/standins/src/model/guard_events.rs
@@ -0,0 +1,36 @@
+use banyantrestle::{
+    admission::{
+        AdmissionRequest, AdmissionVerdict, CompletionKind, GuardEffect, LoadReport, TicketKey,
+    },
+    time::TimePoint,
+};
+
+/// Watches what a guard is told and what it answers.
+pub trait GuardEvents {
+    fn offer(&mut self, now: TimePoint, request: &AdmissionRequest, verdict: &AdmissionVerdict);
+
+    fn finish(&mut self, now: TimePoint, key: TicketKey, kind: CompletionKind);
+
+    fn report_load(&mut self, now: TimePoint, report: LoadReport);
+
+    fn tick(&mut self, now: TimePoint);
+
+    /// An effect of the event before.
+    fn effect(&mut self, effect: &GuardEffect);
+}
+
+/// Watches nothing.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoEvents;
+
+impl GuardEvents for NoEvents {
+    fn offer(&mut self, _: TimePoint, _: &AdmissionRequest, _: &AdmissionVerdict) {}
+
+    fn finish(&mut self, _: TimePoint, _: TicketKey, _: CompletionKind) {}
+
+    fn report_load(&mut self, _: TimePoint, _: LoadReport) {}
+
+    fn tick(&mut self, _: TimePoint) {}
+
+    fn effect(&mut self, _: &GuardEffect) {}
+}
--- /dev/null
+++ b/standins/src/model/model_guard.rs
@@ -0,0 +1,67 @@
+use {
+    banyantrestle::{
+        admission::{
+            AdmissionGuard, AdmissionQueue, AdmissionRequest, AdmissionVerdict, CompletionKind,
+            ConcurrencyLimit, GuardEffect, GuardLoad, LoadReport, TicketKey,
+        },
+        time::TimePoint,
+    },
+    rand::Rng,
+};
+
+/// What a run needs of a guard.
+pub trait ModelGuard {
+    fn offer<R: Rng>(
+        &mut self,
+        now: TimePoint,
+        request: AdmissionRequest,
+        rng: &mut R,
+    ) -> AdmissionVerdict;
+
+    fn finish<R: Rng>(&mut self, now: TimePoint, key: TicketKey, kind: CompletionKind, rng: &mut R);
+
+    fn tick<R: Rng>(&mut self, now: TimePoint, rng: &mut R);
+
+    fn report_load(&mut self, now: TimePoint, report: LoadReport);
+
+    fn next_effect(&mut self) -> Option<GuardEffect>;
+
+    fn load(&self) -> GuardLoad;
+}
+
+impl<L: ConcurrencyLimit, Q: AdmissionQueue> ModelGuard for AdmissionGuard<L, Q> {
+    fn offer<R: Rng>(
+        &mut self,
+        now: TimePoint,
+        request: AdmissionRequest,
+        rng: &mut R,
+    ) -> AdmissionVerdict {
+        AdmissionGuard::offer(self, now, request, rng)
+    }
+
+    fn finish<R: Rng>(
+        &mut self,
+        now: TimePoint,
+        key: TicketKey,
+        kind: CompletionKind,
+        rng: &mut R,
+    ) {
+        AdmissionGuard::finish(self, now, key, kind, rng);
+    }
+
+    fn tick<R: Rng>(&mut self, now: TimePoint, rng: &mut R) {
+        AdmissionGuard::tick(self, now, rng);
+    }
+
+    fn report_load(&mut self, now: TimePoint, report: LoadReport) {
+        AdmissionGuard::report_load(self, now, report);
+    }
+
+    fn next_effect(&mut self) -> Option<GuardEffect> {
+        AdmissionGuard::next_effect(self)
+    }
+
+    fn load(&self) -> GuardLoad {
+        AdmissionGuard::load(self)
+    }
+}
