--- a/src/daemon/mesh_service.rs
+++ b/src/daemon/mesh_service.rs
@@ -10,9 +10,9 @@
     crate::{
         context::{CONTEXT_HEADER, CallContext, CallPriority, ServiceName},
         net::{
-            AnswerBody, CallRefusal, CallRequest, MESH_PREFIX, PERMIT_PATH, POLICY_PATH, RefusalKind,
-            TAG_HEADER, is_valid_call_tag, is_valid_message_tag, parse_route, read_request,
-            remove_own_headers,
+            AnswerBody, CallRefusal, CallRequest, MESH_PREFIX, PERMIT_PATH, POLICY_PATH,
+            RefusalKind, TAG_HEADER, is_valid_call_tag, is_valid_message_tag, parse_route,
+            read_request, remove_own_headers,
         },
     },
     bytes::Bytes,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -25,6 +25,4 @@
 mod root_entry;
 mod target_probe;
 
-pub use {
-    daemon_options::DaemonOptions, daemon_phase::DaemonPhase, daemon_process::Daemon,
-};
+pub use {daemon_options::DaemonOptions, daemon_phase::DaemonPhase, daemon_process::Daemon};
--- a/src/daemon/permit_client.rs
+++ b/src/daemon/permit_client.rs
@@ -59,14 +59,18 @@
     };
     let remaining = state.clock.now().until(context.deadline);
     let patience = remaining.min(PERMIT_TIMEOUT);
-    post_message(&state.mesh, &state.key, context.root, PERMIT_PATH, &message, patience).await
+    post_message(
+        &state.mesh,
+        &state.key,
+        context.root,
+        PERMIT_PATH,
+        &message,
+        patience,
+    )
+    .await
 }
 
-fn record_denial(
-    state: &Arc<DaemonState>,
-    context: &CallContext,
-    reason: &'static str,
-) {
+fn record_denial(state: &Arc<DaemonState>, context: &CallContext, reason: &'static str) {
     state.events.record(EventKind::PermitDenied {
         request: context.request,
         call: context.call,
--- a/src/daemon/target_probe.rs
+++ b/src/daemon/target_probe.rs
@@ -43,7 +43,10 @@
     let deadline = Instant::now() + PROBE_TIMEOUT;
     let (response, connection) = target.pool.send(request, deadline).await.ok()?;
     let reading = read_answer(response.into_body(), MAX_REPORT_BYTES);
-    let answer = tokio::time::timeout_at(deadline, reading).await.ok()?.ok()?;
+    let answer = tokio::time::timeout_at(deadline, reading)
+        .await
+        .ok()?
+        .ok()?;
     let AnswerPrefix::Whole { data, .. } = answer else {
         return None;
     };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod admission;
 pub mod auth;
 pub mod context;
+pub mod daemon;
 pub mod error;
 pub mod events;
 pub mod jsonc;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod client;
 pub mod http;
+pub mod model;
 pub mod platform;
 pub mod process;
 pub mod relay;
