--- /dev/null
+++ b/src/membership/actor_message.rs
@@ -0,0 +1,82 @@
+use {
+    super::{
+        ContactSource, ExchangeAnswer, ExchangeOpen, ExchangePush, ExchangeReply, MemberId,
+        TargetAnnouncement,
+    },
+    crate::error::StepError,
+    std::net::SocketAddr,
+};
+
+/// A datagram arrived.
+#[derive(Debug)]
+pub struct ReceiveDatagram(pub Vec<u8>);
+
+/// Asks for the first message of an exchange.
+#[derive(Debug)]
+pub struct OpenExchange;
+
+/// Asks for the answer to an exchange that another process opened.
+#[derive(Debug)]
+pub struct AnswerExchange(pub ExchangeOpen);
+
+/// Asks for what to send after an answer.
+#[derive(Debug)]
+pub struct ResolveExchange(pub ExchangeAnswer);
+
+/// Brings records of the opener.
+#[derive(Debug)]
+pub struct AcceptExchange(pub ExchangePush);
+
+/// Brings the records that were wanted.
+#[derive(Debug)]
+pub struct FinishExchange(pub ExchangeReply);
+
+/// An exchange is over.
+#[derive(Debug)]
+pub struct EndExchange {
+    pub bytes: u64,
+    pub error: Option<StepError>,
+    /// Whether this process opened it.
+    pub is_opener: bool,
+}
+
+/// Replaces the contacts of one source.
+#[derive(Debug)]
+pub struct SetContacts {
+    pub source: ContactSource,
+    pub addresses: Vec<SocketAddr>,
+}
+
+/// The own target announced itself, or withdrew.
+#[derive(Debug)]
+pub struct SetTarget(pub Option<TargetAnnouncement>);
+
+/// A policy version is now in force here.
+#[derive(Debug)]
+pub struct EnforcePolicy {
+    pub version: u64,
+    pub hash: u64,
+}
+
+/// Spreads that this process is leaving; the answer completes once it is spread.
+#[derive(Debug)]
+pub struct SpreadLeaving;
+
+/// Asks for the counts.
+#[derive(Debug)]
+pub struct ReadStats;
+
+/// Asks for the identity of this process.
+#[derive(Debug)]
+pub struct ReadIdentity;
+
+/// Ends the actor without a word to the others.
+#[derive(Debug)]
+pub struct StopActor;
+
+/// Identity of this process, with the members that are not dead.
+#[derive(Clone, Copy, Debug)]
+pub struct MemberIdentity {
+    pub id: MemberId,
+    pub live_members: usize,
+}
--- /dev/null
+++ b/src/membership/bootstrap_task.rs
@@ -0,0 +1,177 @@
+use {
+    super::{
+        ContactSource, MAX_CONTACTS, MemberId, MemberView, MembershipActor,
+        actor_message::{ReadIdentity, SetContacts},
+    },
+    crate::{
+        error::{ProcessStep, StepError},
+        platform::{TableRow, TableStore, TableWrite, WriteCondition},
+        time::ProcessClock,
+    },
+    serde::{Deserialize, Serialize},
+    slog::{Logger, info, warn},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{sync::watch, time::sleep},
+    xtra::Address,
+};
+
+/// Table that holds one row for each daemon, under its gossip address.
+pub const MEMBER_TABLE: &str = "members";
+/// Time after which a daemon writes its row again.
+pub const ROW_REFRESH: Duration = Duration::from_secs(6 * 3_600);
+/// Age from which any daemon may remove the row of one that is no longer a member.
+pub const ROW_RETENTION: Duration = Duration::from_secs(24 * 3_600);
+
+const SCAN_ROWS: usize = 500;
+/// Rows that one pass removes at most.
+const MAX_REMOVALS: usize = 50;
+const FIRST_RETRY: Duration = Duration::from_secs(1);
+const LAST_RETRY: Duration = Duration::from_secs(60);
+const MIN_SCAN_PERIOD: Duration = Duration::from_secs(300);
+/// All daemons together read the whole table about once in this time.
+const SHARED_SCAN_PERIOD: Duration = Duration::from_secs(1);
+
+/// A daemon, as the table names it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRow {
+    pub gossip: SocketAddr,
+    pub started_ms: u64,
+    /// Wall time of the write, in ms of the Unix epoch.
+    pub written_ms: u64,
+}
+
+/// Keeps the row of this process in the table and reads who else is there.
+#[derive(Debug)]
+pub struct BootstrapTask<S> {
+    pub store: S,
+    pub actor: Address<MembershipActor>,
+    pub view: watch::Receiver<Arc<MemberView>>,
+    pub clock: ProcessClock,
+    pub log: Logger,
+}
+
+impl<S: TableStore> BootstrapTask<S> {
+    /// Runs until the actor has stopped; errors of the table only delay the next try.
+    pub async fn run(self) {
+        let mut retry = FIRST_RETRY;
+        let mut written_ms = None;
+        while let Ok(identity) = self.actor.send(ReadIdentity).await {
+            let pause = match self.pass(identity.id, &mut written_ms).await {
+                Ok(()) => {
+                    retry = FIRST_RETRY;
+                    scan_period(identity.live_members)
+                }
+                Err(error) => {
+                    warn!(self.log, "member table not available";
+                        "step" => %error.step, "peer" => &error.peer, "error" => %error.source);
+                    retry = (retry * 2).min(LAST_RETRY);
+                    retry
+                }
+            };
+            sleep(pause.mul_f64(rand::random_range(0.75..1.25))).await;
+        }
+    }
+
+    async fn pass(&self, id: MemberId, written_ms: &mut Option<u64>) -> Result<(), StepError> {
+        let now_ms = self.clock.wall_ms();
+        let is_fresh = written_ms.is_some_and(|written| now_ms < written + as_millis(ROW_REFRESH));
+        if !is_fresh {
+            self.write_row(id, now_ms).await?;
+            *written_ms = Some(now_ms);
+        }
+        let rows = self.read_rows().await?;
+        let addresses = rows.iter().filter_map(|row| Some(parse_row(row)?.gossip));
+        let addresses: Vec<_> = addresses.filter(|&peer| peer != id.address).collect();
+        info!(self.log, "member table read"; "rows" => rows.len());
+        let contacts = SetContacts {
+            source: ContactSource::Table,
+            addresses,
+        };
+        let _ = self.actor.send(contacts).await;
+        self.remove_old_rows(id, &rows, now_ms).await
+    }
+
+    async fn write_row(&self, id: MemberId, now_ms: u64) -> Result<(), StepError> {
+        let row = MemberRow {
+            gossip: id.address,
+            started_ms: id.started_ms,
+            written_ms: now_ms,
+        };
+        let value = serde_json::to_string(&row)
+            .map_err(|error| StepError::new(ProcessStep::WriteTable, MEMBER_TABLE, error))?;
+        let write = TableWrite {
+            table: MEMBER_TABLE.into(),
+            key: id.address.to_string(),
+            write_id: format!("{id}/{now_ms}"),
+            value: Some(value),
+            condition: WriteCondition::Always,
+        };
+        self.write(vec![write]).await
+    }
+
+    async fn read_rows(&self) -> Result<Vec<TableRow>, StepError> {
+        let mut rows: Vec<TableRow> = Vec::new();
+        while rows.len() < MAX_CONTACTS {
+            let after = rows.last().map_or("", |row| &row.key).to_owned();
+            let page = self.store.scan(MEMBER_TABLE, &after, SCAN_ROWS).await;
+            let page =
+                page.map_err(|error| StepError::new(ProcessStep::ReadTable, MEMBER_TABLE, error))?;
+            let is_last = page.len() < SCAN_ROWS;
+            rows.extend(page);
+            if is_last {
+                break;
+            }
+        }
+        Ok(rows)
+    }
+
+    /// Removes rows of daemons that are long gone, unless they were written meanwhile.
+    async fn remove_old_rows(
+        &self,
+        id: MemberId,
+        rows: &[TableRow],
+        now_ms: u64,
+    ) -> Result<(), StepError> {
+        let view = self.view.borrow().clone();
+        let oldest_ms = now_ms.saturating_sub(as_millis(ROW_RETENTION));
+        let is_old = |row: &&TableRow| match parse_row(row) {
+            Some(parsed) => parsed.written_ms < oldest_ms && view.find(parsed.gossip).is_none(),
+            None => true,
+        };
+        let removals = rows.iter().filter(is_old).take(MAX_REMOVALS);
+        let removals = removals.map(|row| TableWrite {
+            table: MEMBER_TABLE.into(),
+            key: row.key.clone(),
+            write_id: format!("{id}/{now_ms}/remove"),
+            value: None,
+            condition: WriteCondition::Version(row.version),
+        });
+        let removals: Vec<_> = removals.collect();
+        if removals.is_empty() {
+            return Ok(());
+        }
+        self.write(removals).await
+    }
+
+    async fn write(&self, writes: Vec<TableWrite>) -> Result<(), StepError> {
+        let results = self.store.transact(writes).await;
+        results
+            .map(|_| ())
+            .map_err(|error| StepError::new(ProcessStep::WriteTable, MEMBER_TABLE, error))
+    }
+}
+
+fn parse_row(row: &TableRow) -> Option<MemberRow> {
+    serde_json::from_str(&row.value).ok()
+}
+
+fn scan_period(members: usize) -> Duration {
+    let members = u32::try_from(members).unwrap_or(u32::MAX);
+    SHARED_SCAN_PERIOD
+        .saturating_mul(members)
+        .max(MIN_SCAN_PERIOD)
+}
+
+fn as_millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/membership/contact_list.rs
@@ -0,0 +1,72 @@
+use {
+    crate::time::TimePoint,
+    rand::{Rng, RngExt},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Addresses that are kept at most.
+pub const MAX_CONTACTS: usize = 16_384;
+/// Contacts that are tried at once.
+pub const CONTACTS_PER_TRY: usize = 4;
+
+const FIRST_RETRY: Duration = Duration::from_millis(500);
+const LAST_RETRY: Duration = Duration::from_secs(60);
+
+/// Where a contact was learned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ContactSource {
+    /// Kept for good.
+    Settings,
+    /// Forgotten when the next reading of the table no longer names it.
+    Table,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct GossipContact {
+    address: SocketAddr,
+    source: ContactSource,
+}
+
+/// Addresses of daemons that may not be members yet.
+#[derive(Clone, Debug, Default)]
+pub struct ContactList {
+    contacts: Vec<GossipContact>,
+    next_try: TimePoint,
+    retry: Duration,
+}
+
+impl ContactList {
+    /// Replaces what was learned from `source` before, and tries again at once.
+    pub fn replace(&mut self, source: ContactSource, addresses: &[SocketAddr]) {
+        self.contacts.retain(|contact| contact.source != source);
+        let room = MAX_CONTACTS - self.contacts.len();
+        let added = addresses.iter().take(room);
+        self.contacts
+            .extend(added.map(|&address| GossipContact { address, source }));
+        self.next_try = TimePoint::ORIGIN;
+        self.retry = FIRST_RETRY;
+    }
+
+    /// Picks the contacts to try now among those that are not `is_member`.
+    pub fn due<R: Rng>(
+        &mut self,
+        now: TimePoint,
+        rng: &mut R,
+        is_member: impl Fn(SocketAddr) -> bool,
+    ) -> Vec<SocketAddr> {
+        if now < self.next_try || self.contacts.is_empty() {
+            return Vec::new();
+        }
+        let unknown = self.contacts.iter().map(|contact| contact.address);
+        let mut unknown: Vec<_> = unknown.filter(|&address| !is_member(address)).collect();
+        let count = unknown.len().min(CONTACTS_PER_TRY);
+        for index in 0..count {
+            let other = rng.random_range(index..unknown.len());
+            unknown.swap(index, other);
+        }
+        unknown.truncate(count);
+        self.next_try = now + self.retry.mul_f64(rng.random_range(0.75..1.25));
+        self.retry = (self.retry * 2).clamp(FIRST_RETRY, LAST_RETRY);
+        unknown
+    }
+}
--- a/src/membership/member_record.rs
+++ b/src/membership/member_record.rs
@@ -1,5 +1,6 @@
 use {
-    super::{MemberId, TargetAnnouncement},
+    super::{MemberId, MemberStatus, TargetAnnouncement, TargetState},
+    rapidhash::v3::rapidhash_v3,
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, sync::Arc},
     strum::{Display, IntoStaticStr},
@@ -43,6 +44,64 @@
     pub admin: SocketAddr,
     /// The target beside the daemon, if one is announced.
     pub target: Option<TargetAnnouncement>,
-    /// Version of the policy in force there.
+    /// Version of the policy last seen in force there; no change of the record for its own sake.
     pub policy_version: u64,
 }
+
+/// Bytes of the longest region or data centre name.
+pub const MAX_PLACE_BYTES: usize = 64;
+/// Bytes of the longest health or load path.
+pub const MAX_PATH_BYTES: usize = 128;
+
+impl MemberRecord {
+    /// Whether all fields are within their bounds.
+    #[must_use]
+    pub fn is_within_bounds(&self) -> bool {
+        let is_place = |place: &str| (1..=MAX_PLACE_BYTES).contains(&place.len());
+        let is_path = |path: &Option<String>| {
+            path.as_ref()
+                .is_none_or(|path| path.len() <= MAX_PATH_BYTES)
+        };
+        let is_target = |target: &TargetAnnouncement| {
+            is_path(&target.health_path) && is_path(&target.load_path)
+        };
+        is_place(&self.region)
+            && is_place(&self.data_centre)
+            && self.target.as_ref().is_none_or(is_target)
+    }
+
+    /// Whether the member may be sent new work; a suspect only where nothing better is left.
+    #[must_use]
+    pub fn takes_work(&self) -> bool {
+        let is_member = matches!(self.state, MemberState::Alive | MemberState::Suspect);
+        let is_serving = |target: &TargetAnnouncement| target.state == TargetState::Serving;
+        is_member && self.target.as_ref().is_some_and(is_serving)
+    }
+
+    /// Hash of all that a digest compares; the policy version is not part of it.
+    #[must_use]
+    pub fn fingerprint(&self) -> u64 {
+        let content = (
+            self.id,
+            self.incarnation,
+            self.state,
+            &*self.region,
+            &*self.data_centre,
+            self.mesh,
+            self.admin,
+            &self.target,
+        );
+        let bytes = postcard::to_extend(&content, Vec::with_capacity(128));
+        rapidhash_v3(&bytes.unwrap_or_default())
+    }
+
+    /// The record without its content.
+    #[must_use]
+    pub const fn status(&self) -> MemberStatus {
+        MemberStatus {
+            id: self.id,
+            incarnation: self.incarnation,
+            state: self.state,
+        }
+    }
+}
--- /dev/null
+++ b/src/membership/member_register.rs
@@ -0,0 +1,313 @@
+use {
+    super::{
+        CoreEffect, DisseminationQueue, MemberKey, MemberRecord, MemberState, MemberStatus,
+        MemberTable, MemberUpdate, MemberView, MergeOutcome, PeerIndex, SuspicionRule,
+        TargetAnnouncement,
+    },
+    crate::time::TimePoint,
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// Records of one exchange that are handed on as updates; more than that spreads by exchanges.
+pub const MAX_EXCHANGE_RUMOURS: usize = 64;
+
+/// Times that a process may take a later start time than its clock gave it.
+const MAX_RESTAMPS: u32 = 8;
+
+/// All that this process knows of the members, and what it has to hand on.
+#[derive(Clone, Debug)]
+pub struct MemberRegister {
+    own: MemberRecord,
+    table: MemberTable,
+    peers: PeerIndex,
+    queue: DisseminationQueue,
+    suspects: Vec<MemberKey>,
+    changes: VecDeque<CoreEffect>,
+    suspicions: u64,
+    refutations: u64,
+    restamps: u32,
+    is_index_stale: bool,
+    is_view_stale: bool,
+}
+
+impl MemberRegister {
+    #[must_use]
+    pub fn new(own: MemberRecord, now: TimePoint) -> Self {
+        let mut table = MemberTable::new();
+        table.merge_record(&own, now);
+        Self {
+            own,
+            table,
+            peers: PeerIndex::default(),
+            queue: DisseminationQueue::new(),
+            suspects: Vec::new(),
+            changes: VecDeque::new(),
+            suspicions: 0,
+            refutations: 0,
+            restamps: 0,
+            is_index_stale: true,
+            is_view_stale: true,
+        }
+    }
+
+    #[must_use]
+    pub const fn own(&self) -> &MemberRecord {
+        &self.own
+    }
+
+    #[must_use]
+    pub const fn table(&self) -> &MemberTable {
+        &self.table
+    }
+
+    pub const fn table_mut(&mut self) -> &mut MemberTable {
+        &mut self.table
+    }
+
+    #[must_use]
+    pub const fn queue(&self) -> &DisseminationQueue {
+        &self.queue
+    }
+
+    pub const fn queue_mut(&mut self) -> &mut DisseminationQueue {
+        &mut self.queue
+    }
+
+    /// The peers as of the last call of [`Self::refresh_peers`].
+    #[must_use]
+    pub const fn peers(&self) -> &PeerIndex {
+        &self.peers
+    }
+
+    #[must_use]
+    pub const fn suspicions(&self) -> u64 {
+        self.suspicions
+    }
+
+    #[must_use]
+    pub const fn refutations(&self) -> u64 {
+        self.refutations
+    }
+
+    pub fn next_change(&mut self) -> Option<CoreEffect> {
+        self.changes.pop_front()
+    }
+
+    pub fn refresh_peers(&mut self) {
+        if self.is_index_stale {
+            self.is_index_stale = false;
+            self.peers.rebuild(&self.table, &self.own);
+        }
+    }
+
+    /// The members as of now, if they changed since the last call.
+    pub fn take_view(&mut self) -> Option<MemberView> {
+        if !self.is_view_stale {
+            return None;
+        }
+        self.is_view_stale = false;
+        let records = self.table.iter().map(|(_, entry)| entry.record.clone());
+        Some(MemberView::new(records))
+    }
+
+    /// Changes the announcement of the own target.
+    pub fn set_target(&mut self, target: Option<TargetAnnouncement>, now: TimePoint) {
+        if self.own.target != target {
+            self.own.target = target;
+            self.own.incarnation += 1;
+            self.publish_own(now);
+        }
+    }
+
+    pub fn set_leaving(&mut self, now: TimePoint) {
+        if self.own.state != MemberState::Leaving {
+            self.own.state = MemberState::Leaving;
+            self.own.incarnation += 1;
+            self.publish_own(now);
+        }
+    }
+
+    /// Notes the policy version that a process reported of itself.
+    pub fn note_policy(&mut self, key: MemberKey, version: u64) {
+        if self.table.note_policy(key, version) {
+            self.is_view_stale = true;
+        }
+    }
+
+    /// Notes the policy version in force in this process.
+    pub fn note_own_policy(&mut self, version: u64) {
+        self.own.policy_version = self.own.policy_version.max(version);
+        if let Some(key) = self.table.find(self.own.id.address) {
+            self.note_policy(key, version);
+        }
+    }
+
+    /// Applies one update and hands it on if it was new.
+    pub fn apply(&mut self, update: &MemberUpdate, now: TimePoint) -> bool {
+        let is_new = self.learn(update, now);
+        if is_new {
+            self.queue.push(update);
+        }
+        is_new
+    }
+
+    /// Takes over the records of an exchange; returns how many were new.
+    pub fn absorb(&mut self, records: Vec<MemberRecord>, now: TimePoint) -> usize {
+        let mut learned = Vec::new();
+        for record in records {
+            let is_forgotten = record.state == MemberState::Dead;
+            if is_forgotten && self.table.find(record.id.address).is_none() {
+                continue;
+            }
+            let update = MemberUpdate::Record(Box::new(record));
+            if self.learn(&update, now) {
+                learned.push(update);
+            }
+        }
+        if learned.len() <= MAX_EXCHANGE_RUMOURS {
+            for update in &learned {
+                self.queue.push(update);
+            }
+        }
+        learned.len()
+    }
+
+    /// Draws the conclusion from a probe that failed.
+    pub fn note_silence(&mut self, key: MemberKey, now: TimePoint) {
+        let Some(entry) = self.table.get(key) else {
+            return;
+        };
+        let state = match entry.record.state {
+            MemberState::Alive => MemberState::Suspect,
+            MemberState::Leaving => MemberState::Dead,
+            MemberState::Suspect | MemberState::Dead => return,
+        };
+        self.suspicions += 1;
+        let status = MemberStatus {
+            state,
+            ..entry.record.status()
+        };
+        self.apply(&MemberUpdate::Status(status), now);
+    }
+
+    /// Declares the suspects dead whose time to refute is over.
+    pub fn expire_suspects(&mut self, now: TimePoint) {
+        let rule = SuspicionRule::new(self.peers.live_count());
+        let mut expired = Vec::new();
+        let table = &self.table;
+        self.suspects.retain(|&key| {
+            let Some(entry) = table.get(key) else {
+                return false;
+            };
+            if rule.is_over(entry, now) {
+                expired.push(key);
+            }
+            entry.record.state == MemberState::Suspect
+        });
+        if !expired.is_empty() {
+            let cut_off = rule.cut_off(&self.table, &self.own);
+            expired.retain(|&key| {
+                let entry = self.table.get(key);
+                entry.is_some_and(|entry| !cut_off.holds(entry, now))
+            });
+        }
+        for key in expired {
+            self.declare_dead(key, now);
+        }
+    }
+
+    /// Adds the time of a pause of this process to the time that suspects have.
+    pub fn extend_suspicions(&mut self, pause: Duration) {
+        for &key in &self.suspects {
+            if let Some(entry) = self.table.get_mut(key) {
+                entry.since = entry.since + pause;
+            }
+        }
+    }
+
+    /// Drops the dead after `retention`.
+    pub fn drop_dead(&mut self, now: TimePoint, retention: Duration) {
+        let dropped = self.table.drop_dead(now, retention);
+        self.is_index_stale |= dropped > 0;
+    }
+
+    fn declare_dead(&mut self, key: MemberKey, now: TimePoint) {
+        let Some(entry) = self.table.get(key) else {
+            return;
+        };
+        let status = MemberStatus {
+            state: MemberState::Dead,
+            ..entry.record.status()
+        };
+        self.apply(&MemberUpdate::Status(status), now);
+    }
+
+    fn learn(&mut self, update: &MemberUpdate, now: TimePoint) -> bool {
+        if update.id().address == self.own.id.address {
+            self.contest(update, now);
+            return false;
+        }
+        let outcome = match update {
+            MemberUpdate::Record(record) => self.table.merge_record(record, now),
+            MemberUpdate::Status(status) => self.table.merge_status(status, now),
+        };
+        self.note_outcome(outcome)
+    }
+
+    fn note_outcome(&mut self, outcome: MergeOutcome) -> bool {
+        let Some(key) = outcome.changed() else {
+            return false;
+        };
+        let Some(entry) = self.table.get(key) else {
+            return false;
+        };
+        let previous = match outcome {
+            MergeOutcome::Changed { previous, .. } => Some(previous),
+            _ => None,
+        };
+        let record = entry.record.clone();
+        self.is_index_stale = true;
+        self.is_view_stale = true;
+        if record.state == MemberState::Suspect && !self.suspects.contains(&key) {
+            self.suspects.push(key);
+        }
+        if previous != Some(record.state) {
+            let change = CoreEffect::Changed { record, previous };
+            self.changes.push_back(change);
+        }
+        true
+    }
+
+    /// Refutes what others say of this process where it is wrong.
+    fn contest(&mut self, update: &MemberUpdate, now: TimePoint) {
+        let claim = match update {
+            MemberUpdate::Record(record) => record.status(),
+            MemberUpdate::Status(status) => *status,
+        };
+        let own = &mut self.own;
+        if claim.id.started_ms > own.id.started_ms {
+            // The wall clock stepped back between two processes on this address.
+            if self.restamps == MAX_RESTAMPS {
+                return;
+            }
+            self.restamps += 1;
+            own.id.started_ms = claim.id.started_ms.saturating_add(1);
+        } else if claim.id.started_ms < own.id.started_ms {
+            return;
+        } else if (claim.incarnation, claim.state) > (own.incarnation, own.state) {
+            own.incarnation = claim.incarnation.saturating_add(1);
+        } else {
+            return;
+        }
+        self.refutations += 1;
+        self.publish_own(now);
+    }
+
+    fn publish_own(&mut self, now: TimePoint) {
+        let own = self.own.clone();
+        self.table.merge_record(&own, now);
+        let update = MemberUpdate::Record(Box::new(own));
+        self.queue.push(&update);
+        self.is_view_stale = true;
+    }
+}
--- /dev/null
+++ b/src/membership/member_table.rs
@@ -0,0 +1,265 @@
+use {
+    super::{
+        MemberId, MemberRecord, MemberState, MemberStatus, MemberSummary, ReplayWindow, TableDigest,
+    },
+    crate::time::TimePoint,
+    slotmap::{SlotMap, new_key_type},
+    std::{cmp::Ordering, collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Records that a table holds at most, dead ones included.
+pub const MAX_MEMBERS: usize = 16_384;
+
+new_key_type! {
+    /// Key of a member in its table.
+    pub struct MemberKey;
+}
+
+/// One row of the table.
+#[derive(Clone, Debug)]
+pub struct MemberEntry {
+    pub record: Arc<MemberRecord>,
+    fingerprint: u64,
+    /// When this table saw the state begin.
+    pub since: TimePoint,
+    pub window: ReplayWindow,
+}
+
+impl MemberEntry {
+    #[must_use]
+    pub fn summary(&self) -> MemberSummary {
+        MemberSummary {
+            id: self.record.id,
+            incarnation: self.record.incarnation,
+            state: self.record.state,
+            fingerprint: self.fingerprint,
+        }
+    }
+
+    #[must_use]
+    pub fn is_dead(&self) -> bool {
+        self.record.state == MemberState::Dead
+    }
+}
+
+/// What a merge did to the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MergeOutcome {
+    /// The table already held the same or a newer record.
+    Unchanged,
+    Added(MemberKey),
+    Changed {
+        key: MemberKey,
+        previous: MemberState,
+    },
+    /// The table is full, or the record is out of its bounds.
+    Refused,
+}
+
+impl MergeOutcome {
+    /// The member that the merge changed.
+    #[must_use]
+    pub const fn changed(self) -> Option<MemberKey> {
+        match self {
+            Self::Added(key) | Self::Changed { key, .. } => Some(key),
+            Self::Unchanged | Self::Refused => None,
+        }
+    }
+}
+
+/// All members by address, each with its newest record.
+///
+/// Records of one address are totally ordered: by start of the process, then incarnation, then
+/// state, then fingerprint. A merge keeps the highest, so the order of merges does not matter.
+#[derive(Clone, Debug, Default)]
+pub struct MemberTable {
+    entries: SlotMap<MemberKey, MemberEntry>,
+    keys: HashMap<SocketAddr, MemberKey>,
+    digest: TableDigest,
+    places: Vec<Arc<str>>,
+}
+
+impl MemberTable {
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    #[must_use]
+    pub fn get(&self, key: MemberKey) -> Option<&MemberEntry> {
+        self.entries.get(key)
+    }
+
+    pub fn get_mut(&mut self, key: MemberKey) -> Option<&mut MemberEntry> {
+        self.entries.get_mut(key)
+    }
+
+    #[must_use]
+    pub fn find(&self, address: SocketAddr) -> Option<MemberKey> {
+        self.keys.get(&address).copied()
+    }
+
+    /// The entry of a process, unless another one stands on its address.
+    #[must_use]
+    pub fn find_process(&self, id: MemberId) -> Option<&MemberEntry> {
+        let entry = self.get(self.find(id.address)?)?;
+        (entry.record.id == id).then_some(entry)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (MemberKey, &MemberEntry)> {
+        self.entries.iter()
+    }
+
+    #[must_use]
+    pub const fn digest(&self) -> &TableDigest {
+        &self.digest
+    }
+
+    /// Members of the buckets whose bits are set.
+    pub fn in_buckets(&self, buckets: u64) -> impl Iterator<Item = &MemberEntry> {
+        self.entries.values().filter(move |entry| {
+            let bucket = TableDigest::bucket_of(entry.record.id.address);
+            buckets >> bucket & 1 == 1
+        })
+    }
+
+    /// Keeps `record` if it is newer than what the table holds of its address.
+    pub fn merge_record(&mut self, record: &MemberRecord, now: TimePoint) -> MergeOutcome {
+        if !record.is_within_bounds() {
+            return MergeOutcome::Refused;
+        }
+        match self.find(record.id.address) {
+            Some(key) => self.replace(key, record, now),
+            None if self.entries.len() >= MAX_MEMBERS => MergeOutcome::Refused,
+            None => self.add(record, now),
+        }
+    }
+
+    /// Applies what another member says; it needs the record of the same incarnation.
+    pub fn merge_status(&mut self, status: &MemberStatus, now: TimePoint) -> MergeOutcome {
+        let Some(key) = self.find(status.id.address) else {
+            return MergeOutcome::Unchanged;
+        };
+        let record = &self.entries[key].record;
+        let is_same = record.id == status.id && record.incarnation == status.incarnation;
+        if !is_same || record.state >= status.state {
+            return MergeOutcome::Unchanged;
+        }
+        let record = MemberRecord {
+            state: status.state,
+            ..MemberRecord::clone(record)
+        };
+        self.put(key, record, now)
+    }
+
+    /// Notes the policy version that a process itself reported.
+    pub fn note_policy(&mut self, key: MemberKey, version: u64) -> bool {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return false;
+        };
+        if entry.record.policy_version >= version {
+            return false;
+        }
+        Arc::make_mut(&mut entry.record).policy_version = version;
+        true
+    }
+
+    /// Drops the dead that have been so for `retention`.
+    pub fn drop_dead(&mut self, now: TimePoint, retention: Duration) -> usize {
+        let before = self.entries.len();
+        let keys = &mut self.keys;
+        self.entries.retain(|_, entry| {
+            let is_kept = !entry.is_dead() || now.since(entry.since) < retention;
+            if !is_kept {
+                keys.remove(&entry.record.id.address);
+            }
+            is_kept
+        });
+        before - self.entries.len()
+    }
+
+    fn add(&mut self, record: &MemberRecord, now: TimePoint) -> MergeOutcome {
+        let record = self.with_shared_places(record.clone());
+        let entry = MemberEntry {
+            fingerprint: record.fingerprint(),
+            record: Arc::new(record),
+            since: now,
+            window: ReplayWindow::default(),
+        };
+        if !entry.is_dead() {
+            self.digest.add(entry.record.id.address, entry.fingerprint);
+        }
+        let address = entry.record.id.address;
+        let key = self.entries.insert(entry);
+        self.keys.insert(address, key);
+        MergeOutcome::Added(key)
+    }
+
+    fn replace(&mut self, key: MemberKey, record: &MemberRecord, now: TimePoint) -> MergeOutcome {
+        if self.order(key, record) != Ordering::Greater {
+            return MergeOutcome::Unchanged;
+        }
+        let record = self.with_shared_places(record.clone());
+        self.put(key, record, now)
+    }
+
+    /// How `record` stands to the one that the table holds.
+    fn order(&self, key: MemberKey, record: &MemberRecord) -> Ordering {
+        let entry = &self.entries[key];
+        let known = &entry.record;
+        let rank = |record: &MemberRecord| (record.id.started_ms, record.incarnation, record.state);
+        rank(record)
+            .cmp(&rank(known))
+            .then_with(|| record.fingerprint().cmp(&entry.fingerprint))
+    }
+
+    fn put(&mut self, key: MemberKey, mut record: MemberRecord, now: TimePoint) -> MergeOutcome {
+        let entry = &mut self.entries[key];
+        let previous = entry.record.state;
+        let address = record.id.address;
+        if !entry.is_dead() {
+            self.digest.remove(address, entry.fingerprint);
+        }
+        if entry.record.id == record.id {
+            record.policy_version = record.policy_version.max(entry.record.policy_version);
+        } else {
+            entry.window = ReplayWindow::default();
+        }
+        if previous != record.state {
+            entry.since = now;
+        }
+        entry.fingerprint = record.fingerprint();
+        entry.record = Arc::new(record);
+        if !entry.is_dead() {
+            self.digest.add(address, entry.fingerprint);
+        }
+        MergeOutcome::Changed { key, previous }
+    }
+
+    fn with_shared_places(&mut self, mut record: MemberRecord) -> MemberRecord {
+        record.region = self.share_place(record.region);
+        record.data_centre = self.share_place(record.data_centre);
+        record
+    }
+
+    fn share_place(&mut self, place: Arc<str>) -> Arc<str> {
+        const MAX_SHARED_PLACES: usize = 64;
+        if let Some(shared) = self.places.iter().find(|shared| **shared == place) {
+            return shared.clone();
+        }
+        if self.places.len() < MAX_SHARED_PLACES {
+            self.places.push(place.clone());
+        }
+        place
+    }
+}
--- /dev/null
+++ b/src/membership/member_update.rs
@@ -0,0 +1,24 @@
+use {
+    super::{MemberId, MemberRecord, MemberStatus},
+    serde::{Deserialize, Serialize},
+};
+
+/// One change of the member table, as it spreads.
+///
+/// A member spreads its own changes as a whole record. What others observe of it is a status,
+/// which is about a fifth of the size.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MemberUpdate {
+    Record(Box<MemberRecord>),
+    Status(MemberStatus),
+}
+
+impl MemberUpdate {
+    #[must_use]
+    pub const fn id(&self) -> MemberId {
+        match self {
+            Self::Record(record) => record.id,
+            Self::Status(status) => status.id,
+        }
+    }
+}
--- /dev/null
+++ b/src/membership/member_view.rs
@@ -0,0 +1,63 @@
+use {
+    super::{MemberRecord, MemberState},
+    crate::context::ServiceName,
+    std::{net::SocketAddr, sync::Arc},
+};
+
+/// All members that are not dead, as of one tick.
+#[derive(Clone, Debug, Default)]
+pub struct MemberView {
+    /// In the order of their gossip addresses.
+    pub members: Vec<Arc<MemberRecord>>,
+}
+
+impl MemberView {
+    /// Sorts the records and leaves out the dead.
+    pub fn new(records: impl Iterator<Item = Arc<MemberRecord>>) -> Self {
+        let mut members: Vec<_> = records
+            .filter(|record| record.state != MemberState::Dead)
+            .collect();
+        members.sort_unstable_by_key(|record| record.id.address);
+        Self { members }
+    }
+
+    #[must_use]
+    pub fn find(&self, gossip: SocketAddr) -> Option<&Arc<MemberRecord>> {
+        let found = self
+            .members
+            .binary_search_by_key(&gossip, |record| record.id.address);
+        found.ok().map(|index| &self.members[index])
+    }
+
+    #[must_use]
+    pub fn find_mesh(&self, mesh: SocketAddr) -> Option<&Arc<MemberRecord>> {
+        self.members.iter().find(|record| record.mesh == mesh)
+    }
+
+    /// Members whose target belongs to `service`, whatever their state.
+    pub fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &Arc<MemberRecord>> {
+        self.members.iter().filter(move |record| {
+            let target = record.target.as_ref();
+            target.is_some_and(|target| target.service == *service)
+        })
+    }
+
+    /// Members of `service` that may be sent new work.
+    pub fn serving(&self, service: &ServiceName) -> impl Iterator<Item = &Arc<MemberRecord>> {
+        self.of_service(service)
+            .filter(|record| record.takes_work())
+    }
+
+    #[must_use]
+    pub fn count(&self, state: MemberState) -> usize {
+        let members = self.members.iter();
+        members.filter(|record| record.state == state).count()
+    }
+
+    /// The lowest and the highest policy version that members were last seen to have in force.
+    #[must_use]
+    pub fn policy_range(&self) -> Option<(u64, u64)> {
+        let versions = || self.members.iter().map(|record| record.policy_version);
+        Some((versions().min()?, versions().max()?))
+    }
+}
--- /dev/null
+++ b/src/membership/membership_handle.rs
@@ -0,0 +1,159 @@
+use {
+    super::{
+        ContactSource, MemberView, MembershipActor, MembershipSettings, MembershipStats,
+        PolicySighting, TICK_PERIOD, TargetAnnouncement,
+        actor_message::{
+            EnforcePolicy, ReadStats, SetContacts, SetTarget, SpreadLeaving, StopActor,
+        },
+        bootstrap_task::BootstrapTask,
+        exchange_task::serve_exchanges,
+        gossip_socket::{GossipSockets, receive_datagrams},
+        membership_actor::ActorOutputs,
+    },
+    crate::{
+        error::StepError,
+        platform::TableStore,
+        time::{ProcessClock, TimerService},
+    },
+    slog::{Logger, info},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{sync::watch, time::timeout},
+    xtra::{Address, Mailbox},
+};
+
+/// Longest wait for the leaving to be spread.
+pub const LEAVE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Messages that may wait for the actor; more waits in the socket, or is lost there.
+const MAILBOX_MESSAGES: usize = 1_024;
+
+/// The running member role of a process.
+#[derive(Clone, Debug)]
+pub struct MembershipHandle {
+    address: SocketAddr,
+    actor: Address<MembershipActor>,
+    view: watch::Receiver<Arc<MemberView>>,
+    policy: watch::Receiver<PolicySighting>,
+}
+
+impl MembershipHandle {
+    /// Binds the sockets and starts to join; runs within a tokio runtime.
+    ///
+    /// # Errors
+    /// The gossip address can't be bound.
+    pub fn start<S: TableStore>(
+        settings: MembershipSettings,
+        store: S,
+        timers: TimerService,
+        clock: ProcessClock,
+        log: Logger,
+    ) -> Result<Self, StepError> {
+        let sockets = GossipSockets::bind(settings.gossip)?;
+        let mut address = settings.id.address;
+        if address.port() == 0 {
+            address.set_port(sockets.address.port());
+        }
+        info!(log, "member role started"; "address" => %address);
+        let (view_sender, view) = watch::channel(Arc::default());
+        let (policy_sender, policy) = watch::channel(PolicySighting {
+            version: 0,
+            hash: 0,
+            from_mesh: settings.mesh,
+        });
+        let outputs = ActorOutputs {
+            view: view_sender,
+            policy: policy_sender,
+        };
+        let socket = Arc::new(sockets.datagrams);
+        let actor = MembershipActor::new(
+            settings.first_record(address),
+            settings.key.clone(),
+            clock,
+            socket.clone(),
+            outputs,
+            log.clone(),
+        );
+        let actor = xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX_MESSAGES));
+        let bootstrap = BootstrapTask {
+            store,
+            actor: actor.clone(),
+            view: view.clone(),
+            clock,
+            log: log.clone(),
+        };
+        timers.subscribe(TICK_PERIOD, actor.clone());
+        tokio::spawn(receive_datagrams(socket, actor.clone(), log));
+        tokio::spawn(serve_exchanges(
+            sockets.exchanges,
+            settings.key,
+            actor.clone(),
+        ));
+        tokio::spawn(join(bootstrap, settings.peers));
+        Ok(Self {
+            address,
+            actor,
+            view,
+            policy,
+        })
+    }
+
+    /// Where others reach this process.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The members; changes are published once a tick.
+    #[must_use]
+    pub fn view(&self) -> watch::Receiver<Arc<MemberView>> {
+        self.view.clone()
+    }
+
+    /// The highest policy version heard of; version 0 until one is.
+    #[must_use]
+    pub fn policy_seen(&self) -> watch::Receiver<PolicySighting> {
+        self.policy.clone()
+    }
+
+    /// Spreads the announcement of the own target.
+    pub async fn announce(&self, target: TargetAnnouncement) {
+        let _ = self.actor.send(SetTarget(Some(target))).await;
+    }
+
+    /// Spreads that there is no target here any more.
+    pub async fn withdraw(&self) {
+        let _ = self.actor.send(SetTarget(None)).await;
+    }
+
+    /// Notes that a policy version is in force here, and offers it to the others.
+    pub async fn policy_in_force(&self, version: u64, hash: u64) {
+        let _ = self.actor.send(EnforcePolicy { version, hash }).await;
+    }
+
+    /// Spreads that this process is leaving, and waits until that is sent; it stays a member
+    /// until [`Self::stop`].
+    pub async fn leave(&self) {
+        if let Ok(spread) = self.actor.send(SpreadLeaving).await {
+            let _ = timeout(LEAVE_TIMEOUT, spread).await;
+        }
+    }
+
+    /// Counts since the start.
+    pub async fn stats(&self) -> MembershipStats {
+        self.actor.send(ReadStats).await.unwrap_or_default()
+    }
+
+    /// Ends the member role without a word to the others.
+    pub async fn stop(&self) {
+        let _ = self.actor.send(StopActor).await;
+    }
+}
+
+async fn join<S: TableStore>(bootstrap: BootstrapTask<S>, peers: Vec<SocketAddr>) {
+    let contacts = SetContacts {
+        source: ContactSource::Settings,
+        addresses: peers,
+    };
+    let _ = bootstrap.actor.send(contacts).await;
+    bootstrap.run().await;
+}
--- /dev/null
+++ b/src/membership/membership_stats.rs
@@ -0,0 +1,36 @@
+use super::{GossipCounters, MemberState, MembershipCore};
+
+/// The member role of one process, as seen from outside.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MembershipStats {
+    pub counters: GossipCounters,
+    pub alive: usize,
+    pub suspect: usize,
+    pub leaving: usize,
+    /// Dead ones that are still remembered.
+    pub dead: usize,
+    /// Updates that are still to be handed on.
+    pub queued: usize,
+}
+
+impl MembershipStats {
+    #[must_use]
+    pub fn of(core: &MembershipCore, counters: GossipCounters) -> Self {
+        let register = core.register();
+        let mut stats = Self {
+            counters,
+            queued: register.queue().len(),
+            ..Self::default()
+        };
+        for (_, entry) in register.table().iter() {
+            let count = match entry.record.state {
+                MemberState::Alive => &mut stats.alive,
+                MemberState::Suspect => &mut stats.suspect,
+                MemberState::Leaving => &mut stats.leaving,
+                MemberState::Dead => &mut stats.dead,
+            };
+            *count += 1;
+        }
+        stats
+    }
+}
--- /dev/null
+++ b/src/membership/peer_index.rs
@@ -0,0 +1,83 @@
+use {
+    super::{MemberKey, MemberRecord, MemberState, MemberTable},
+    rand::{Rng, RngExt},
+};
+
+/// Keys of the other members, by how they are reached.
+#[derive(Clone, Debug, Default)]
+pub struct PeerIndex {
+    /// In the own data centre.
+    pub near: Vec<MemberKey>,
+    /// In other data centres.
+    pub remote: Vec<MemberKey>,
+    /// In the own region.
+    pub region: Vec<MemberKey>,
+    /// All that are not dead.
+    pub live: Vec<MemberKey>,
+    pub dead: Vec<MemberKey>,
+    pub suspects: usize,
+}
+
+impl PeerIndex {
+    /// Sorts all members of `table` but `own` into the lists.
+    pub fn rebuild(&mut self, table: &MemberTable, own: &MemberRecord) {
+        *self = Self::default();
+        for (key, entry) in table.iter() {
+            let record = &entry.record;
+            if record.id.address == own.id.address {
+                continue;
+            }
+            if entry.is_dead() {
+                self.dead.push(key);
+                continue;
+            }
+            self.live.push(key);
+            if record.region == own.region {
+                self.region.push(key);
+            }
+            if record.region == own.region && record.data_centre == own.data_centre {
+                self.near.push(key);
+            } else {
+                self.remote.push(key);
+            }
+            self.suspects += usize::from(record.state == MemberState::Suspect);
+        }
+    }
+
+    /// Members that are not dead, the own process included.
+    #[must_use]
+    pub fn live_count(&self) -> usize {
+        self.live.len() + 1
+    }
+}
+
+/// Picks one of `keys`.
+pub fn pick_one<R: Rng>(keys: &[MemberKey], rng: &mut R) -> Option<MemberKey> {
+    if keys.is_empty() {
+        return None;
+    }
+    Some(keys[rng.random_range(0..keys.len())])
+}
+
+/// Picks up to `count` different ones of `keys` that `is_wanted`.
+pub fn pick_some<R: Rng>(
+    keys: &[MemberKey],
+    count: usize,
+    rng: &mut R,
+    is_wanted: impl Fn(MemberKey) -> bool,
+) -> Vec<MemberKey> {
+    const TRIES_PER_PICK: usize = 4;
+    let mut picked = Vec::with_capacity(count);
+    for _ in 0..count * TRIES_PER_PICK {
+        if picked.len() == count {
+            break;
+        }
+        let Some(key) = pick_one(keys, rng) else {
+            break;
+        };
+        if !picked.contains(&key) && is_wanted(key) {
+            picked.push(key);
+        }
+    }
+    picked
+}
--- /dev/null
+++ b/src/membership/probe_table.rs
@@ -0,0 +1,92 @@
+use {super::MemberId, crate::time::TimePoint, slab::Slab, std::time::Duration};
+
+/// Time after which a probe without acknowledgement goes through other members.
+pub const DIRECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after which a probe without acknowledgement has failed.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Probes under way at most, those on behalf of others included.
+pub const MAX_PROBES: usize = 1_024;
+
+/// On whose behalf a member is probed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbePurpose {
+    Own,
+    /// For `requester`, which knows the probe by its own number.
+    Relay {
+        requester: MemberId,
+        probe: u32,
+    },
+}
+
+/// One probe under way.
+#[derive(Clone, Copy, Debug)]
+pub struct MemberProbe {
+    pub number: u32,
+    pub target: MemberId,
+    pub purpose: ProbePurpose,
+    pub sent_at: TimePoint,
+    pub is_indirect: bool,
+}
+
+/// Probes under way.
+#[derive(Clone, Debug, Default)]
+pub struct ProbeTable {
+    probes: Slab<MemberProbe>,
+}
+
+impl ProbeTable {
+    /// Adds a probe, unless there are too many.
+    pub fn insert(&mut self, probe: MemberProbe) -> bool {
+        let has_room = self.probes.len() < MAX_PROBES;
+        if has_room {
+            self.probes.insert(probe);
+        }
+        has_room
+    }
+
+    /// Ends the probe `number` of `target`.
+    pub fn acknowledge(&mut self, number: u32, target: MemberId) -> Option<MemberProbe> {
+        let mut probes = self.probes.iter();
+        let (index, _) =
+            probes.find(|(_, probe)| probe.number == number && probe.target == target)?;
+        Some(self.probes.remove(index))
+    }
+
+    /// Ends the own probe `number`, whichever member acknowledged through a relay.
+    pub fn acknowledge_relayed(&mut self, number: u32) -> Option<MemberProbe> {
+        let mut probes = self.probes.iter();
+        let (index, _) = probes
+            .find(|(_, probe)| probe.number == number && probe.purpose == ProbePurpose::Own)?;
+        Some(self.probes.remove(index))
+    }
+
+    /// Own probes that now go through other members, each once.
+    pub fn turn_indirect(&mut self, now: TimePoint) -> impl Iterator<Item = &MemberProbe> {
+        self.probes.iter_mut().filter_map(move |(_, probe)| {
+            let is_due = now.since(probe.sent_at) >= DIRECT_TIMEOUT;
+            if probe.is_indirect || !is_due || probe.purpose != ProbePurpose::Own {
+                return None;
+            }
+            probe.is_indirect = true;
+            Some(&*probe)
+        })
+    }
+
+    /// Removes the probes that have failed and hands out the targets of the own ones.
+    pub fn take_failed(&mut self, now: TimePoint) -> Vec<MemberId> {
+        let mut failed = Vec::new();
+        self.probes.retain(|_, probe| {
+            let is_under_way = now.since(probe.sent_at) < PROBE_TIMEOUT;
+            if !is_under_way && probe.purpose == ProbePurpose::Own {
+                failed.push(probe.target);
+            }
+            is_under_way
+        });
+        failed
+    }
+
+    /// Forgets all probes, as after a pause of this process.
+    pub fn clear(&mut self) {
+        self.probes.clear();
+    }
+}
--- /dev/null
+++ b/tests/membership_actor.rs
@@ -0,0 +1,225 @@
+//! The member role over real sockets on loopback.
+
+use {
+    banyantrestle::{
+        auth::SharedKey,
+        context::ServiceName,
+        error::StepError,
+        membership::{
+            MEMBER_TABLE, MemberId, MemberState, MemberView, MembershipHandle, MembershipSettings,
+            TargetAnnouncement, TargetState,
+        },
+        platform::{TableError, TableRow, TableStore, TableWrite, WriteResult},
+        time::{ProcessClock, TimerService},
+    },
+    slog::{Discard, Logger, o},
+    std::{
+        collections::BTreeMap,
+        net::{Ipv4Addr, SocketAddr},
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{net::UdpSocket, time::timeout},
+};
+
+/// Generous, so that a busy machine does not change the verdict.
+const WAIT: Duration = Duration::from_secs(60);
+const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+#[derive(Clone, Default)]
+struct MemoryTable {
+    rows: Arc<Mutex<BTreeMap<String, TableRow>>>,
+    is_down: Arc<Mutex<bool>>,
+}
+
+impl MemoryTable {
+    fn set_down(&self, is_down: bool) {
+        *self.is_down.lock().unwrap() = is_down;
+    }
+
+    fn check(&self) -> Result<(), TableError> {
+        if *self.is_down.lock().unwrap() {
+            return Err(TableError::Refused("down".into()));
+        }
+        Ok(())
+    }
+}
+
+impl TableStore for MemoryTable {
+    async fn transact(&self, writes: Vec<TableWrite>) -> Result<Vec<WriteResult>, TableError> {
+        self.check()?;
+        let mut rows = self.rows.lock().unwrap();
+        let apply = |write: TableWrite| {
+            assert_eq!(write.table, MEMBER_TABLE);
+            let version = rows.get(&write.key).map_or(1, |row| row.version + 1);
+            match write.value {
+                Some(value) => rows.insert(
+                    write.key.clone(),
+                    TableRow {
+                        key: write.key,
+                        version,
+                        write_id: write.write_id,
+                        value,
+                    },
+                ),
+                None => rows.remove(&write.key),
+            };
+            WriteResult::Applied { version }
+        };
+        Ok(writes.into_iter().map(apply).collect())
+    }
+
+    async fn read(&self, _: &str, _: Vec<String>) -> Result<Vec<Option<TableRow>>, TableError> {
+        self.check()?;
+        Ok(Vec::new())
+    }
+
+    async fn scan(&self, _: &str, after: &str, limit: usize) -> Result<Vec<TableRow>, TableError> {
+        self.check()?;
+        let rows = self.rows.lock().unwrap();
+        let found = rows.values().filter(|row| row.key.as_str() > after);
+        Ok(found.take(limit).cloned().collect())
+    }
+}
+
+fn start(table: &MemoryTable, gossip: SocketAddr, peers: Vec<SocketAddr>) -> MembershipHandle {
+    try_start(table, gossip, peers).unwrap()
+}
+
+fn try_start(
+    table: &MemoryTable,
+    gossip: SocketAddr,
+    peers: Vec<SocketAddr>,
+) -> Result<MembershipHandle, StepError> {
+    let clock = ProcessClock::start();
+    let settings = MembershipSettings {
+        id: MemberId {
+            address: gossip,
+            started_ms: clock.wall_ms(),
+        },
+        region: "nz-north".into(),
+        data_centre: "akl-a".into(),
+        mesh: SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 1),
+        admin: SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 2),
+        gossip,
+        peers,
+        key: SharedKey::derive("test"),
+    };
+    let timers = TimerService::new(clock);
+    let log = Logger::root(Discard, o!());
+    MembershipHandle::start(settings, table.clone(), timers, clock, log)
+}
+
+async fn wait_view(handle: &MembershipHandle, is_reached: impl Fn(&MemberView) -> bool) {
+    let mut view = handle.view();
+    let waiting = view.wait_for(|view| is_reached(view));
+    timeout(WAIT, waiting).await.unwrap().unwrap();
+}
+
+fn catalogue() -> TargetAnnouncement {
+    TargetAnnouncement {
+        service: ServiceName::new("catalogue").unwrap(),
+        address: SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 3),
+        slots: 130,
+        connections: 860,
+        state: TargetState::Serving,
+        health_path: None,
+        load_path: None,
+    }
+}
+
+#[tokio::test]
+async fn members_join_announce_and_leave() {
+    let table = MemoryTable::default();
+    let handles: Vec<_> = (0..5).map(|_| start(&table, LOOPBACK, vec![])).collect();
+    for handle in &handles {
+        wait_view(handle, |view| view.members.len() == 5).await;
+    }
+
+    handles[0].announce(catalogue()).await;
+    handles[0].policy_in_force(7, 70).await;
+    let service = ServiceName::new("catalogue").unwrap();
+    for handle in &handles {
+        wait_view(handle, |view| view.serving(&service).count() == 1).await;
+        let mut policy = handle.policy_seen();
+        if handle.address() != handles[0].address() {
+            let sighting = timeout(WAIT, policy.wait_for(|seen| seen.version == 7));
+            assert_eq!(sighting.await.unwrap().unwrap().hash, 70);
+        }
+    }
+
+    handles[0].leave().await;
+    for handle in &handles {
+        wait_view(handle, |view| view.serving(&service).count() == 0).await;
+        wait_view(handle, |view| view.count(MemberState::Leaving) == 1).await;
+    }
+    for handle in &handles {
+        handle.stop().await;
+    }
+}
+
+#[tokio::test]
+async fn table_down_at_start_joins_by_peers_and_later_by_table() {
+    let table = MemoryTable::default();
+    table.set_down(true);
+    let first = start(&table, LOOPBACK, vec![]);
+    let second = start(&table, LOOPBACK, vec![first.address()]);
+    wait_view(&first, |view| view.members.len() == 2).await;
+    let alone = start(&table, LOOPBACK, vec![]);
+    table.set_down(false);
+    for handle in [&first, &second, &alone] {
+        wait_view(handle, |view| view.members.len() == 3).await;
+    }
+}
+
+#[tokio::test]
+async fn restart_on_the_same_address_supersedes() {
+    let table = MemoryTable::default();
+    let first = start(&table, LOOPBACK, vec![]);
+    let second = start(&table, LOOPBACK, vec![]);
+    wait_view(&first, |view| view.members.len() == 2).await;
+    let address = second.address();
+    let started_ms = first.view().borrow().find(address).unwrap().id.started_ms;
+    second.announce(catalogue()).await;
+    second.stop().await;
+    let restarting = async {
+        loop {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            if let Ok(handle) = try_start(&table, address, vec![]) {
+                break handle;
+            }
+        }
+    };
+    let again = timeout(WAIT, restarting).await.unwrap();
+    again.announce(catalogue()).await;
+    wait_view(&first, |view| {
+        let record = view.find(address);
+        record.is_some_and(|record| record.id.started_ms > started_ms && record.takes_work())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn foreign_datagrams_are_counted_and_change_nothing() {
+    let table = MemoryTable::default();
+    let handle = start(&table, LOOPBACK, vec![]);
+    wait_view(&handle, |view| view.members.len() == 1).await;
+    let foreign = UdpSocket::bind(LOOPBACK).await.unwrap();
+    for length in [0, 1, 16, 17, 200, 1_200, 1_201, 9_000] {
+        let datagram = vec![1; length];
+        foreign.send_to(&datagram, handle.address()).await.unwrap();
+    }
+    let count_drops = async {
+        loop {
+            let counters = handle.stats().await.counters;
+            let drops: u64 = counters.drops().map(|(_, count)| count).sum();
+            if drops == 8 {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(WAIT, count_drops).await.unwrap();
+    let stats = handle.stats().await;
+    assert_eq!((stats.alive, stats.counters.datagrams_out), (1, 0));
+}
