--- /dev/null
+++ b/src/console/admin_token.rs
@@ -0,0 +1,49 @@
+use {
+    http::{HeaderMap, header::AUTHORIZATION},
+    std::fmt,
+    subtle::ConstantTimeEq,
+};
+
+const SCHEME: &str = "bearer ";
+
+/// The token that console writes require; compared in constant time and never shown.
+#[derive(Clone)]
+pub struct AdminToken([u8; 32]);
+
+impl AdminToken {
+    #[must_use]
+    pub fn new(token: &str) -> Self {
+        Self(digest(token))
+    }
+
+    /// Compares digests of one length, so that the time tells neither content nor length.
+    #[must_use]
+    pub fn is_match(&self, token: &str) -> bool {
+        self.0.ct_eq(&digest(token)).into()
+    }
+
+    /// Looks for the token in an `Authorization: Bearer` header.
+    #[must_use]
+    pub fn is_in(&self, headers: &HeaderMap) -> bool {
+        let value = headers.get(AUTHORIZATION);
+        let value = value.and_then(|value| value.to_str().ok());
+        value
+            .and_then(bearer)
+            .is_some_and(|token| self.is_match(token))
+    }
+}
+
+impl fmt::Debug for AdminToken {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("AdminToken")
+    }
+}
+
+fn digest(token: &str) -> [u8; 32] {
+    *blake3::hash(token.as_bytes()).as_bytes()
+}
+
+fn bearer(value: &str) -> Option<&str> {
+    let (scheme, token) = value.split_at_checked(SCHEME.len())?;
+    scheme.eq_ignore_ascii_case(SCHEME).then(|| token.trim())
+}
--- /dev/null
+++ b/src/console/console_state.rs
@@ -0,0 +1,60 @@
+use {
+    super::AdminToken,
+    crate::{
+        context::{CallPriority, ServiceName},
+        events::EventPage,
+        membership::{MemberId, MemberRecord},
+        policy::{ActivePolicy, PolicyAccepted, PolicyDocument, SubmitError},
+    },
+    serde::Serialize,
+    std::{future::Future, net::SocketAddr, sync::Arc},
+};
+
+/// What a daemon shows on its console and does for it.
+pub trait ConsoleState: Send + Sync {
+    fn token(&self) -> &AdminToken;
+
+    fn member(&self) -> MemberId;
+
+    fn members(&self) -> Vec<MemberRecord>;
+
+    fn load(&self) -> Vec<LoadView>;
+
+    fn policy(&self) -> Arc<ActivePolicy>;
+
+    fn events(&self, since: u64, limit: usize) -> EventPage;
+
+    /// Metrics in the Prometheus text format.
+    fn metrics(&self) -> String;
+
+    fn ready(&self) -> ReadyView;
+
+    /// Commits a document that was made from version `base_version`.
+    fn submit(
+        &self,
+        document: PolicyDocument,
+        base_version: u64,
+    ) -> impl Future<Output = Result<PolicyAccepted, SubmitError>> + Send;
+}
+
+/// Load of one target as its daemon sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct LoadView {
+    pub service: ServiceName,
+    pub target: SocketAddr,
+    /// Calls that run.
+    pub running: u32,
+    /// Calls that may run at once.
+    pub limit: u32,
+    /// Calls that wait.
+    pub queued: u32,
+    /// The lowest priority that is admitted.
+    pub threshold: CallPriority,
+}
+
+/// Whether a daemon takes work.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReadyView {
+    Ready,
+    NotReady { reason: String },
+}
--- /dev/null
+++ b/src/console/form_action.rs
@@ -0,0 +1,88 @@
+use {
+    super::{ClassRow, PolicyForm, RouteRow},
+    crate::policy::{MAX_CLASSES, MAX_ROUTES},
+    strum::{EnumString, IntoStaticStr},
+};
+
+/// What a button of the form does; all but the submission only change the form.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FormAction {
+    Submit,
+    AddClass,
+    AddRoute,
+    Class(RowAction),
+    Route(RowAction),
+}
+
+/// A change of one row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RowAction {
+    pub verb: RowVerb,
+    pub position: usize,
+}
+
+/// How a row changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum RowVerb {
+    Remove,
+    Up,
+    Down,
+}
+
+impl FormAction {
+    /// Reads the value of a button, such as `class.2.up`.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        match text {
+            "submit" => return Some(Self::Submit),
+            "add-class" => return Some(Self::AddClass),
+            "add-route" => return Some(Self::AddRoute),
+            _ => {}
+        }
+        let (table, rest) = text.split_once('.')?;
+        let (position, verb) = rest.split_once('.')?;
+        let action = RowAction {
+            verb: verb.parse().ok()?,
+            position: position.parse().ok()?,
+        };
+        match table {
+            "class" => Some(Self::Class(action)),
+            "route" => Some(Self::Route(action)),
+            _ => None,
+        }
+    }
+
+    /// Changes the rows of the form.
+    pub fn apply(self, form: &mut PolicyForm) {
+        match self {
+            Self::AddClass if form.classes.len() < MAX_CLASSES => {
+                form.classes.push(ClassRow::default());
+            }
+            Self::AddRoute if form.routes.len() < MAX_ROUTES => {
+                form.routes.push(RouteRow::default());
+            }
+            Self::Submit | Self::AddClass | Self::AddRoute => {}
+            Self::Class(action) => action.apply(&mut form.classes),
+            Self::Route(action) => action.apply(&mut form.routes),
+        }
+    }
+}
+
+impl RowAction {
+    fn apply<R>(self, rows: &mut Vec<R>) {
+        let position = self.position;
+        match self.verb {
+            RowVerb::Remove if position < rows.len() => {
+                rows.remove(position);
+            }
+            RowVerb::Up if (1..rows.len()).contains(&position) => {
+                rows.swap(position, position - 1);
+            }
+            RowVerb::Down if position.saturating_add(1) < rows.len() => {
+                rows.swap(position, position + 1);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/console/json_api.rs
@@ -0,0 +1,127 @@
+use {
+    super::{ConsoleState, page_frame::json},
+    crate::{
+        jsonc::{DocumentError, DocumentText, FieldError},
+        policy::{ActivePolicy, PolicyConflict, PolicyDocument, PolicyHash, SubmitError},
+    },
+    bytes::Bytes,
+    http::{HeaderValue, Request, Response, StatusCode, header},
+    serde::{Deserialize, Serialize},
+};
+
+/// Time after which a submission that met an outage may be tried again, in s.
+const RETRY_AFTER_S: &str = "2";
+
+/// The policy in force at a daemon.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PolicyView {
+    pub version: u64,
+    pub hash: PolicyHash,
+    pub document: PolicyDocument,
+}
+
+/// A document to submit, with the version that it was made from.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PolicySubmission {
+    pub base_version: u64,
+    pub document: PolicyDocument,
+}
+
+/// Why a submission was not accepted.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PolicyProblem {
+    pub title: String,
+    pub status: u16,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub errors: Vec<FieldError>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub conflict: Option<Box<PolicyConflict>>,
+}
+
+impl PolicyView {
+    #[must_use]
+    pub fn of(policy: &ActivePolicy) -> Self {
+        Self {
+            version: policy.version,
+            hash: policy.hash,
+            document: policy.document.clone(),
+        }
+    }
+}
+
+impl PolicyProblem {
+    fn new(status: StatusCode, title: impl Into<String>) -> Self {
+        Self {
+            title: title.into(),
+            status: status.as_u16(),
+            errors: Vec::new(),
+            conflict: None,
+        }
+    }
+
+    fn of(error: SubmitError) -> Self {
+        let title = error.to_string();
+        let status = match &error {
+            SubmitError::Invalid(_) => StatusCode::UNPROCESSABLE_ENTITY,
+            SubmitError::Conflict(_) => StatusCode::CONFLICT,
+            SubmitError::Unavailable(_) => StatusCode::SERVICE_UNAVAILABLE,
+            SubmitError::Unknown { .. } | SubmitError::Stopped => StatusCode::GATEWAY_TIMEOUT,
+        };
+        let problem = Self::new(status, title);
+        match error {
+            SubmitError::Invalid(errors) => Self { errors, ..problem },
+            SubmitError::Conflict(conflict) => Self {
+                conflict: Some(conflict),
+                ..problem
+            },
+            _ => problem,
+        }
+    }
+
+    fn into_response(self) -> Response<Bytes> {
+        let status = StatusCode::from_u16(self.status).unwrap_or_default();
+        let mut response = json(status, &self);
+        let headers = response.headers_mut();
+        let kind = HeaderValue::from_static("application/problem+json");
+        headers.insert(header::CONTENT_TYPE, kind);
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            let seconds = HeaderValue::from_static(RETRY_AFTER_S);
+            headers.insert(header::RETRY_AFTER, seconds);
+        }
+        response
+    }
+}
+
+/// Takes a submission; the token must be in the `Authorization` header.
+pub(super) async fn submit<S: ConsoleState>(
+    state: &S,
+    request: &Request<Bytes>,
+) -> Response<Bytes> {
+    if !state.token().is_in(request.headers()) {
+        let status = StatusCode::UNAUTHORIZED;
+        let problem = PolicyProblem::new(status, "the admin token is missing or wrong");
+        let mut response = problem.into_response();
+        let scheme = HeaderValue::from_static("Bearer");
+        response
+            .headers_mut()
+            .insert(header::WWW_AUTHENTICATE, scheme);
+        return response;
+    }
+    let submission = match parse(request.body()) {
+        Ok(submission) => submission,
+        Err(error) => {
+            let problem = PolicyProblem::new(StatusCode::BAD_REQUEST, error.to_string());
+            return problem.into_response();
+        }
+    };
+    let accepted = state.submit(submission.document, submission.base_version);
+    match accepted.await {
+        Ok(accepted) => json(StatusCode::OK, &accepted),
+        Err(error) => PolicyProblem::of(error).into_response(),
+    }
+}
+
+fn parse(body: &[u8]) -> Result<PolicySubmission, DocumentError> {
+    DocumentText::new("body", body)?.parse()
+}
--- /dev/null
+++ b/src/console/policy_form.rs
@@ -0,0 +1,192 @@
+use {
+    super::{ClassRow, RouteRow},
+    crate::{
+        context::ClassName,
+        jsonc::FieldError,
+        policy::{
+            ActivePolicy, MAX_CLASSES, MAX_ROUTES, OverloadPolicy, PolicyDocument, RetryPolicy,
+        },
+    },
+    form_urlencoded::parse,
+    std::{fmt::Display, str::FromStr},
+};
+
+/// Fields of the longest form.
+pub const MAX_FORM_FIELDS: usize = 5 * MAX_CLASSES + 4 * MAX_ROUTES + 32;
+
+/// The policy as the operator typed it, kept as text until it is read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PolicyForm {
+    /// Version that the form was made from.
+    pub base_version: String,
+    pub deployment: String,
+    pub default_class: String,
+    pub default_unsafe_class: String,
+    pub per_request: String,
+    pub ratio_percent: String,
+    pub queue_target_ms: String,
+    pub queue_interval_ms: String,
+    pub classes: Vec<ClassRow>,
+    pub routes: Vec<RouteRow>,
+    /// The button that was pressed.
+    pub action: String,
+    /// Never shown again.
+    pub token: String,
+}
+
+/// Collects the errors of a form while it is read.
+#[derive(Debug, Default)]
+pub(super) struct FormReader {
+    errors: Vec<FieldError>,
+}
+
+impl FormReader {
+    pub(super) fn parse<V, E: Display>(
+        &mut self,
+        field: impl Into<String>,
+        parsed: Result<V, E>,
+    ) -> Option<V> {
+        let error = |error| FieldError::new(field, error);
+        parsed.map_err(|fault| self.errors.push(error(fault))).ok()
+    }
+
+    pub(super) fn number<N: FromStr>(&mut self, field: impl Into<String>, text: &str) -> Option<N> {
+        let parsed = text.trim().parse().map_err(|_| "not a whole number");
+        self.parse(field, parsed)
+    }
+}
+
+impl PolicyForm {
+    /// The form that shows a policy.
+    #[must_use]
+    pub fn of(policy: &ActivePolicy) -> Self {
+        let document = &policy.document;
+        let unsafe_class = document.default_unsafe_class.as_ref();
+        Self {
+            base_version: policy.version.to_string(),
+            deployment: document.deployment.clone(),
+            default_class: document.default_class.to_string(),
+            default_unsafe_class: unsafe_class.map(ToString::to_string).unwrap_or_default(),
+            per_request: document.retry.per_request.to_string(),
+            ratio_percent: document.retry.ratio_percent.to_string(),
+            queue_target_ms: document.overload.queue_target_ms.to_string(),
+            queue_interval_ms: document.overload.queue_interval_ms.to_string(),
+            classes: document.classes.iter().map(ClassRow::of).collect(),
+            routes: document.routes.iter().map(RouteRow::of).collect(),
+            ..Self::default()
+        }
+    }
+
+    /// Reads the posted fields; unknown ones are ignored.
+    #[must_use]
+    pub fn decode(body: &[u8]) -> Self {
+        let mut form = Self::default();
+        for (name, value) in parse(body).take(MAX_FORM_FIELDS) {
+            form.set(&name, value.into_owned());
+        }
+        form
+    }
+
+    fn set(&mut self, name: &str, value: String) {
+        match name {
+            "base_version" => self.base_version = value,
+            "deployment" => self.deployment = value,
+            "default_class" => self.default_class = value,
+            "default_unsafe_class" => self.default_unsafe_class = value,
+            "retry.per_request" => self.per_request = value,
+            "retry.ratio_percent" => self.ratio_percent = value,
+            "overload.queue_target_ms" => self.queue_target_ms = value,
+            "overload.queue_interval_ms" => self.queue_interval_ms = value,
+            "action" => self.action = value,
+            "token" => self.token = value,
+            _ => self.set_row(name, value),
+        }
+    }
+
+    /// Sets a field of a row, such as `class.2.weight`.
+    fn set_row(&mut self, name: &str, value: String) {
+        let mut parts = name.splitn(3, '.');
+        let (Some(table), Some(position), Some(field)) = (parts.next(), parts.next(), parts.next())
+        else {
+            return;
+        };
+        let Ok(position) = position.parse() else {
+            return;
+        };
+        match table {
+            "class" => {
+                if let Some(row) = row_at(&mut self.classes, position, MAX_CLASSES) {
+                    row.set(field, value);
+                }
+            }
+            "route" => {
+                if let Some(row) = row_at(&mut self.routes, position, MAX_ROUTES) {
+                    row.set(field, value);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Reads and checks the document.
+    ///
+    /// # Errors
+    /// One error for each field that is no number or name, or out of its bounds.
+    pub fn to_document(&self) -> Result<PolicyDocument, Vec<FieldError>> {
+        let mut reader = FormReader::default();
+        match self.read(&mut reader) {
+            Some(document) if reader.errors.is_empty() => {
+                document.check()?;
+                Ok(document)
+            }
+            _ => Err(reader.errors),
+        }
+    }
+
+    fn read(&self, reader: &mut FormReader) -> Option<PolicyDocument> {
+        let classes = self.classes.iter().enumerate();
+        let classes: Vec<_> = classes.map(|(at, row)| row.read(at, reader)).collect();
+        let routes = self.routes.iter().enumerate();
+        let routes: Vec<_> = routes.map(|(at, row)| row.read(at, reader)).collect();
+        let default_class = reader.parse("default_class", ClassName::new(&self.default_class));
+        let unsafe_class = self.read_unsafe_class(reader);
+        let per_request = reader.number("retry.per_request", &self.per_request);
+        let ratio = reader.number("retry.ratio_percent", &self.ratio_percent);
+        let target = reader.number("overload.queue_target_ms", &self.queue_target_ms);
+        let interval = reader.number("overload.queue_interval_ms", &self.queue_interval_ms);
+        Some(PolicyDocument {
+            deployment: self.deployment.clone(),
+            classes: classes.into_iter().collect::<Option<_>>()?,
+            routes: routes.into_iter().collect::<Option<_>>()?,
+            default_class: default_class?,
+            default_unsafe_class: unsafe_class,
+            retry: RetryPolicy {
+                per_request: per_request?,
+                ratio_percent: ratio?,
+            },
+            overload: OverloadPolicy {
+                queue_target_ms: target?,
+                queue_interval_ms: interval?,
+            },
+        })
+    }
+
+    fn read_unsafe_class(&self, reader: &mut FormReader) -> Option<ClassName> {
+        let name = &self.default_unsafe_class;
+        if name.is_empty() {
+            return None;
+        }
+        reader.parse("default_unsafe_class", ClassName::new(name))
+    }
+}
+
+/// The row at `position`; rows on the way to it are added empty.
+fn row_at<R: Clone + Default>(rows: &mut Vec<R>, position: usize, bound: usize) -> Option<&mut R> {
+    if position >= bound {
+        return None;
+    }
+    if position >= rows.len() {
+        rows.resize(position + 1, R::default());
+    }
+    rows.get_mut(position)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 //! ```
 
 pub mod auth;
+pub mod console;
 pub mod context;
 pub mod error;
 pub mod events;
