--- a/standins/src/caller/caller_record.rs
+++ b/standins/src/caller/caller_record.rs
@@ -1,5 +1,5 @@
 use {
-    super::{CallerClass, CallerReport, ClassReport, SERIES_STEP},
+    super::{CallerClass, CallerReport, ClassReport, SERIES_STEP, SeriesBucket},
     crate::client::CallResult,
     banyantrestle::context::RunOutcome,
     hdrhistogram::Histogram,
@@ -47,7 +47,7 @@
 
     pub fn offer(&mut self, request: CallerRequest) {
         self.report.classes[request.class].offered += 1;
-        self.bucket(request).offered += 1;
+        self.bucket(request.class, request.arrived).offered += 1;
     }
 
     pub fn retry(&mut self, request: CallerRequest) {
@@ -81,7 +81,8 @@
         self.report.classes[request.class].whole += 1;
         let latency = u64::try_from(request.arrived.elapsed().as_micros()).unwrap_or(u64::MAX);
         self.latencies[request.class].saturating_record(latency);
-        let bucket = self.bucket(request);
+        self.bucket(request.class, Instant::now()).completed += 1;
+        let bucket = self.bucket(request.class, request.arrived);
         bucket.whole += 1;
         bucket.at_once += u32::from(attempt == 0);
     }
@@ -99,13 +100,13 @@
         report
     }
 
-    fn bucket(&mut self, request: CallerRequest) -> &mut super::SeriesBucket {
-        let since = request.arrived.saturating_duration_since(self.started);
+    fn bucket(&mut self, class: usize, time: Instant) -> &mut SeriesBucket {
+        let since = time.saturating_duration_since(self.started);
         let step = since.as_millis() / SERIES_STEP.as_millis();
         let step = usize::try_from(step).unwrap_or_default();
-        let series = &mut self.report.series;
+        let series = &mut self.report.classes[class].series;
         if series.len() <= step {
-            series.resize(step + 1, super::SeriesBucket::default());
+            series.resize(step + 1, SeriesBucket::default());
         }
         &mut series[step]
     }
--- a/standins/src/caller/caller_report.rs
+++ b/standins/src/caller/caller_report.rs
@@ -26,6 +26,9 @@
     /// Time to the whole answer over all attempts, in ms.
     pub p50_ms: f64,
     pub p99_ms: f64,
+    /// Requests by step of the time series.
+    #[serde(skip)]
+    pub series: Vec<SeriesBucket>,
 }
 
 impl ClassReport {
@@ -41,22 +44,23 @@
     }
 }
 
-/// Requests of all classes that arrived in one step of the time series.
+/// Requests of one class in one step of the time series.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct SeriesBucket {
+    /// Requests that arrived.
     pub offered: u32,
-    /// Whole at the first attempt.
+    /// Of these, whole at the first attempt.
     pub at_once: u32,
-    /// Whole at any attempt.
+    /// Of these, whole at any attempt.
     pub whole: u32,
+    /// Requests whose whole answer arrived.
+    pub completed: u32,
 }
 
 /// What became of all requests of a fleet.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct CallerReport {
     pub classes: Vec<ClassReport>,
-    #[serde(skip)]
-    pub series: Vec<SeriesBucket>,
     /// Attempts whose whole answer arrived.
     #[serde(skip)]
     pub whole_attempts: HashSet<String>,
--- a/standins/src/caller/mod.rs
+++ b/standins/src/caller/mod.rs
@@ -10,5 +10,5 @@
     caller_fleet::CallerFleet,
     caller_report::{CallerReport, ClassReport, SeriesBucket},
     caller_settings::{CallerClass, CallerSettings, RetryHabit},
-    recovery_time::SERIES_STEP,
+    recovery_time::{RunSpan, SERIES_STEP},
 };
--- a/standins/src/caller/recovery_time.rs
+++ b/standins/src/caller/recovery_time.rs
@@ -1,5 +1,5 @@
 use {
-    super::{CallerReport, SeriesBucket},
+    super::{CallerReport, ClassReport, SeriesBucket},
     std::time::Duration,
 };
 
@@ -9,16 +9,57 @@
 const WINDOW_STEPS: usize = 5;
 const HEALTHY_PERCENT: u32 = 95;
 
+/// A span of a run; both ends count from the start of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunSpan {
+    pub from: Duration,
+    pub until: Duration,
+}
+
+impl RunSpan {
+    #[must_use]
+    pub fn length(&self) -> Duration {
+        self.until.saturating_sub(self.from)
+    }
+
+    fn steps(self) -> std::ops::Range<usize> {
+        step_of(self.from)..step_of(self.until)
+    }
+}
+
+impl ClassReport {
+    /// Sums of all steps of a span.
+    #[must_use]
+    pub fn during(&self, span: RunSpan) -> SeriesBucket {
+        let mut sum = SeriesBucket::default();
+        for step in span.steps() {
+            sum.add(self.series.get(step));
+        }
+        sum
+    }
+}
+
+impl SeriesBucket {
+    fn add(&mut self, other: Option<&Self>) {
+        let other = other.copied().unwrap_or_default();
+        self.offered += other.offered;
+        self.at_once += other.at_once;
+        self.whole += other.whole;
+        self.completed += other.completed;
+    }
+}
+
 impl CallerReport {
-    /// Time from `pressure_end` to the last window in which too few requests were whole at once.
-    ///
-    /// Both times count from the start of the fleet. `None` if the last window, which ends at
-    /// `until`, is still unhealthy.
+    /// Time from the start of a span to its last window in which too few requests were whole at
+    /// once; `None` if that is the last window of all. Counts the classes that `select` keeps.
     #[must_use]
-    pub fn recovery_time(&self, pressure_end: Duration, until: Duration) -> Option<Duration> {
-        let start = step_of(pressure_end);
-        let end = step_of(until).min(self.series.len());
-        let windows = self.series.get(start..end)?.windows(WINDOW_STEPS);
+    pub fn recovery_time(
+        &self,
+        span: RunSpan,
+        select: impl Fn(&ClassReport) -> bool,
+    ) -> Option<Duration> {
+        let buckets = self.sum_of_classes(span, select);
+        let windows = buckets.windows(WINDOW_STEPS);
         let count = windows.len();
         let unhealthy = windows.into_iter().rposition(|window| !is_healthy(window));
         match unhealthy {
@@ -28,12 +69,18 @@
         }
     }
 
-    /// Whole answers to the requests that arrived between two times.
-    #[must_use]
-    pub fn whole_between(&self, from: Duration, until: Duration) -> u64 {
-        let end = step_of(until).min(self.series.len());
-        let buckets = self.series.get(step_of(from)..end).unwrap_or_default();
-        buckets.iter().map(|bucket| u64::from(bucket.whole)).sum()
+    fn sum_of_classes(
+        &self,
+        span: RunSpan,
+        select: impl Fn(&ClassReport) -> bool,
+    ) -> Vec<SeriesBucket> {
+        let mut buckets = vec![SeriesBucket::default(); span.steps().len()];
+        for class in self.classes.iter().filter(|class| select(class)) {
+            for (bucket, step) in buckets.iter_mut().zip(span.steps()) {
+                bucket.add(class.series.get(step));
+            }
+        }
+        buckets
     }
 }
 
--- a/standins/src/client/call_client.rs
+++ b/standins/src/client/call_client.rs
@@ -1,6 +1,7 @@
 use {
     super::{CallResult, CallRouter, OutboundCall},
     crate::answer::{AnswerPattern, AnswerVerdict, AnswerVerifier},
+    anyhow::Context,
     banyantrestle::context::OUTCOME_HEADER,
     bytes::Bytes,
     http::{Response, header::RETRY_AFTER},
@@ -10,10 +11,12 @@
         client::legacy::{Client, connect::HttpConnector},
         rt::{TokioExecutor, TokioTimer},
     },
-    std::{net::SocketAddr, time::Duration},
+    std::time::Duration,
     tokio::time::timeout,
 };
 
+/// Addresses of one send that refused the connection before it fails.
+const MAX_REFUSED: u32 = 4;
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -51,36 +54,26 @@
 
     /// Sends a call until it succeeds or the router's tries are used up.
     pub async fn call(&self, call: &OutboundCall) -> CallResult {
-        let mut result = CallResult::Failed("no target known".into());
-        for _ in 0..self.router.tries() {
-            let path = call.path.to_string();
-            let Some((address, path)) = self.router.route(&call.service, &path) else {
-                return result;
-            };
-            result = self.send(call, address, &path).await;
+        let mut result = self.send(call).await;
+        for _ in 1..self.router.tries() {
             if result.is_whole() {
                 break;
             }
+            result = self.send(call).await;
         }
         result
     }
 
-    async fn send(&self, call: &OutboundCall, address: SocketAddr, path: &str) -> CallResult {
-        match timeout(call.timeout, self.exchange(call, address, path)).await {
+    async fn send(&self, call: &OutboundCall) -> CallResult {
+        match timeout(call.timeout, self.exchange(call)).await {
             Ok(Ok(result)) => result,
             Ok(Err(error)) => CallResult::Failed(format!("{error:#}")),
             Err(_) => CallResult::TimedOut,
         }
     }
 
-    async fn exchange(
-        &self,
-        call: &OutboundCall,
-        address: SocketAddr,
-        path: &str,
-    ) -> anyhow::Result<CallResult> {
-        let request = call.request(address, path)?;
-        let response = self.http.request(request).await?;
+    async fn exchange(&self, call: &OutboundCall) -> anyhow::Result<CallResult> {
+        let response = self.connect_and_send(call).await?;
         if !response.status().is_success() {
             let refusal = refusal(&response);
             response.into_body().collect().await?;
@@ -94,6 +87,23 @@
     }
 }
 
+impl CallClient {
+    /// Sends to the first address that accepts a connection, of a few.
+    async fn connect_and_send(&self, call: &OutboundCall) -> anyhow::Result<Response<Incoming>> {
+        let path = call.path.to_string();
+        let mut refused = 0;
+        loop {
+            let route = self.router.route(&call.service, &path);
+            let (address, path) = route.context("no address known")?;
+            let request = call.request(address, &path)?;
+            match self.http.request(request).await {
+                Err(error) if error.is_connect() && refused < MAX_REFUSED => refused += 1,
+                result => return Ok(result?),
+            }
+        }
+    }
+}
+
 async fn verify(call: &OutboundCall, mut body: Incoming) -> Result<AnswerVerdict, hyper::Error> {
     let path = call.path.to_string();
     let service = call.service.as_str();
