--- a/examples/support/deployment_plan.rs
+++ b/examples/support/deployment_plan.rs
@@ -184,6 +184,7 @@
             classes: self.classes.iter().map(class).collect(),
             routes: self.classes.iter().map(route).collect(),
             default_class: class_name(last.name),
+            default_unsafe_class: None,
             retry: RetryPolicy {
                 per_request: self.retries,
                 ratio_percent: 20,
--- /dev/null
+++ b/examples/support/mod.rs
@@ -0,0 +1,19 @@
+//! What the examples share: deployments in small, fleets with and without daemons, scenarios.
+
+mod capacity_probe;
+mod daemon_fleet;
+mod deployment_plan;
+mod pressure_scenario;
+mod run_figures;
+mod target_fleet;
+mod trial_run;
+
+pub use {
+    capacity_probe::probe_capacity,
+    daemon_fleet::DaemonFleet,
+    deployment_plan::{DeploymentPlan, service_name},
+    pressure_scenario::{PressureKind, PressureScenario},
+    run_figures::{RunFigures, TargetVerdict},
+    target_fleet::TargetFleet,
+    trial_run::{TrialMode, TrialRun},
+};
--- /dev/null
+++ b/examples/support/pressure_scenario.rs
@@ -0,0 +1,68 @@
+use {
+    std::time::Duration,
+    strum::{Display, EnumIter, EnumString, IntoStaticStr},
+};
+
+/// What presses on a deployment.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, EnumString, IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum PressureKind {
+    /// Callers ask for three times what the bottleneck serves.
+    Surge,
+    /// The last service takes ten times as long, then heals.
+    SlowService,
+    /// All VMs of one data centre are gone for good.
+    LostDataCentre,
+    /// The table service is down for the whole run.
+    TableDown,
+}
+
+/// One or two pressures at once, with the spans of the run.
+#[derive(Clone, Debug)]
+pub struct PressureScenario {
+    pub name: String,
+    pub kinds: Vec<PressureKind>,
+    /// Time under the ordinary load.
+    pub warm_up: Duration,
+    pub pressure: Duration,
+    /// Time after the end of the pressure.
+    pub aftermath: Duration,
+}
+
+impl PressureScenario {
+    pub fn new(kinds: &[PressureKind]) -> Self {
+        let names: Vec<&str> = kinds.iter().map(Into::into).collect();
+        Self {
+            name: names.join("+"),
+            kinds: kinds.to_vec(),
+            warm_up: Duration::from_secs(3),
+            pressure: Duration::from_secs(6),
+            aftermath: Duration::from_secs(6),
+        }
+    }
+
+    /// Each pressure alone, and pairs.
+    pub fn all() -> Vec<Self> {
+        use PressureKind::{LostDataCentre, SlowService, Surge, TableDown};
+        let kinds: [&[PressureKind]; 7] = [
+            &[Surge],
+            &[SlowService],
+            &[LostDataCentre],
+            &[TableDown],
+            &[Surge, SlowService],
+            &[Surge, LostDataCentre],
+            &[Surge, TableDown],
+        ];
+        kinds.into_iter().map(Self::new).collect()
+    }
+
+    pub fn has(&self, kind: PressureKind) -> bool {
+        self.kinds.contains(&kind)
+    }
+
+    pub fn length(&self) -> Duration {
+        self.warm_up + self.pressure + self.aftermath
+    }
+}
--- /dev/null
+++ b/examples/support/target_fleet.rs
@@ -0,0 +1,70 @@
+use {
+    super::deployment_plan::{DeploymentPlan, service_name},
+    standins::{
+        client::{CallClient, CallRouter, DirectRoutes},
+        target::{RunLedger, TargetStandin},
+    },
+};
+
+/// Sends of one call at each hop without daemons, the first included.
+const DIRECT_TRIES: u32 = 3;
+
+/// A target and the data centre in which it stands.
+#[derive(Debug)]
+pub struct PlacedTarget {
+    pub data_centre: usize,
+    pub target: TargetStandin,
+}
+
+/// All targets of a deployment, without daemons: everyone calls them straight, and every hop
+/// retries by itself.
+#[derive(Debug)]
+pub struct TargetFleet {
+    pub targets: Vec<PlacedTarget>,
+    pub ledger: RunLedger,
+    routes: DirectRoutes,
+}
+
+impl TargetFleet {
+    pub async fn start(plan: &DeploymentPlan, seed: u64) -> anyhow::Result<Self> {
+        let mut fleet = Self {
+            targets: Vec::new(),
+            ledger: RunLedger::default(),
+            routes: DirectRoutes::new(DIRECT_TRIES),
+        };
+        for service in &plan.services {
+            for number in 0..service.targets {
+                let settings = service.settings(plan.deadline, seed + fleet.targets.len() as u64);
+                let router = CallRouter::Direct(fleet.routes.clone());
+                let target = TargetStandin::start(settings, router, fleet.ledger.clone()).await?;
+                fleet.routes.add(target.service_name(), target.address());
+                fleet.targets.push(PlacedTarget {
+                    data_centre: number % plan.data_centres.len(),
+                    target,
+                });
+            }
+        }
+        Ok(fleet)
+    }
+
+    pub fn client(&self) -> CallClient {
+        CallClient::new(CallRouter::Direct(self.routes.clone()))
+    }
+
+    pub fn slow_down(&self, service: &str, factor: f64) {
+        slow_down(&self.targets, service, factor);
+    }
+
+    pub fn lose_data_centre(&mut self, data_centre: usize) {
+        self.targets.retain(|placed| placed.data_centre != data_centre);
+    }
+}
+
+pub fn slow_down(targets: &[PlacedTarget], service: &str, factor: f64) {
+    let service = service_name(service);
+    for placed in targets {
+        if *placed.target.service_name() == service {
+            placed.target.slow_down(factor);
+        }
+    }
+}
