The whole path as separate processes: daemon, listeners and binary

A service whose last target is leaving is answered with 503 rather than 404: the router remembers the services that it has seen.

--- a/src/admission/front_gate.rs
+++ b/src/admission/front_gate.rs
@@ -57,7 +57,7 @@
         }
     }
 
-    /// Whether a call is worth sending; one in [`PROBE_STRIDE`] of those below is.
+    /// Whether a call is worth sending; a few of those below are.
     pub fn is_admitted(
         &mut self,
         now: TimePoint,
--- a/src/daemon/active_calls.rs
+++ b/src/daemon/active_calls.rs
@@ -67,10 +67,6 @@
         self.lock().get(&(request, call)).cloned()
     }
 
-    pub(crate) fn len(&self) -> usize {
-        self.lock().len()
-    }
-
     fn lock(&self) -> MutexGuard<'_, CallMap> {
         self.calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- /dev/null
+++ b/src/daemon/admin_service.rs
@@ -0,0 +1,86 @@
+use {
+    super::{daemon_phase::DaemonPhase, daemon_state::DaemonState},
+    crate::{
+        console::{AdminToken, ConsoleState, LoadView, ReadyView, answer},
+        events::EventPage,
+        membership::{MemberId, MemberRecord},
+        net::{AnswerBody, NoHold},
+        policy::{ActivePolicy, PolicyAccepted, PolicyDocument, SubmitError},
+    },
+    http::{Request, Response},
+    hyper::body::Incoming,
+    std::sync::Arc,
+};
+
+/// Answers an operator.
+pub(crate) async fn serve_admin(
+    state: Arc<DaemonState>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody<NoHold>> {
+    answer(state.as_ref(), request)
+        .await
+        .map(|body| AnswerBody::whole(body, None))
+}
+
+impl ConsoleState for DaemonState {
+    fn token(&self) -> &AdminToken {
+        &self.admin_token
+    }
+
+    fn member(&self) -> MemberId {
+        self.member
+    }
+
+    fn members(&self) -> Vec<MemberRecord> {
+        let view = self.membership.view().borrow().clone();
+        view.members
+            .iter()
+            .map(|record| record.as_ref().clone())
+            .collect()
+    }
+
+    fn load(&self) -> Vec<LoadView> {
+        let Some(target) = self.target.get() else {
+            return Vec::new();
+        };
+        let load = target.desk.load();
+        vec![LoadView {
+            service: target.announcement.service.clone(),
+            target: target.announcement.address,
+            running: load.in_flight,
+            limit: load.limit,
+            queued: load.queued,
+            threshold: load.threshold,
+        }]
+    }
+
+    fn policy(&self) -> Arc<ActivePolicy> {
+        self.policy()
+    }
+
+    fn events(&self, since: u64, limit: usize) -> EventPage {
+        self.events.since(since, limit)
+    }
+
+    fn metrics(&self) -> String {
+        self.recorder.render()
+    }
+
+    fn ready(&self) -> ReadyView {
+        let phase = self.phase();
+        if phase == DaemonPhase::Serving {
+            return ReadyView::Ready;
+        }
+        ReadyView::NotReady {
+            reason: phase.to_string(),
+        }
+    }
+
+    async fn submit(
+        &self,
+        document: PolicyDocument,
+        base_version: u64,
+    ) -> Result<PolicyAccepted, SubmitError> {
+        self.policies.submit(document, base_version).await
+    }
+}
--- a/src/daemon/admission_desk.rs
+++ b/src/daemon/admission_desk.rs
@@ -24,6 +24,14 @@
     waiting: SecondaryMap<TicketKey, oneshot::Sender<Result<(), AdmissionRefusal>>>,
 }
 
+/// A call that the guard has started or queued.
+#[derive(Debug)]
+struct OfferedTicket {
+    ticket: TicketKey,
+    /// Resolves once a queued call is started or dropped.
+    effect: Option<oneshot::Receiver<Result<(), AdmissionRefusal>>>,
+}
+
 /// A call that was admitted; its slot is free again when it is finished or dropped.
 #[derive(Debug)]
 pub(crate) struct AdmittedTicket<L: ConcurrencyLimit> {
@@ -48,16 +56,16 @@
         self: &Arc<Self>,
         request: AdmissionRequest,
     ) -> Result<AdmittedTicket<L>, AdmissionRefusal> {
-        let (ticket, waiting) = self.offer(request)?;
+        let offered = self.offer(request)?;
         // Dropped while queued, the ticket is finished as cancelled.
         let admitted = AdmittedTicket {
             desk: self.clone(),
-            ticket: Some(ticket),
+            ticket: Some(offered.ticket),
         };
-        let Some(waiting) = waiting else {
+        let Some(effect) = offered.effect else {
             return Ok(admitted);
         };
-        match waiting.await {
+        match effect.await {
             Ok(Ok(())) => Ok(admitted),
             Ok(Err(refusal)) => {
                 admitted.forget();
@@ -67,25 +75,22 @@
         }
     }
 
-    fn offer(
-        &self,
-        request: AdmissionRequest,
-    ) -> Result<
-        (
-            TicketKey,
-            Option<oneshot::Receiver<Result<(), AdmissionRefusal>>>,
-        ),
-        AdmissionRefusal,
-    > {
+    fn offer(&self, request: AdmissionRequest) -> Result<OfferedTicket, AdmissionRefusal> {
         let now = self.clock.now();
         let mut state = self.lock();
         let verdict = state.guard.offer(now, request, &mut rand::rng());
         let result = match verdict {
-            AdmissionVerdict::Start(ticket) => Ok((ticket, None)),
+            AdmissionVerdict::Start(ticket) => Ok(OfferedTicket {
+                ticket,
+                effect: None,
+            }),
             AdmissionVerdict::Queued(ticket) => {
                 let (sender, receiver) = oneshot::channel();
                 state.waiting.insert(ticket, sender);
-                Ok((ticket, Some(receiver)))
+                Ok(OfferedTicket {
+                    ticket,
+                    effect: Some(receiver),
+                })
             }
             AdmissionVerdict::Refused(refusal) => Err(refusal),
         };
@@ -123,8 +128,7 @@
     }
 
     pub(crate) fn load(&self) -> GuardLoad {
-        let now = self.clock.now();
-        self.lock().guard.load(now)
+        self.lock().guard.load()
     }
 
     fn lock(&self) -> MutexGuard<'_, DeskState<L>> {
--- a/src/daemon/announce_service.rs
+++ b/src/daemon/announce_service.rs
@@ -54,13 +54,13 @@
 async fn announce(state: &DaemonState, request: Request<Incoming>) -> Result<(), CallRefusal> {
     let body = read_request(request.into_body(), MAX_ANNOUNCEMENT_BYTES, BODY_PATIENCE)
         .await
-        .map_err(|error| bad_announcement(error.to_string()))?;
+        .map_err(|error| bad_announcement(&error.to_string()))?;
     let announcement: TargetAnnouncement =
-        serde_json::from_slice(&body).map_err(|error| bad_announcement(error.to_string()))?;
+        serde_json::from_slice(&body).map_err(|error| bad_announcement(&error.to_string()))?;
     check(&announcement)?;
     let change = state
         .target
-        .announce(&announcement, &state.policy().document.overload);
+        .announce(&announcement, state.guard_settings(announcement.slots));
     match change {
         AnnounceChange::Renewed => return Ok(()),
         AnnounceChange::New => state.events.record(EventKind::TargetAnnounced {
@@ -117,17 +117,17 @@
     for path in paths.into_iter().flatten() {
         if !path.starts_with('/') || path.len() > MAX_ENDPOINT_BYTES {
             let detail = format!("{path:?} is not a path of at most {MAX_ENDPOINT_BYTES} bytes");
-            return Err(bad_announcement(detail));
+            return Err(bad_announcement(&detail));
         }
     }
     Ok(())
 }
 
 fn out_of_bounds(field: &str, most: u32) -> CallRefusal {
-    bad_announcement(format!("{field} is not 1 to {most}"))
+    bad_announcement(&format!("{field} is not 1 to {most}"))
 }
 
-fn bad_announcement(detail: String) -> CallRefusal {
+fn bad_announcement(detail: &str) -> CallRefusal {
     CallRefusal::not_run(RefusalKind::BadRequest, format!("announcement: {detail}"))
 }
 
--- a/src/daemon/call_entry.rs
+++ b/src/daemon/call_entry.rs
@@ -2,9 +2,11 @@
     super::{
         active_calls::{ActiveCall, ChildCall},
         call_router::{CallRouter, RoutedAnswer, RoutedRefusal, RunSafety},
+        daemon_options::DaemonPart,
         daemon_phase::DaemonPhase,
-        daemon_state::DaemonState,
+        daemon_state::{DaemonState, mint_call, mint_request},
         in_flight_call::InFlightCall,
+        metrics_recorder::{count_answer, count_refusal},
         permit_client::ask_permit,
         root_entry::RootEntry,
     },
@@ -17,13 +19,13 @@
             AnswerBody, CallRefusal, CallRequest, KEY_HEADER, RefusalKind, RequestError,
             parse_route, read_request, remove_hop_headers, remove_own_headers, set_header,
         },
-        policy::ClassRule,
+        policy::{ActivePolicy, ClassRule},
         retry::RetryBudget,
         time::TimePoint,
     },
-    http::{Request, Response, header::CONTENT_LENGTH},
+    http::{HeaderValue, Request, Response, header::CONTENT_LENGTH},
     hyper::body::Incoming,
-    rapidhash::v3::RapidHasher,
+    rapidhash::fast::RapidHasher,
     std::{hash::Hasher, sync::Arc, time::Duration},
 };
 
@@ -138,7 +140,7 @@
     let (mut head, body) = request.into_parts();
     let (service, path) = parse_route(&head.uri)
         .map_err(|error| CallRefusal::not_run(RefusalKind::BadRequest, error.to_string()))?;
-    if !state.routing().is_known(&service) && !state.policy().is_named(&service) {
+    if !state.routing().is_known(&service) && !is_named(&state.policy(), &service) {
         let detail = format!("no service {service} is announced or named by the policy");
         return Err(CallRefusal::not_run(RefusalKind::UnknownService, detail));
     }
@@ -158,11 +160,16 @@
     })
 }
 
+fn is_named(policy: &ActivePolicy, service: &ServiceName) -> bool {
+    let routes = &policy.document.routes;
+    routes.iter().any(|route| route.service == *service)
+}
+
 fn mint_context(state: &DaemonState, rule: &ClassRule, started: TimePoint) -> CallContext {
-    let request = state.mint_request();
+    let request = mint_request();
     CallContext {
         request,
-        call: state.mint_call(),
+        call: mint_call(),
         class: rule.name.clone(),
         priority: CallPriority::new(rule.rank, request),
         depth: 0,
@@ -188,7 +195,7 @@
     context: &CallContext,
     request: &CallRequest,
 ) -> Result<(), CallRefusal> {
-    if !state.options.has_front_gate {
+    if !state.options.is_on(DaemonPart::FrontGate) {
         return Ok(());
     }
     let now = state.clock.now();
@@ -243,7 +250,7 @@
 
 fn fingerprint(request: &CallRequest) -> u64 {
     let mut hasher = RapidHasher::default();
-    let key = request.headers.get(KEY_HEADER).map(|key| key.as_bytes());
+    let key = request.headers.get(KEY_HEADER).map(HeaderValue::as_bytes);
     let parts = [
         request.method.as_str().as_bytes(),
         request.service.as_str().as_bytes(),
@@ -268,9 +275,12 @@
             );
             response
         }
-        Err(refusal) => refusal
-            .to_response()
-            .map(|body| AnswerBody::whole(body, None)),
+        Err(refusal) => {
+            count_refusal(refusal.kind.into());
+            refusal
+                .to_response()
+                .map(|body| AnswerBody::whole(body, None))
+        }
     }
 }
 
@@ -294,13 +304,19 @@
         Ok(answer) => (answer.response.status(), RunOutcome::Run),
         Err(refused) => (refused.refusal.status(), refused.refusal.outcome),
     };
-    let elapsed = state.clock.now().since(started).as_micros();
+    let elapsed = state.clock.now().since(started);
+    count_answer(
+        context.class.as_str(),
+        status.as_u16(),
+        outcome.into(),
+        elapsed,
+    );
     state.events.record(EventKind::RequestAnswered {
         request: context.request,
         call: context.call,
         status: status.as_u16(),
         outcome,
-        elapsed_us: u64::try_from(elapsed).unwrap_or(u64::MAX),
+        elapsed_us: u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX),
     });
 }
 
--- a/src/daemon/call_router.rs
+++ b/src/daemon/call_router.rs
@@ -1,6 +1,9 @@
 use {
     super::{
-        daemon_state::DaemonState, in_flight_call::InFlightCall, permit_client::ask_permit,
+        daemon_state::{DaemonState, mint_call},
+        in_flight_call::InFlightCall,
+        metrics_recorder::count_retry,
+        permit_client::ask_permit,
         root_entry::RootEntry,
     },
     crate::{
@@ -240,7 +243,7 @@
 
     fn attempt_context(&self) -> CallContext {
         CallContext {
-            call: self.state.mint_call(),
+            call: mint_call(),
             ..self.context.clone()
         }
     }
@@ -301,6 +304,7 @@
     }
 
     fn record_retry(&self, kind: RefusalKind) {
+        count_retry();
         let attempt = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
         self.state.events.record(EventKind::CallRetried {
             request: self.context.request,
--- a/src/daemon/daemon_options.rs
+++ b/src/daemon/daemon_options.rs
@@ -1,23 +1,34 @@
-/// Parts of a daemon that experiments switch off.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct DaemonOptions {
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+/// A part of a daemon that experiments switch off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumIter, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum DaemonPart {
     /// Retries need a permit of the root and of the ratio.
-    pub has_retry_budget: bool,
-    /// Routers leave targets alone that admit higher priorities only.
-    pub has_threshold: bool,
+    RetryBudget,
+    /// Guards and routers shed by priority.
+    Threshold,
     /// The edge sheds by thresholds from further down the chain.
-    pub has_front_gate: bool,
-    /// Guards queue and refuse; otherwise they send everything on.
-    pub has_admission: bool,
+    FrontGate,
+    /// Guards drop what has stood in the queue for too long.
+    Sojourn,
 }
 
-impl Default for DaemonOptions {
-    fn default() -> Self {
-        Self {
-            has_retry_budget: true,
-            has_threshold: true,
-            has_front_gate: true,
-            has_admission: true,
-        }
+/// Which parts of a daemon run.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DaemonOptions {
+    off: Vec<DaemonPart>,
+}
+
+impl DaemonOptions {
+    /// All parts run but those.
+    #[must_use]
+    pub fn without(off: &[DaemonPart]) -> Self {
+        Self { off: off.to_vec() }
+    }
+
+    #[must_use]
+    pub fn is_on(&self, part: DaemonPart) -> bool {
+        !self.off.contains(&part)
     }
 }
--- a/src/daemon/daemon_process.rs
+++ b/src/daemon/daemon_process.rs
@@ -1,5 +1,7 @@
 use {
     super::{
+        active_calls::ActiveCalls,
+        admin_service::serve_admin,
         announce_service::{note_withdrawn, serve_target, withdraw},
         call_entry::serve_edge,
         daemon_options::DaemonOptions,
@@ -10,11 +12,13 @@
         member_watch::{follow_members, follow_policy, follow_sightings},
         mesh_service::serve_mesh_call,
         mesh_transport::MeshTransport,
+        metrics_recorder::{process_recorder, show_load},
         target_probe::probe_target,
     },
     crate::{
         admission::FrontGate,
         auth::SharedKey,
+        console::AdminToken,
         error::StepError,
         events::{EventKind, EventLog},
         membership::{MemberId, MembershipHandle, MembershipSettings},
@@ -109,7 +113,9 @@
             mesh_address: listen.mesh,
             mesh,
             events,
-            active: super::active_calls::ActiveCalls::default(),
+            recorder: process_recorder(),
+            admin_token: AdminToken::new(&settings.admin_token),
+            active: ActiveCalls::default(),
             target: TargetSlot::new(clock),
             phase: watch::Sender::new(DaemonPhase::Starting),
             policy: policies.current(),
@@ -206,6 +212,7 @@
             };
             if let Some(target) = state.target.get() {
                 target.desk.tick(now);
+                show_load(&target.desk.load());
             }
             state.gate().tick(now);
             true
@@ -224,6 +231,9 @@
         let state = self.state.clone();
         let mesh = move |request| serve_mesh_call(state.clone(), request);
         tokio::spawn(serve_mesh(sockets.mesh, limits, gate(), mesh));
+        let state = self.state.clone();
+        let admin = move |request| serve_admin(state.clone(), request);
+        tokio::spawn(serve_http(sockets.admin, limits, gate(), admin));
     }
 }
 
--- a/src/daemon/daemon_state.rs
+++ b/src/daemon/daemon_state.rs
@@ -1,11 +1,12 @@
 use {
     super::{
-        DaemonOptions, active_calls::ActiveCalls, daemon_phase::DaemonPhase,
+        DaemonOptions, DaemonPart, active_calls::ActiveCalls, daemon_phase::DaemonPhase,
         local_target::TargetSlot, mesh_transport::MeshTransport,
     },
     crate::{
-        admission::FrontGate,
+        admission::{FrontGate, GuardSettings, SojournMode, ThresholdMode},
         auth::SharedKey,
+        console::AdminToken,
         context::{CallId, CallPriority, ClassName, RequestId, ServiceName},
         events::{EventLog, HybridStamp, STAMP_HEADER},
         membership::{MemberId, MembershipHandle},
@@ -18,6 +19,7 @@
         time::ProcessClock,
     },
     http::HeaderMap,
+    metrics_exporter_prometheus::PrometheusHandle,
     rand::RngExt,
     std::{
         collections::HashMap,
@@ -40,6 +42,8 @@
     pub(crate) mesh_address: SocketAddr,
     pub(crate) mesh: Arc<MeshPool>,
     pub(crate) events: EventLog,
+    pub(crate) recorder: PrometheusHandle,
+    pub(crate) admin_token: AdminToken,
     pub(crate) active: ActiveCalls,
     pub(crate) target: TargetSlot,
     pub(crate) phase: watch::Sender<DaemonPhase>,
@@ -85,14 +89,6 @@
         *self.phase.borrow()
     }
 
-    pub(crate) fn mint_request(&self) -> RequestId {
-        RequestId::from_u128(rand::rng().random())
-    }
-
-    pub(crate) fn mint_call(&self) -> CallId {
-        CallId::from_u64(rand::rng().random())
-    }
-
     /// Takes one retry of a request that entered here.
     pub(crate) fn take_permit(&self, request: RequestId) -> PermitVerdict {
         self.roots().take(self.clock.now(), request)
@@ -116,9 +112,21 @@
             .is_some_and(RetryRatio::take)
     }
 
+    /// How the guard of a target with so many slots decides.
+    pub(crate) fn guard_settings(&self, slots: u32) -> GuardSettings {
+        let mut settings = GuardSettings::new(slots, &self.policy().document.overload);
+        if !self.options.is_on(DaemonPart::Threshold) {
+            settings.threshold = ThresholdMode::Lowest;
+        }
+        if !self.options.is_on(DaemonPart::Sojourn) {
+            settings.sojourn = SojournMode::Unbounded;
+        }
+        settings
+    }
+
     /// The priority that is held against thresholds of targets.
     pub(crate) fn shed_priority(&self, priority: CallPriority) -> CallPriority {
-        if self.options.has_threshold {
+        if self.options.is_on(DaemonPart::Threshold) {
             priority
         } else {
             CallPriority::HIGHEST
@@ -155,3 +163,13 @@
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
+
+/// Draws the identity of a new request.
+pub(crate) fn mint_request() -> RequestId {
+    RequestId::from_u128(rand::rng().random())
+}
+
+/// Draws the identity of a new call.
+pub(crate) fn mint_call() -> CallId {
+    CallId::from_u64(rand::rng().random())
+}
--- a/src/daemon/guarded_call.rs
+++ b/src/daemon/guarded_call.rs
@@ -101,10 +101,6 @@
 }
 
 impl AdmittedCall {
-    pub(crate) fn context(&self) -> &CallContext {
-        &self.call.context
-    }
-
     /// Sends the call to the target and reads its answer.
     pub(crate) async fn dispatch(self) -> Result<GuardAnswer, CallRefusal> {
         let entry = self.call.state.active.enter(self.call.context.clone());
--- a/src/daemon/local_target.rs
+++ b/src/daemon/local_target.rs
@@ -4,7 +4,6 @@
         admission::{AdmissionGuard, GradientLimit, GuardSettings},
         membership::{TargetAnnouncement, TargetState},
         net::TargetPool,
-        policy::OverloadPolicy,
         time::{ProcessClock, TimePoint},
     },
     std::{
@@ -72,7 +71,7 @@
     pub(crate) fn announce(
         &self,
         announcement: &TargetAnnouncement,
-        policy: &OverloadPolicy,
+        settings: GuardSettings,
     ) -> AnnounceChange {
         let now = self.clock.now();
         let mut slot = self.target.write().unwrap_or_else(PoisonError::into_inner);
@@ -84,9 +83,9 @@
         }
         let target = match slot.as_ref() {
             Some(earlier) if is_same_target(&earlier.announcement, announcement) => {
-                self.changed(earlier, announcement, now)
+                Self::changed(earlier, announcement, now)
             }
-            _ => self.fresh(announcement, policy, now),
+            _ => self.fresh(announcement, settings, now),
         };
         let change = match announcement.state {
             TargetState::Serving => AnnounceChange::New,
@@ -113,7 +112,6 @@
     }
 
     fn changed(
-        &self,
         earlier: &LocalTarget,
         announcement: &TargetAnnouncement,
         now: TimePoint,
@@ -133,10 +131,9 @@
     fn fresh(
         &self,
         announcement: &TargetAnnouncement,
-        policy: &OverloadPolicy,
+        settings: GuardSettings,
         now: TimePoint,
     ) -> LocalTarget {
-        let settings = GuardSettings::new(announcement.slots, policy);
         let guard = AdmissionGuard::new(settings, now);
         LocalTarget {
             announcement: announcement.clone(),
--- /dev/null
+++ b/src/daemon/metrics_recorder.rs
@@ -0,0 +1,48 @@
+use {
+    crate::admission::GuardLoad,
+    metrics::{counter, gauge, histogram},
+    metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
+    std::{sync::OnceLock, time::Duration},
+};
+
+static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// The metrics of this process; all daemons in it share them.
+pub(crate) fn process_recorder() -> PrometheusHandle {
+    RECORDER.get_or_init(install).clone()
+}
+
+fn install() -> PrometheusHandle {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    // Another recorder may be installed by the program that embeds the daemon; it then gets all.
+    metrics::set_global_recorder(recorder).ok();
+    handle
+}
+
+/// Counts a final answer of the edge.
+pub(crate) fn count_answer(class: &str, status: u16, outcome: &'static str, elapsed: Duration) {
+    let class = class.to_owned();
+    counter!("banyantrestle_requests_total",
+        "class" => class.clone(), "status" => status.to_string(), "outcome" => outcome)
+    .increment(1);
+    histogram!("banyantrestle_request_seconds", "class" => class).record(elapsed);
+}
+
+/// Counts a refusal of the guard or the edge.
+pub(crate) fn count_refusal(kind: &'static str) {
+    counter!("banyantrestle_refusals_total", "reason" => kind).increment(1);
+}
+
+/// Counts a retry that was made.
+pub(crate) fn count_retry() {
+    counter!("banyantrestle_retries_total").increment(1);
+}
+
+/// Shows the load of the guard.
+pub(crate) fn show_load(load: &GuardLoad) {
+    gauge!("banyantrestle_guard_running").set(load.in_flight);
+    gauge!("banyantrestle_guard_queued").set(load.queued);
+    gauge!("banyantrestle_guard_limit").set(load.limit);
+    gauge!("banyantrestle_guard_threshold").set(load.threshold.as_u32());
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,10 +5,12 @@
 //! (`mesh_service`, `guarded_call`).
 
 mod active_calls;
+mod admin_service;
 mod admission_desk;
 mod announce_service;
 mod call_entry;
 mod call_router;
+mod daemon_command;
 mod daemon_options;
 mod daemon_phase;
 mod daemon_process;
@@ -21,8 +23,14 @@
 mod mesh_client;
 mod mesh_service;
 mod mesh_transport;
+mod metrics_recorder;
 mod permit_client;
 mod root_entry;
 mod target_probe;
 
-pub use {daemon_options::DaemonOptions, daemon_phase::DaemonPhase, daemon_process::Daemon};
+pub use {
+    daemon_command::{DaemonCommand, run_daemon},
+    daemon_options::{DaemonOptions, DaemonPart},
+    daemon_phase::DaemonPhase,
+    daemon_process::Daemon,
+};
--- a/src/daemon/permit_client.rs
+++ b/src/daemon/permit_client.rs
@@ -1,5 +1,5 @@
 use {
-    super::{daemon_state::DaemonState, mesh_client::post_message},
+    super::{daemon_options::DaemonPart, daemon_state::DaemonState, mesh_client::post_message},
     crate::{
         context::{CallContext, RequestId, ServiceName},
         error::StepError,
@@ -26,7 +26,7 @@
     context: &CallContext,
     service: &ServiceName,
 ) -> bool {
-    if !state.options.has_retry_budget {
+    if !state.options.is_on(DaemonPart::RetryBudget) {
         return true;
     }
     if !state.take_retry(service) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -17,16 +17,16 @@
 pub(crate) use {
     answer_body::{AnswerBody, NoHold, StreamEnd, StreamHold},
     answer_reader::{AnswerPrefix, read_answer},
-    call_request::{CallRequest, RouteError, parse_route},
+    call_request::{CallRequest, parse_route},
     header_names::{
-        KEY_HEADER, LOAD_HEADER, REASON_HEADER, TAG_HEADER, clean_answer_headers,
-        remove_hop_headers, remove_length, remove_own_headers, set_header,
+        KEY_HEADER, LOAD_HEADER, TAG_HEADER, clean_answer_headers, remove_hop_headers,
+        remove_length, remove_own_headers, set_header,
     },
     listener::{ConnectionGate, ListenerLimits, bind, serve_http, serve_mesh},
     mesh_pool::{MeshFailure, MeshPool},
     mesh_wire::{
-        ANSWER_PATH, CLAIMS_PATH, MESH_PREFIX, PERMIT_PATH, POLICY_PATH, call_tag, encode_tag,
-        is_valid_call_tag, is_valid_message_tag, message_tag,
+        MESH_PREFIX, PERMIT_PATH, POLICY_PATH, call_tag, encode_tag, is_valid_call_tag,
+        is_valid_message_tag, message_tag,
     },
     request_reader::{RequestError, read_request},
     target_pool::{SendFailure, TargetConnection, TargetPool},
--- a/src/routing/target_table.rs
+++ b/src/routing/target_table.rs
@@ -16,6 +16,8 @@
 
 /// Share of a service's targets that may be ejected at once, in %.
 const MAX_EJECTED_PERCENT: usize = 50;
+/// Services that are remembered after their last target has gone.
+const MAX_SEEN_SERVICES: usize = 1_024;
 /// Earliest return of a call that every target sheds.
 const SHED_RETRY_MIN_MS: u64 = 250;
 const SHED_RETRY_MAX_MS: u64 = 1_000;
@@ -34,6 +36,8 @@
     targets: SlotMap<TargetKey, TargetEntry>,
     by_service: HashMap<ServiceName, Vec<TargetKey>>,
     by_member: HashMap<MemberId, TargetKey>,
+    /// Services that a target was announced of, up to a bound.
+    seen: HashSet<ServiceName>,
 }
 
 impl TargetTable {
@@ -44,6 +48,7 @@
             targets: SlotMap::with_key(),
             by_service: HashMap::new(),
             by_member: HashMap::new(),
+            seen: HashSet::new(),
         }
     }
 
@@ -108,14 +113,17 @@
         self.targets.get(key)
     }
 
-    /// A member announces a target of the service.
+    /// A target of the service is announced, or was.
     #[must_use]
     pub fn is_known(&self, service: &ServiceName) -> bool {
-        self.by_service.contains_key(service)
+        self.seen.contains(service)
     }
 
     fn take_in(&mut self, now: TimePoint, record: &MemberRecord) -> Option<TargetKey> {
         let target = record.target.as_ref()?;
+        if self.seen.len() < MAX_SEEN_SERVICES && !self.seen.contains(&target.service) {
+            self.seen.insert(target.service.clone());
+        }
         let is_present = matches!(record.state, MemberState::Alive | MemberState::Suspect);
         if !is_present || target.state == TargetState::Draining {
             return None;
