--- /dev/null
+++ b/src/claims/batch_progress.rs
@@ -0,0 +1,137 @@
+use {
+    super::{ClaimRow, RowOutcome},
+    crate::platform::{TableError, TableRow, WriteResult},
+    std::time::Duration,
+};
+
+/// Transactions that are tried for one batch.
+const MAX_TRANSACTIONS: u32 = 3;
+/// Wait before the second transaction; doubled before the third.
+const RETRY_PAUSE: Duration = Duration::from_millis(25);
+
+/// One batch on its way into the table.
+///
+/// A lost answer is settled by reading the rows back. A row that is not there is written again by
+/// the same write: whichever of the two comes late finds the row taken.
+#[derive(Debug)]
+pub struct BatchProgress {
+    rows: Vec<BatchRow>,
+    transactions: u32,
+    stage: BatchStage,
+}
+
+#[derive(Debug)]
+struct BatchRow {
+    row: ClaimRow,
+    outcome: Option<RowOutcome>,
+    is_maybe_applied: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BatchStage {
+    Write,
+    Pause,
+    ReadBack,
+}
+
+/// What is to be done for a batch next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BatchStep {
+    /// Write the unsettled rows in one transaction.
+    Transact,
+    /// Read the unsettled rows.
+    ReadBack,
+    Pause(Duration),
+    Done,
+}
+
+impl BatchProgress {
+    #[must_use]
+    pub fn new(rows: Vec<ClaimRow>) -> Self {
+        let batch_row = |row| BatchRow {
+            row,
+            outcome: None,
+            is_maybe_applied: false,
+        };
+        Self {
+            rows: rows.into_iter().map(batch_row).collect(),
+            transactions: 0,
+            stage: BatchStage::Write,
+        }
+    }
+
+    #[must_use]
+    pub fn step(&self) -> BatchStep {
+        if self.unsettled().next().is_none() {
+            return BatchStep::Done;
+        }
+        match self.stage {
+            BatchStage::ReadBack => BatchStep::ReadBack,
+            _ if self.transactions == MAX_TRANSACTIONS => BatchStep::Done,
+            BatchStage::Pause => BatchStep::Pause(RETRY_PAUSE * self.transactions),
+            BatchStage::Write => BatchStep::Transact,
+        }
+    }
+
+    /// Rows whose outcome is open, in order.
+    pub fn unsettled(&self) -> impl Iterator<Item = &ClaimRow> {
+        let open = self.rows.iter().filter(|row| row.outcome.is_none());
+        open.map(|row| &row.row)
+    }
+
+    /// Marks the rows as sent: from here on they may take effect.
+    pub fn on_transact_sent(&mut self) {
+        self.transactions += 1;
+        self.stage = BatchStage::ReadBack;
+    }
+
+    /// Takes the answer for the unsettled rows.
+    pub fn on_transacted(&mut self, answer: Result<Vec<WriteResult>, TableError>) {
+        match answer {
+            Ok(results) => {
+                for (row, result) in self.open_rows().zip(&results) {
+                    row.outcome = Some(row.row.outcome_of(result));
+                }
+                self.stage = BatchStage::Pause;
+            }
+            Err(TableError::Refused(_)) => self.stage = BatchStage::Pause,
+            Err(TableError::Lost { .. }) => {
+                for row in self.open_rows() {
+                    row.is_maybe_applied = true;
+                }
+                self.stage = BatchStage::ReadBack;
+            }
+        }
+    }
+
+    /// Takes the rows that stand for the unsettled ones.
+    pub fn on_read(&mut self, answer: Result<Vec<Option<TableRow>>, TableError>) {
+        if let Ok(found) = answer {
+            for (row, found) in self.open_rows().zip(&found) {
+                row.outcome = row.row.outcome_read(found.as_ref());
+            }
+        }
+        self.stage = BatchStage::Pause;
+    }
+
+    /// Ends the pause.
+    pub fn on_pause(&mut self) {
+        self.stage = BatchStage::Write;
+    }
+
+    /// One outcome a row, in order; what is still open was refused or lost.
+    #[must_use]
+    pub fn into_outcomes(self) -> Vec<RowOutcome> {
+        let is_sent = self.stage == BatchStage::ReadBack;
+        let outcome = |row: BatchRow| match row.outcome {
+            Some(outcome) => outcome,
+            None if row.is_maybe_applied || is_sent => RowOutcome::Lost,
+            None => RowOutcome::Refused,
+        };
+        self.rows.into_iter().map(outcome).collect()
+    }
+
+    fn open_rows(&mut self) -> impl Iterator<Item = &mut BatchRow> {
+        self.rows.iter_mut().filter(|row| row.outcome.is_none())
+    }
+}
--- /dev/null
+++ b/src/claims/batcher_ring.rs
@@ -0,0 +1,67 @@
+use {
+    super::RingMember,
+    crate::{context::ServiceName, membership::MemberId, time::TimePoint},
+    rapidhash::v3::rapidhash_v3,
+    std::{cmp::Reverse, collections::HashMap, time::Duration},
+};
+
+/// For each service, its live members in the order in which they are asked to commit claims.
+///
+/// Every daemon that knows the same members finds the same order (rendezvous hashing), and a
+/// member that comes or goes changes no other place. Nothing depends on the daemons agreeing:
+/// the table decides each claim whoever commits it.
+#[derive(Clone, Debug, Default)]
+pub struct BatcherRing {
+    orders: HashMap<ServiceName, Vec<RingMember>>,
+    failed: HashMap<MemberId, TimePoint>,
+}
+
+impl BatcherRing {
+    /// Replaces the live members of a service.
+    pub fn set_members(&mut self, service: ServiceName, mut members: Vec<RingMember>) {
+        members.sort_by_cached_key(|member| Reverse(weight(&service, member.id)));
+        self.orders.insert(service, members);
+        let orders = &self.orders;
+        self.failed
+            .retain(|id, _| orders.values().flatten().any(|member| member.id == *id));
+    }
+
+    /// Members to ask, first choice first; those that failed within `rest` are left out.
+    pub fn candidates(
+        &self,
+        service: &ServiceName,
+        now: TimePoint,
+        rest: Duration,
+    ) -> impl Iterator<Item = &RingMember> {
+        let members = self.orders.get(service).map_or(&[][..], Vec::as_slice);
+        members.iter().filter(move |member| {
+            let failed = self.failed.get(&member.id);
+            failed.is_none_or(|failed| now.since(*failed) >= rest)
+        })
+    }
+
+    /// Passes the member over for a while.
+    pub fn mark_failed(&mut self, id: MemberId, now: TimePoint) {
+        self.failed.insert(id, now);
+    }
+
+    pub fn mark_answered(&mut self, id: MemberId) {
+        self.failed.remove(&id);
+    }
+
+    /// Whether `id` is the first choice of the service.
+    #[must_use]
+    pub fn is_first(&self, service: &ServiceName, id: MemberId) -> bool {
+        let order = self.orders.get(service);
+        order.is_some_and(|members| members.first().is_some_and(|member| member.id == id))
+    }
+
+    /// Services whose members are known.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.orders.keys()
+    }
+}
+
+fn weight(service: &ServiceName, id: MemberId) -> u64 {
+    rapidhash_v3(format!("{service}/{id}").as_bytes())
+}
--- /dev/null
+++ b/src/claims/claim_attempt.rs
@@ -0,0 +1,276 @@
+use {
+    super::{
+        BodyFingerprint, ClaimRow, HeldClaim, HolderAnswer, RecordedAnswer, RingMember, RowChange,
+        RowOutcome, TransportError, UnknownReason, WriteId,
+    },
+    crate::{membership::MemberId, time::TimePoint},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Batchers that are asked before the guard commits for itself.
+pub const MAX_BATCHERS: usize = 2;
+
+/// Failures of the table service after which an attempt is given up.
+const MAX_TABLE_FAILURES: u32 = 3;
+/// Pause after the first failure of the table service; doubled after each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// Changes of the row under the attempt that are followed.
+const MAX_TURNS: u32 = 4;
+
+/// One attempt of a guard to claim a key, from the first commit to the verdict.
+///
+/// It holds the rules and no connection: [`ClaimAttempt::step`] names what to do, and the
+/// `on_` methods take what came of it. Nothing is dispatched while it is under way, so giving it
+/// up always leaves this attempt not run. Once the row of another holder was seen, the key may
+/// have run there, and the verdict is `unknown` until that holder says otherwise.
+#[derive(Clone, Debug)]
+pub struct ClaimAttempt {
+    row: ClaimRow,
+    value: String,
+    fingerprint: BodyFingerprint,
+    deadline: TimePoint,
+    batchers: Vec<RingMember>,
+    next_batcher: usize,
+    table_failures: u32,
+    turns: u32,
+    is_maybe_applied: bool,
+    /// Claim of another attempt that stands in the way.
+    held: Option<HeldClaim>,
+    stage: AttemptStage,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum AttemptStage {
+    Commit,
+    Pause,
+    AskHolder,
+    Ended(AttemptOutcome),
+}
+
+/// Where a row is committed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CommitPlace {
+    /// By this daemon.
+    Here,
+    At(RingMember),
+}
+
+/// What an attempt wants done next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AttemptStep {
+    Commit {
+        place: CommitPlace,
+        row: ClaimRow,
+    },
+    /// Ask the holder of the claim that stands in the way.
+    AskHolder {
+        held: HeldClaim,
+        holder: MemberId,
+        mesh: SocketAddr,
+    },
+    Pause(Duration),
+    Done(AttemptOutcome),
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AttemptOutcome {
+    Won,
+    Replay(RecordedAnswer),
+    Unknown(UnknownReason),
+    Mismatch,
+    /// Not claimed; nothing was dispatched.
+    Unavailable,
+}
+
+impl ClaimAttempt {
+    #[must_use]
+    pub fn new(
+        row_key: String,
+        write_id: WriteId,
+        value: String,
+        fingerprint: BodyFingerprint,
+        deadline: TimePoint,
+        batchers: Vec<RingMember>,
+    ) -> Self {
+        let change = RowChange::Insert {
+            value: value.clone(),
+        };
+        Self {
+            row: ClaimRow {
+                key: row_key,
+                write_id,
+                change,
+            },
+            value,
+            fingerprint,
+            deadline,
+            batchers,
+            next_batcher: 0,
+            table_failures: 0,
+            turns: 0,
+            is_maybe_applied: false,
+            held: None,
+            stage: AttemptStage::Commit,
+        }
+    }
+
+    /// What to do at `now`.
+    #[must_use]
+    pub fn step(&self, now: TimePoint) -> AttemptStep {
+        if let AttemptStage::Ended(outcome) = &self.stage {
+            return AttemptStep::Done(outcome.clone());
+        }
+        if now >= self.deadline {
+            return AttemptStep::Done(self.given_up());
+        }
+        match &self.stage {
+            AttemptStage::Pause => AttemptStep::Pause(self.pause().min(now.until(self.deadline))),
+            AttemptStage::AskHolder => self.ask_holder(),
+            _ => self.commit(),
+        }
+    }
+
+    /// Takes the outcome of the row from whoever committed it.
+    pub fn on_outcome(&mut self, outcome: RowOutcome) {
+        match outcome {
+            RowOutcome::Applied => self.end(AttemptOutcome::Won),
+            RowOutcome::Held(held) => self.on_held(held),
+            RowOutcome::Vacant => self.turn(self.insertion()),
+            RowOutcome::Refused | RowOutcome::Full => self.give_up(),
+            RowOutcome::Lost => self.on_lost(),
+        }
+    }
+
+    /// Takes the failure of whoever was to commit: the same row goes to the next batcher.
+    pub fn on_commit_failed(&mut self, error: &TransportError) {
+        if matches!(error, TransportError::Lost(_)) {
+            self.is_maybe_applied = true;
+        }
+        if self.next_batcher >= self.batchers.len() {
+            return self.give_up();
+        }
+        self.next_batcher += 1;
+    }
+
+    /// Ends the attempt as it stands.
+    pub fn give_up(&mut self) {
+        self.end(self.given_up());
+    }
+
+    /// Takes what the holder of the claim in the way says.
+    pub fn on_holder(&mut self, answer: Result<HolderAnswer, TransportError>) {
+        match answer {
+            Ok(HolderAnswer::Answered(answer)) => self.end(AttemptOutcome::Replay(answer)),
+            Ok(HolderAnswer::Running) => self.end_unknown(UnknownReason::StillRunning),
+            Ok(HolderAnswer::Unknown(reason)) => self.end_unknown(reason),
+            Ok(HolderAnswer::Abandoned) => self.turn(self.replacement()),
+            Err(_) => self.end_unknown(UnknownReason::HolderGone),
+        }
+    }
+
+    /// Ends the pause.
+    pub fn on_pause(&mut self) {
+        self.stage = AttemptStage::Commit;
+    }
+
+    /// Whether the row may stand in the table, now or later.
+    #[must_use]
+    pub fn is_maybe_applied(&self) -> bool {
+        self.is_maybe_applied
+    }
+
+    fn commit(&self) -> AttemptStep {
+        let batcher = self.batchers.get(self.next_batcher);
+        let place = batcher.map_or(CommitPlace::Here, |member| CommitPlace::At(*member));
+        let row = self.row.clone();
+        AttemptStep::Commit { place, row }
+    }
+
+    fn ask_holder(&self) -> AttemptStep {
+        let unreadable = AttemptOutcome::Unknown(UnknownReason::UnreadableClaim);
+        let Some(held) = &self.held else {
+            return AttemptStep::Done(unreadable);
+        };
+        match &held.record {
+            Some(record) => AttemptStep::AskHolder {
+                holder: record.holder,
+                mesh: record.holder_mesh,
+                held: held.clone(),
+            },
+            None => AttemptStep::Done(unreadable),
+        }
+    }
+
+    fn on_held(&mut self, held: HeldClaim) {
+        if held.write_id == self.row.write_id {
+            return self.end(AttemptOutcome::Won);
+        }
+        let is_mismatch = held
+            .record
+            .as_ref()
+            .is_some_and(|record| record.fingerprint != self.fingerprint);
+        if is_mismatch {
+            return self.end(AttemptOutcome::Mismatch);
+        }
+        self.held = Some(held);
+        self.stage = AttemptStage::AskHolder;
+    }
+
+    fn on_lost(&mut self) {
+        self.is_maybe_applied = true;
+        self.table_failures += 1;
+        if self.table_failures == MAX_TABLE_FAILURES {
+            self.give_up();
+        } else {
+            self.stage = AttemptStage::Pause;
+        }
+    }
+
+    /// Goes on with another change, since the row was given up or has gone.
+    fn turn(&mut self, change: RowChange) {
+        self.turns += 1;
+        self.held = None;
+        if self.turns > MAX_TURNS {
+            return self.give_up();
+        }
+        self.row.change = change;
+        self.stage = AttemptStage::Commit;
+    }
+
+    fn insertion(&self) -> RowChange {
+        RowChange::Insert {
+            value: self.value.clone(),
+        }
+    }
+
+    fn replacement(&self) -> RowChange {
+        match &self.held {
+            Some(held) => RowChange::Replace {
+                old: held.write_id.clone(),
+                value: self.value.clone(),
+            },
+            None => self.insertion(),
+        }
+    }
+
+    /// The outcome when the attempt ends unsettled.
+    fn given_up(&self) -> AttemptOutcome {
+        match self.held {
+            Some(_) => AttemptOutcome::Unknown(UnknownReason::DeadlinePassed),
+            None => AttemptOutcome::Unavailable,
+        }
+    }
+
+    fn pause(&self) -> Duration {
+        FIRST_PAUSE * (1 << self.table_failures.saturating_sub(1))
+    }
+
+    fn end(&mut self, outcome: AttemptOutcome) {
+        self.stage = AttemptStage::Ended(outcome);
+    }
+
+    fn end_unknown(&mut self, reason: UnknownReason) {
+        self.end(AttemptOutcome::Unknown(reason));
+    }
+}
--- /dev/null
+++ b/src/claims/claim_limits.rs
@@ -0,0 +1,49 @@
+use std::time::Duration;
+
+/// Bounds of the claims of one daemon.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ClaimLimits {
+    /// Calls that are being claimed or run.
+    pub open_calls: usize,
+    /// Ended calls that are remembered.
+    pub kept_calls: usize,
+    /// Bytes of all recorded answers.
+    pub kept_bytes: usize,
+    /// Bytes of the largest answer that is recorded.
+    pub answer_bytes: usize,
+    /// Repeats that wait for one call.
+    pub waiting_repeats: usize,
+    /// Rows that wait for a transaction, for each service.
+    pub queued_rows: usize,
+    /// Rows of one transaction.
+    pub batch_rows: usize,
+    /// Transactions of one service, sustained.
+    pub commits_per_s: u32,
+    /// Transactions of one service that may start at once after a pause.
+    pub commit_burst: u32,
+    /// Longest time that a batcher spends on one batch.
+    pub commit_time: Duration,
+    /// Longest wait for a batcher before the next one is asked.
+    pub batcher_patience: Duration,
+    /// Time for which a batcher that failed is passed over.
+    pub batcher_rest: Duration,
+}
+
+impl Default for ClaimLimits {
+    fn default() -> Self {
+        Self {
+            open_calls: 4_096,
+            kept_calls: 16_384,
+            kept_bytes: 8 * 1024 * 1024,
+            answer_bytes: 64 * 1024,
+            waiting_repeats: 64,
+            queued_rows: 2_048,
+            batch_rows: 256,
+            commits_per_s: 20,
+            commit_burst: 10,
+            commit_time: Duration::from_secs(1),
+            batcher_patience: Duration::from_millis(1_300),
+            batcher_rest: Duration::from_secs(5),
+        }
+    }
+}
--- /dev/null
+++ b/src/claims/claim_record.rs
@@ -0,0 +1,55 @@
+use {
+    super::{BodyFingerprint, WriteId},
+    crate::{context::RequestId, membership::MemberId, platform::TableRow},
+    serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error},
+    std::net::SocketAddr,
+};
+
+/// Value of a claim's row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimRecord {
+    /// Process that claimed the key; it alone may dispatch the call.
+    pub holder: MemberId,
+    pub holder_mesh: SocketAddr,
+    pub fingerprint: BodyFingerprint,
+    #[serde(serialize_with = "write_request", deserialize_with = "read_request")]
+    pub request: RequestId,
+    /// Wall clock of the holder, in ms of the Unix epoch.
+    pub created_ms: u64,
+    /// Time for which the key may be repeated, in s.
+    pub window_s: u64,
+}
+
+impl ClaimRecord {
+    /// The value as JSON.
+    #[must_use]
+    pub fn to_text(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+}
+
+/// A claim as it stands in the table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldClaim {
+    pub write_id: WriteId,
+    /// Absent if the row cannot be read.
+    pub record: Option<ClaimRecord>,
+}
+
+impl From<&TableRow> for HeldClaim {
+    fn from(row: &TableRow) -> Self {
+        Self {
+            write_id: WriteId::from_row(&row.write_id),
+            record: serde_json::from_str(&row.value).ok(),
+        }
+    }
+}
+
+fn write_request<S: Serializer>(request: &RequestId, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(request)
+}
+
+fn read_request<'de, D: Deserializer<'de>>(deserializer: D) -> Result<RequestId, D::Error> {
+    let text = String::deserialize(deserializer)?;
+    RequestId::parse(&text).ok_or_else(|| D::Error::custom("no request id"))
+}
--- /dev/null
+++ b/src/claims/claim_request.rs
@@ -0,0 +1,16 @@
+use {
+    super::{BodyFingerprint, ClaimKey},
+    crate::{context::RequestId, time::TimePoint},
+    std::time::Duration,
+};
+
+/// A non-idempotent call that a guard wants to dispatch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClaimRequest {
+    pub key: ClaimKey,
+    pub fingerprint: BodyFingerprint,
+    pub request: RequestId,
+    pub deadline: TimePoint,
+    /// Time for which the key may be repeated.
+    pub window: Duration,
+}
--- /dev/null
+++ b/src/claims/claim_row.rs
@@ -0,0 +1,118 @@
+use {
+    super::{HeldClaim, WriteId, claim_key::row_prefix},
+    crate::{
+        context::ServiceName,
+        platform::{TableRow, TableWrite, WriteCondition, WriteResult},
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// Table of all claims.
+pub const CLAIMS_TABLE: &str = "claims";
+/// Bytes of the longest text of a row that a batcher takes.
+pub const MAX_ROW_TEXT_BYTES: usize = 1_024;
+
+/// One row that a guard asks a batcher to commit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimRow {
+    pub key: String,
+    pub write_id: WriteId,
+    pub change: RowChange,
+}
+
+/// What is to become of the row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RowChange {
+    /// Claims a key that nobody has claimed.
+    Insert { value: String },
+    /// Claims a key from an attempt whose holder has given it up.
+    Replace { old: WriteId, value: String },
+    /// Gives up a claim that was not dispatched.
+    Delete { old: WriteId },
+}
+
+/// What became of a row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RowOutcome {
+    Applied,
+    /// Not applied: the row as it stands.
+    Held(HeldClaim),
+    /// Not applied: there is no such row.
+    Vacant,
+    /// Not applied: the table service refused.
+    Refused,
+    /// Not applied: the queue of the batcher is full.
+    Full,
+    /// Not settled: the row may have been applied or may yet be.
+    Lost,
+}
+
+/// Result of one row, with the write that it belongs to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimRowResult {
+    pub write_id: WriteId,
+    pub outcome: RowOutcome,
+}
+
+impl ClaimRow {
+    /// Whether a batcher may commit it for a guard of `service`.
+    #[must_use]
+    pub fn is_valid(&self, service: &ServiceName) -> bool {
+        let texts = match &self.change {
+            RowChange::Insert { value } => ["", value],
+            RowChange::Replace { old, value } => [old.as_str(), value],
+            RowChange::Delete { old } => [old.as_str(), ""],
+        };
+        let is_bounded = |text: &str| text.len() <= MAX_ROW_TEXT_BYTES;
+        self.key.starts_with(&row_prefix(service))
+            && is_bounded(&self.key)
+            && is_bounded(self.write_id.as_str())
+            && texts.into_iter().all(is_bounded)
+    }
+
+    #[must_use]
+    pub fn to_write(&self) -> TableWrite {
+        let (value, condition) = match &self.change {
+            RowChange::Insert { value } => (Some(value), WriteCondition::Absent),
+            RowChange::Replace { old, value } => (Some(value), is_written_by(old)),
+            RowChange::Delete { old } => (None, is_written_by(old)),
+        };
+        TableWrite {
+            table: CLAIMS_TABLE.into(),
+            key: self.key.clone(),
+            write_id: self.write_id.as_str().into(),
+            value: value.cloned(),
+            condition,
+        }
+    }
+
+    /// What a transaction says of the row.
+    #[must_use]
+    pub fn outcome_of(&self, result: &WriteResult) -> RowOutcome {
+        match result {
+            WriteResult::Applied { .. } => RowOutcome::Applied,
+            WriteResult::Conflict { row: Some(row) } => RowOutcome::Held(row.into()),
+            WriteResult::Conflict { row: None } => RowOutcome::Vacant,
+        }
+    }
+
+    /// What a read after a lost answer says; `None` if the row is still to be written.
+    #[must_use]
+    pub fn outcome_read(&self, row: Option<&TableRow>) -> Option<RowOutcome> {
+        match (&self.change, row) {
+            (RowChange::Insert { .. }, None) => None,
+            (RowChange::Replace { .. }, None) => Some(RowOutcome::Vacant),
+            (RowChange::Delete { .. }, None) => Some(RowOutcome::Applied),
+            (RowChange::Replace { old, .. } | RowChange::Delete { old }, Some(row))
+                if row.write_id == old.as_str() =>
+            {
+                None
+            }
+            (_, Some(row)) => Some(RowOutcome::Held(row.into())),
+        }
+    }
+}
+
+fn is_written_by(id: &WriteId) -> WriteCondition {
+    WriteCondition::WriteId(id.as_str().into())
+}
--- /dev/null
+++ b/src/claims/claim_token.rs
@@ -0,0 +1,96 @@
+use {
+    super::{
+        ClaimKey, EntryKey, WriteId,
+        ledger_cell::{LedgerCell, ReleasedClaim},
+    },
+    crate::time::TimePoint,
+    std::sync::Arc,
+};
+
+/// A claim that stands: its owner alone may dispatch the call, once.
+///
+/// Dropping it releases the claim, since nothing was dispatched under it.
+#[derive(Debug)]
+pub struct ClaimToken {
+    claim: Option<OpenClaim>,
+}
+
+/// A claim whose call is being dispatched.
+///
+/// Dropping it leaves the call `unknown` for ever.
+#[derive(Debug)]
+pub struct RunningClaim {
+    claim: Option<OpenClaim>,
+}
+
+#[derive(Debug)]
+pub(super) struct OpenClaim {
+    pub(super) ledger: Arc<LedgerCell>,
+    pub(super) entry: EntryKey,
+    pub(super) key: ClaimKey,
+    pub(super) write_id: WriteId,
+    pub(super) deadline: TimePoint,
+}
+
+impl ClaimToken {
+    pub(super) fn new(claim: OpenClaim) -> Self {
+        Self { claim: Some(claim) }
+    }
+
+    /// Whether there is still time for the call; to be asked right before dispatch.
+    #[must_use]
+    pub fn is_dispatchable(&self, now: TimePoint) -> bool {
+        let deadline = self.claim.as_ref().map(|claim| claim.deadline);
+        deadline.is_some_and(|deadline| now < deadline)
+    }
+
+    /// Turns the claim into the right to send the call to a target once.
+    ///
+    /// # Errors
+    /// The deadline has passed; the claim is handed back and is to be released.
+    pub fn dispatch(mut self, now: TimePoint) -> Result<RunningClaim, Self> {
+        if !self.is_dispatchable(now) {
+            return Err(self);
+        }
+        let claim = self
+            .claim
+            .take_if(|claim| claim.ledger.lock().dispatch(claim.entry));
+        match claim {
+            Some(claim) => Ok(RunningClaim { claim: Some(claim) }),
+            None => Err(self),
+        }
+    }
+}
+
+impl RunningClaim {
+    pub(super) fn take(mut self) -> Option<OpenClaim> {
+        self.claim.take()
+    }
+}
+
+impl OpenClaim {
+    /// Gives the claim up, which was not dispatched.
+    pub(super) fn release(self) {
+        let released = ReleasedClaim {
+            key: self.key,
+            write_id: self.write_id,
+        };
+        self.ledger.abandon(self.entry, Some(released));
+    }
+}
+
+impl Drop for ClaimToken {
+    fn drop(&mut self) {
+        if let Some(claim) = self.claim.take() {
+            claim.release();
+        }
+    }
+}
+
+impl Drop for RunningClaim {
+    fn drop(&mut self) {
+        if let Some(claim) = self.claim.take() {
+            claim.ledger.fail(claim.entry);
+        }
+    }
+}
--- /dev/null
+++ b/src/claims/claim_transport.rs
@@ -0,0 +1,56 @@
+use {
+    super::{AnswerRequest, ClaimRow, ClaimRowResult, HolderAnswer},
+    crate::context::ServiceName,
+    serde::{Deserialize, Serialize},
+    std::{future::Future, net::SocketAddr},
+    thiserror::Error,
+};
+
+/// Rows of one request to a batcher.
+pub const MAX_REQUEST_ROWS: usize = 256;
+
+/// Rows that a guard sends to a batcher.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CommitRequest {
+    pub service: ServiceName,
+    pub rows: Vec<ClaimRow>,
+}
+
+/// Answer to a [`CommitRequest`], one result a row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CommitAnswer {
+    pub results: Vec<ClaimRowResult>,
+}
+
+/// Why another daemon gave no answer.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum TransportError {
+    /// Nothing was sent.
+    #[error("not reached: {0}")]
+    Unreached(String),
+    #[error("no answer: {0}")]
+    Lost(String),
+}
+
+/// Requests to the claim services of other daemons, by their mesh addresses.
+pub trait ClaimTransport: Clone + Send + Sync + 'static {
+    /// Served there by `ClaimService::serve_commit`.
+    ///
+    /// # Errors
+    /// The peer was not reached or did not answer.
+    fn commit_at(
+        &self,
+        peer_mesh: SocketAddr,
+        request: CommitRequest,
+    ) -> impl Future<Output = Result<CommitAnswer, TransportError>> + Send;
+
+    /// Served there by `ClaimService::serve_answer`.
+    ///
+    /// # Errors
+    /// The peer was not reached or did not answer.
+    fn answer_at(
+        &self,
+        peer_mesh: SocketAddr,
+        request: AnswerRequest,
+    ) -> impl Future<Output = Result<HolderAnswer, TransportError>> + Send;
+}
--- /dev/null
+++ b/src/claims/commit_actor.rs
@@ -0,0 +1,186 @@
+use {
+    super::{
+        BatchProgress, BatchStep, ClaimLimits, ClaimRow, CommitQueue, QueueStep, QueuedRow,
+        RowOutcome, claim_row::CLAIMS_TABLE,
+    },
+    crate::{context::ServiceName, platform::TableStore, time::ProcessClock},
+    metrics::{counter, histogram},
+    std::{collections::HashMap, time::Duration},
+    tokio::{
+        sync::oneshot,
+        time::{sleep, timeout},
+    },
+    xtra::{Actor, Context, Handler, Mailbox, WeakAddress},
+};
+
+type ReplySender = oneshot::Sender<RowOutcome>;
+
+/// Commits claims, its own and those of other guards, one transaction at a time for a service.
+#[derive(Debug)]
+pub(super) struct CommitActor<S> {
+    store: S,
+    limits: ClaimLimits,
+    clock: ProcessClock,
+    queues: HashMap<ServiceName, CommitQueue<ReplySender>>,
+}
+
+/// Rows to commit; a full queue is answered at once.
+#[derive(Debug)]
+pub(super) struct CommitRows {
+    pub(super) service: ServiceName,
+    pub(super) rows: Vec<QueuedRow<ReplySender>>,
+}
+
+/// The pause that the write rate asked for has ended.
+struct PauseEnded(ServiceName);
+
+/// The transaction in flight has ended.
+struct BatchEnded(ServiceName);
+
+impl<S: TableStore> CommitActor<S> {
+    pub(super) fn new(store: S, limits: ClaimLimits, clock: ProcessClock) -> Self {
+        Self {
+            store,
+            limits,
+            clock,
+            queues: HashMap::new(),
+        }
+    }
+
+    fn push(&mut self, service: &ServiceName, row: QueuedRow<ReplySender>) {
+        let now = self.clock.now();
+        let limits = &self.limits;
+        let queue = self
+            .queues
+            .entry(service.clone())
+            .or_insert_with(|| CommitQueue::new(limits, now));
+        if let Err(row) = queue.push(row, limits) {
+            counter!("banyantrestle_claim_rows_total", "outcome" => "full").increment(1);
+            // The guard that no longer waits needs no answer.
+            let _ = row.reply.send(RowOutcome::Full);
+        }
+    }
+
+    fn flush(&mut self, service: ServiceName, address: WeakAddress<Self>) {
+        let now = self.clock.now();
+        let Some(queue) = self.queues.get_mut(&service) else {
+            return;
+        };
+        match queue.step(&self.limits, now) {
+            QueueStep::Commit(batch) => {
+                let store = self.store.clone();
+                let limit = self.limits.commit_time;
+                tokio::spawn(async move {
+                    commit_batch(&store, batch, limit).await;
+                    send(&address, BatchEnded(service)).await;
+                });
+            }
+            QueueStep::Wait(pause) => {
+                tokio::spawn(async move {
+                    sleep(pause).await;
+                    send(&address, PauseEnded(service)).await;
+                });
+            }
+            QueueStep::Idle => {}
+        }
+    }
+}
+
+impl<S: TableStore> Actor for CommitActor<S> {
+    type Stop = ();
+
+    async fn stopped(self) {}
+}
+
+impl<S: TableStore> Handler<CommitRows> for CommitActor<S> {
+    type Return = ();
+
+    async fn handle(&mut self, message: CommitRows, context: &mut Context<Self>) {
+        for row in message.rows {
+            self.push(&message.service, row);
+        }
+        self.flush(message.service, context.mailbox().address());
+    }
+}
+
+impl<S: TableStore> Handler<BatchEnded> for CommitActor<S> {
+    type Return = ();
+
+    async fn handle(&mut self, message: BatchEnded, context: &mut Context<Self>) {
+        if let Some(queue) = self.queues.get_mut(&message.0) {
+            queue.settled();
+        }
+        self.flush(message.0, context.mailbox().address());
+    }
+}
+
+impl<S: TableStore> Handler<PauseEnded> for CommitActor<S> {
+    type Return = ();
+
+    async fn handle(&mut self, message: PauseEnded, context: &mut Context<Self>) {
+        if let Some(queue) = self.queues.get_mut(&message.0) {
+            queue.pause_ended();
+        }
+        self.flush(message.0, context.mailbox().address());
+    }
+}
+
+async fn send<S, M>(address: &WeakAddress<CommitActor<S>>, message: M)
+where
+    CommitActor<S>: Handler<M>,
+    M: Send + 'static,
+{
+    // An actor that has stopped needs no further messages.
+    let _ = address.send(message).await;
+}
+
+async fn commit_batch<S: TableStore>(
+    store: &S,
+    batch: Vec<QueuedRow<ReplySender>>,
+    limit: Duration,
+) {
+    let (rows, replies): (Vec<ClaimRow>, Vec<ReplySender>) = batch
+        .into_iter()
+        .map(|queued| (queued.row, queued.reply))
+        .unzip();
+    let count = u32::try_from(rows.len()).unwrap_or(u32::MAX);
+    histogram!("banyantrestle_claim_batch_rows").record(f64::from(count));
+    let mut progress = BatchProgress::new(rows);
+    // What is unsettled at the limit is told as lost.
+    let _ = timeout(limit, drive(store, &mut progress)).await;
+    for (outcome, reply) in progress.into_outcomes().into_iter().zip(replies) {
+        let _ = reply.send(outcome);
+    }
+}
+
+async fn drive<S: TableStore>(store: &S, progress: &mut BatchProgress) {
+    loop {
+        match progress.step() {
+            BatchStep::Transact => {
+                let writes = progress.unsettled().map(ClaimRow::to_write).collect();
+                progress.on_transact_sent();
+                counter!("banyantrestle_claim_transactions_total").increment(1);
+                let answer = store.transact(writes).await;
+                progress.on_transacted(answer);
+            }
+            BatchStep::ReadBack => {
+                let keys = progress.unsettled().map(|row| row.key.clone()).collect();
+                let answer = store.read(CLAIMS_TABLE, keys).await;
+                progress.on_read(answer);
+            }
+            BatchStep::Pause(pause) => {
+                sleep(pause).await;
+                progress.on_pause();
+            }
+            BatchStep::Done => break,
+        }
+    }
+}
+
+/// Mailbox of the actor; senders wait when it is full.
+pub(super) const MAILBOX_MESSAGES: usize = 1_024;
+
+/// Starts the actor.
+pub(super) fn spawn<S: TableStore>(actor: CommitActor<S>) -> xtra::Address<CommitActor<S>> {
+    xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX_MESSAGES))
+}
--- /dev/null
+++ b/src/claims/commit_queue.rs
@@ -0,0 +1,116 @@
+use {
+    super::{ClaimLimits, ClaimRow},
+    crate::time::TimePoint,
+    std::{
+        collections::{HashSet, VecDeque},
+        time::Duration,
+    },
+};
+
+/// Claims of one service that wait for a transaction; `R` is where each result goes.
+///
+/// Group commit: while one transaction is in flight, the next batch collects. A token bucket
+/// bounds the transactions, so that batches grow with the load and the write rate does not.
+#[derive(Debug)]
+pub struct CommitQueue<R> {
+    waiting: VecDeque<QueuedRow<R>>,
+    is_in_flight: bool,
+    is_pausing: bool,
+    tokens: f64,
+    refilled: TimePoint,
+}
+
+/// One row with the place its result goes to.
+#[derive(Debug)]
+pub struct QueuedRow<R> {
+    pub row: ClaimRow,
+    pub reply: R,
+}
+
+/// What the queue wants done next.
+#[derive(Debug)]
+pub enum QueueStep<R> {
+    /// Commit these rows in one transaction, then report by [`CommitQueue::settled`].
+    Commit(Vec<QueuedRow<R>>),
+    /// Call [`CommitQueue::pause_ended`] after this time and ask again.
+    Wait(Duration),
+    Idle,
+}
+
+impl<R> CommitQueue<R> {
+    #[must_use]
+    pub fn new(limits: &ClaimLimits, now: TimePoint) -> Self {
+        Self {
+            waiting: VecDeque::new(),
+            is_in_flight: false,
+            is_pausing: false,
+            tokens: f64::from(limits.commit_burst),
+            refilled: now,
+        }
+    }
+
+    /// # Errors
+    /// The queue is full; the row is handed back.
+    pub fn push(&mut self, row: QueuedRow<R>, limits: &ClaimLimits) -> Result<(), QueuedRow<R>> {
+        if self.waiting.len() >= limits.queued_rows {
+            return Err(row);
+        }
+        self.waiting.push_back(row);
+        Ok(())
+    }
+
+    /// What to do at `now`.
+    pub fn step(&mut self, limits: &ClaimLimits, now: TimePoint) -> QueueStep<R> {
+        if self.is_in_flight || self.is_pausing || self.waiting.is_empty() {
+            return QueueStep::Idle;
+        }
+        self.refill(limits, now);
+        if self.tokens < 1.0 {
+            self.is_pausing = true;
+            let wait = (1.0 - self.tokens) / f64::from(limits.commits_per_s);
+            return QueueStep::Wait(Duration::from_secs_f64(wait));
+        }
+        self.tokens -= 1.0;
+        self.is_in_flight = true;
+        QueueStep::Commit(self.take_batch(limits.batch_rows))
+    }
+
+    /// Reports the end of the transaction in flight.
+    pub fn settled(&mut self) {
+        self.is_in_flight = false;
+    }
+
+    /// Reports the end of the pause that was asked for.
+    pub fn pause_ended(&mut self) {
+        self.is_pausing = false;
+    }
+
+    /// Whether nothing waits and nothing is in flight.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && !self.is_in_flight
+    }
+
+    fn refill(&mut self, limits: &ClaimLimits, now: TimePoint) {
+        let elapsed = now.since(self.refilled).as_secs_f64();
+        let tokens = self.tokens + elapsed * f64::from(limits.commits_per_s);
+        self.tokens = tokens.min(f64::from(limits.commit_burst.max(1)));
+        self.refilled = now;
+    }
+
+    /// Up to `limit` rows with different keys, in order; further rows of a key stay behind.
+    fn take_batch(&mut self, limit: usize) -> Vec<QueuedRow<R>> {
+        let mut keys = HashSet::new();
+        let mut batch = Vec::new();
+        let mut rest = VecDeque::new();
+        while let Some(queued) = self.waiting.pop_front() {
+            if batch.len() < limit && keys.insert(queued.row.key.clone()) {
+                batch.push(queued);
+            } else {
+                rest.push_back(queued);
+            }
+        }
+        self.waiting = rest;
+        batch
+    }
+}
--- /dev/null
+++ b/src/claims/idempotency_key.rs
@@ -0,0 +1,63 @@
+use {
+    serde::{Deserialize, Serialize},
+    std::{fmt, ops::RangeInclusive, sync::Arc},
+    thiserror::Error,
+};
+
+/// Header that names a non-idempotent call across its repeats.
+pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+/// Bytes of the longest idempotency key.
+pub const MAX_KEY_LENGTH: usize = 128;
+
+const PRINTABLE_ASCII: RangeInclusive<u8> = b' '..=b'~';
+
+/// An idempotency key that is empty, too long, or not printable ASCII.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("the idempotency key is not 1 to {MAX_KEY_LENGTH} bytes of printable ASCII")]
+pub struct KeyError;
+
+/// Name that a caller gives a non-idempotent call and all its repeats.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct IdempotencyKey(Arc<str>);
+
+impl IdempotencyKey {
+    /// Reads a header value; spaces around it do not count.
+    ///
+    /// # Errors
+    /// The key is empty, too long, or not printable ASCII.
+    pub fn new(text: &str) -> Result<Self, KeyError> {
+        let text = text.trim_matches(' ');
+        let is_printable = text.bytes().all(|byte| PRINTABLE_ASCII.contains(&byte));
+        if (1..=MAX_KEY_LENGTH).contains(&text.len()) && is_printable {
+            Ok(Self(text.into()))
+        } else {
+            Err(KeyError)
+        }
+    }
+
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl TryFrom<String> for IdempotencyKey {
+    type Error = KeyError;
+
+    fn try_from(text: String) -> Result<Self, KeyError> {
+        Self::new(&text)
+    }
+}
+
+impl From<IdempotencyKey> for String {
+    fn from(key: IdempotencyKey) -> Self {
+        key.0.as_ref().into()
+    }
+}
+
+impl fmt::Display for IdempotencyKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
--- /dev/null
+++ b/src/claims/ring_member.rs
@@ -0,0 +1,8 @@
+use {crate::membership::MemberId, std::net::SocketAddr};
+
+/// A daemon that may commit the claims of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RingMember {
+    pub id: MemberId,
+    pub mesh: SocketAddr,
+}
--- /dev/null
+++ b/src/claims/sweep_actor.rs
@@ -0,0 +1,116 @@
+use {
+    super::{CLAIMS_TABLE, ClaimTransport, ExpirySweep, claim_service::ServiceShared, row_prefix},
+    crate::{
+        context::ServiceName,
+        platform::TableStore,
+        time::{TimePoint, TimerTick},
+    },
+    metrics::counter,
+    std::{
+        collections::HashMap,
+        sync::{Arc, Weak},
+        time::Duration,
+    },
+    xtra::{Actor, Context, Handler},
+};
+
+/// Time between two pages.
+pub(super) const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+
+/// Rows of one page.
+const PAGE_ROWS: usize = 500;
+/// Time between two passes over the rows of a service.
+const PASS_PERIOD: Duration = Duration::from_secs(300);
+
+/// Deletes the expired claims of the services whose first batcher this daemon is.
+///
+/// One page a period bounds the load: at most one scan and one transaction a second.
+pub(super) struct SweepActor<S, T> {
+    store: S,
+    shared: Weak<ServiceShared<S, T>>,
+    sweeps: HashMap<ServiceName, ServiceSweep>,
+}
+
+struct ServiceSweep {
+    sweep: ExpirySweep,
+    next: TimePoint,
+}
+
+impl<S: TableStore, T: ClaimTransport> SweepActor<S, T> {
+    pub(super) fn new(store: S, shared: Weak<ServiceShared<S, T>>) -> Self {
+        Self {
+            store,
+            shared,
+            sweeps: HashMap::new(),
+        }
+    }
+
+    /// The service whose next page has been due longest.
+    fn due(&mut self, shared: &ServiceShared<S, T>, now: TimePoint) -> Option<&mut ServiceSweep> {
+        let member = shared.identity.member;
+        let ring = shared.path.ring();
+        self.sweeps
+            .retain(|service, _| ring.is_first(service, member));
+        for service in ring.services() {
+            if ring.is_first(service, member) && !self.sweeps.contains_key(service) {
+                let sweep = ExpirySweep::new(member, row_prefix(service));
+                let sweep = ServiceSweep { sweep, next: now };
+                self.sweeps.insert(service.clone(), sweep);
+            }
+        }
+        let due = self.sweeps.values_mut().filter(|sweep| sweep.next <= now);
+        due.min_by_key(|sweep| sweep.next)
+    }
+
+    async fn sweep_page(&mut self, shared: &ServiceShared<S, T>, now: TimePoint) {
+        let wall_ms = shared.path.clock.wall_ms();
+        let store = self.store.clone();
+        let Some(due) = self.due(shared, now) else {
+            return;
+        };
+        let scanned = store
+            .scan(CLAIMS_TABLE, due.sweep.cursor(), PAGE_ROWS)
+            .await;
+        let Ok(page) = scanned else {
+            due.next = now + PASS_PERIOD;
+            return;
+        };
+        let deletions = due.sweep.take_page(&page, wall_ms);
+        let pause = if due.sweep.is_at_start() {
+            PASS_PERIOD
+        } else {
+            SWEEP_PERIOD
+        };
+        due.next = now + pause;
+        if deletions.is_empty() {
+            return;
+        }
+        let count = deletions.len() as u64;
+        // Rows that were not deleted are found again in the next pass.
+        if store.transact(deletions).await.is_ok() {
+            counter!("banyantrestle_claims_expired_total").increment(count);
+        }
+    }
+}
+
+impl<S: TableStore, T: ClaimTransport> Actor for SweepActor<S, T> {
+    type Stop = ();
+
+    async fn stopped(self) {}
+}
+
+impl<S: TableStore, T: ClaimTransport> Handler<TimerTick> for SweepActor<S, T> {
+    type Return = ();
+
+    async fn handle(&mut self, tick: TimerTick, context: &mut Context<Self>) {
+        let Some(shared) = self.shared.upgrade() else {
+            context.stop_self();
+            return;
+        };
+        shared.ledger.lock().expire(tick.now);
+        if !shared.path.gate().is_closed(tick.now) {
+            self.sweep_page(&shared, tick.now).await;
+        }
+        drop::<Arc<_>>(shared);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 
 pub mod admission;
 pub mod auth;
+pub mod claims;
 pub mod context;
 pub mod error;
 pub mod events;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,8 +19,7 @@
     answer_reader::{AnswerPrefix, read_answer},
     call_request::{CallRequest, RouteError, parse_route},
     header_names::{
-        KEY_HEADER, LOAD_HEADER, REASON_HEADER, TAG_HEADER, remove_hop_headers,
-        remove_own_headers,
+        KEY_HEADER, LOAD_HEADER, REASON_HEADER, TAG_HEADER, remove_hop_headers, remove_own_headers,
     },
     listener::{ConnectionGate, ListenerLimits, bind, serve_http, serve_mesh},
     mesh_pool::{MeshFailure, MeshPool},
--- a/src/time/process_clock.rs
+++ b/src/time/process_clock.rs
@@ -1,6 +1,7 @@
 use {
     super::TimePoint,
-    std::time::{Instant, SystemTime, UNIX_EPOCH},
+    std::time::{SystemTime, UNIX_EPOCH},
+    tokio::time::Instant,
 };
 
 /// Monotonic clock of this process, with the wall time of its start.
@@ -35,8 +36,8 @@
 
     /// The tokio instant of `point`, for timeouts.
     #[must_use]
-    pub fn instant_of(&self, point: TimePoint) -> tokio::time::Instant {
+    pub fn instant_of(&self, point: TimePoint) -> Instant {
         let span = point.since(TimePoint::ORIGIN);
-        tokio::time::Instant::from_std(self.origin + span)
+        self.origin + span
     }
 }
--- a/standins/src/platform/memory_table.rs
+++ b/standins/src/platform/memory_table.rs
@@ -1,6 +1,7 @@
 use {
     super::TableRows,
     banyantrestle::platform::{TableError, TableRow, TableStore, TableWrite, WriteResult},
+    rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{
         collections::VecDeque,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -17,6 +18,16 @@
     state: Arc<Mutex<MemoryState>>,
 }
 
+/// Share of requests that meet each fault, in %, and the longest random delay.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RandomFaults {
+    pub refuse: u32,
+    pub lose_request: u32,
+    pub lose_answer: u32,
+    pub late_effect: u32,
+    pub max_delay: Duration,
+}
+
 /// What goes wrong with one request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum TableFault {
@@ -40,6 +51,7 @@
     write_fault: TableFault,
     read_fault: TableFault,
     delay: Duration,
+    random: Option<(RandomFaults, StdRng)>,
     transactions: u64,
     reads: u64,
 }
@@ -67,6 +79,12 @@
         state.read_fault = reads;
     }
 
+    /// Random faults and delays of all further requests, or none.
+    pub fn set_random(&self, faults: Option<RandomFaults>, seed: u64) {
+        let random = faults.map(|faults| (faults, StdRng::seed_from_u64(seed)));
+        self.lock().random = random;
+    }
+
     /// Time that each request takes, and that a lost one takes to fail.
     pub fn set_delay(&self, delay: Duration) {
         self.lock().delay = delay;
@@ -124,6 +142,47 @@
     }
 }
 
+impl MemoryState {
+    fn next_write(&mut self) -> (TableFault, Duration) {
+        if let Some(drawn) = self.draw() {
+            return drawn;
+        }
+        let standing = self.write_fault;
+        (
+            self.write_faults.pop_front().unwrap_or(standing),
+            self.delay,
+        )
+    }
+
+    fn next_read(&mut self) -> (TableFault, Duration) {
+        if let Some(drawn) = self.draw() {
+            return drawn;
+        }
+        let standing = self.read_fault;
+        (self.read_faults.pop_front().unwrap_or(standing), self.delay)
+    }
+
+    fn draw(&mut self) -> Option<(TableFault, Duration)> {
+        let (faults, rng) = self.random.as_mut()?;
+        let delay = faults.max_delay.mul_f64(rng.random());
+        let late = TableFault::LateEffect(faults.max_delay.mul_f64(rng.random()));
+        let shares = [
+            (faults.refuse, TableFault::Refuse),
+            (faults.lose_request, TableFault::LoseRequest),
+            (faults.lose_answer, TableFault::LoseAnswer),
+            (faults.late_effect, late),
+        ];
+        let mut point = rng.random_range(0..100);
+        for (share, fault) in shares {
+            if point < share {
+                return Some((fault, delay));
+            }
+            point -= share;
+        }
+        Some((TableFault::None, delay))
+    }
+}
+
 impl TableStore for MemoryTable {
     async fn transact(&self, writes: Vec<TableWrite>) -> Result<Vec<WriteResult>, TableError> {
         let (fault, delay) = {
--- a/standins/src/platform/mod.rs
+++ b/standins/src/platform/mod.rs
@@ -16,7 +16,7 @@
 mod table_rows;
 
 pub use {
-    memory_table::{MemoryTable, TableFault},
+    memory_table::{MemoryTable, RandomFaults, TableFault},
     platform_counters::PlatformCounters,
     platform_mode::{DownMode, FaultPoint, PlatformMode},
     platform_standin::PlatformStandin,
