Non-idempotent calls claim their key before dispatch

The guard takes a slot, claims the key through the batcher of the service, and sends the call in a task of its own, so that the answer is recorded even if the caller goes away. Repeats join the run or get its recorded answer. The slot comes before the claim: the other order would cost the table service two writes for each call that is refused for overload.

Tried by hand over three daemons: a repeat of a key was replayed, three keys ran once each.

--- a/src/daemon/announce_service.rs
+++ b/src/daemon/announce_service.rs
@@ -78,6 +78,7 @@
         "target" => %announcement.address,
         "state" => %announcement.state);
     state.membership.announce(announcement).await;
+    state.refresh_ring();
     Ok(())
 }
 
--- a/src/daemon/call_entry.rs
+++ b/src/daemon/call_entry.rs
@@ -11,13 +11,14 @@
         root_entry::RootEntry,
     },
     crate::{
+        claims::IDEMPOTENCY_KEY_HEADER,
         context::{
             CONTEXT_HEADER, CallContext, CallPriority, OUTCOME_HEADER, RunOutcome, ServiceName,
         },
         events::EventKind,
         net::{
-            AnswerBody, CallRefusal, CallRequest, KEY_HEADER, RefusalKind, RequestError,
-            parse_route, read_request, remove_hop_headers, remove_own_headers, set_header,
+            AnswerBody, CallRefusal, CallRequest, RefusalKind, RequestError, parse_route,
+            read_request, remove_hop_headers, remove_own_headers, set_header,
         },
         policy::{ActivePolicy, ClassRule},
         retry::RetryBudget,
@@ -182,10 +183,13 @@
     if !rule.non_idempotent {
         return Ok(RunSafety::Idempotent);
     }
-    if request.headers.contains_key(KEY_HEADER) {
+    if request.headers.contains_key(IDEMPOTENCY_KEY_HEADER) {
         return Ok(RunSafety::NonIdempotent);
     }
-    let detail = format!("calls of class {} need the header {KEY_HEADER}", rule.name);
+    let detail = format!(
+        "calls of class {} need the header {IDEMPOTENCY_KEY_HEADER}",
+        rule.name
+    );
     Err(CallRefusal::not_run(RefusalKind::KeyMissing, detail))
 }
 
@@ -250,7 +254,10 @@
 
 fn fingerprint(request: &CallRequest) -> u64 {
     let mut hasher = RapidHasher::default();
-    let key = request.headers.get(KEY_HEADER).map(HeaderValue::as_bytes);
+    let key = request
+        .headers
+        .get(IDEMPOTENCY_KEY_HEADER)
+        .map(HeaderValue::as_bytes);
     let parts = [
         request.method.as_str().as_bytes(),
         request.service.as_str().as_bytes(),
--- a/src/daemon/call_router.rs
+++ b/src/daemon/call_router.rs
@@ -10,9 +10,9 @@
         context::{CONTEXT_HEADER, CallContext, OUTCOME_HEADER, RunOutcome},
         events::EventKind,
         net::{
-            AnswerBody, AnswerPrefix, CallRefusal, CallRequest, LOAD_HEADER, MeshFailure,
-            RefusalKind, TAG_HEADER, call_tag, clean_answer_headers, encode_tag, read_answer,
-            remove_length, set_header,
+            AnswerBody, AnswerPrefix, CLAIM_HEADER, CallRefusal, CallRequest, LOAD_HEADER,
+            MeshFailure, RefusalKind, TAG_HEADER, call_tag, clean_answer_headers, encode_tag,
+            read_answer, remove_length, set_header,
         },
         routing::{CallEnd, LoadNote, PickVerdict, TargetKey},
     },
@@ -261,6 +261,9 @@
         headers.remove(HOST);
         set_header(headers, CONTEXT_HEADER, &context);
         set_header(headers, TAG_HEADER, &tag);
+        if self.safety == RunSafety::NonIdempotent {
+            set_header(headers, CLAIM_HEADER, "1");
+        }
         self.state.stamp_clock(headers);
         request
     }
--- /dev/null
+++ b/src/daemon/claimed_call.rs
@@ -0,0 +1,228 @@
+use {
+    super::{
+        daemon_state::DaemonState,
+        guarded_call::{AdmittedCall, GuardAnswer, GuardedCall, stamp_answer},
+    },
+    crate::{
+        claims::{
+            BodyFingerprint, ClaimKey, ClaimRequest, ClaimToken, ClaimVerdict,
+            IDEMPOTENCY_KEY_HEADER, IdempotencyKey, JoinedCall, JoinedOutcome, RecordedAnswer,
+            RecordedHeader, RunningClaim, UnknownReason,
+        },
+        context::{CallContext, CallPriority, RunOutcome, ServiceName},
+        events::EventKind,
+        net::{AnswerBody, CallRefusal, CallRequest, RefusalKind},
+    },
+    bytes::Bytes,
+    http::{HeaderName, HeaderValue, Response, StatusCode},
+    std::{sync::Arc, time::Duration},
+    tokio::time::timeout_at,
+};
+
+/// Earliest repeat of a call that still runs elsewhere.
+const RUNNING_RETRY: Duration = Duration::from_secs(1);
+
+/// Runs a non-idempotent call at most once for its key.
+///
+/// The slot comes before the claim, so that a call that is refused for overload costs the table
+/// service nothing.
+pub(crate) async fn run_claimed(
+    call: GuardedCall,
+    window: Duration,
+) -> Result<GuardAnswer, CallRefusal> {
+    let state = call.state.clone();
+    let context = call.context.clone();
+    let request = claim_request(&call.request, &context, window)?;
+    let service = call.request.service.clone();
+    let admitted = call.admit().await?;
+    let verdict = state.claims.begin(request).await;
+    record_verdict(&state, &context, &service, &verdict);
+    match verdict {
+        ClaimVerdict::Won(token) => dispatch_claimed(state, admitted, token).await,
+        ClaimVerdict::Replay(answer) => Ok(replay(&state, &answer)),
+        ClaimVerdict::Joined(joined) => {
+            // A repeat that waits for the run takes no slot of its own.
+            drop(admitted);
+            join(&state, &context, joined).await
+        }
+        ClaimVerdict::Unknown(reason) => Err(unknown_refusal(reason)),
+        ClaimVerdict::Mismatch => Err(mismatch_refusal()),
+        ClaimVerdict::Unavailable { retry_after } => Err(unavailable_refusal(retry_after)),
+    }
+}
+
+fn claim_request(
+    request: &CallRequest,
+    context: &CallContext,
+    window: Duration,
+) -> Result<ClaimRequest, CallRefusal> {
+    let key = request
+        .headers
+        .get(IDEMPOTENCY_KEY_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .ok_or_else(|| {
+            let detail = format!("the call needs the header {IDEMPOTENCY_KEY_HEADER}");
+            CallRefusal::not_run(RefusalKind::KeyMissing, detail)
+        })?;
+    let key = IdempotencyKey::new(key)
+        .map_err(|error| CallRefusal::not_run(RefusalKind::BadRequest, error.to_string()))?;
+    let fingerprint = BodyFingerprint::of(
+        request.method.as_str(),
+        request.path.as_str(),
+        &request.body,
+    );
+    Ok(ClaimRequest {
+        key: ClaimKey {
+            service: request.service.clone(),
+            key,
+        },
+        fingerprint,
+        request: context.request,
+        deadline: context.deadline,
+        window,
+    })
+}
+
+/// Sends the call to the target in a task of its own, so that its answer is recorded even if the
+/// caller goes away.
+async fn dispatch_claimed(
+    state: Arc<DaemonState>,
+    admitted: AdmittedCall,
+    token: ClaimToken,
+) -> Result<GuardAnswer, CallRefusal> {
+    let running = match token.dispatch(state.clock.now()) {
+        Ok(running) => running,
+        Err(token) => {
+            state.claims.release(token);
+            let detail = "deadline passed before the claimed call was dispatched";
+            return Err(CallRefusal::not_run(RefusalKind::DeadlineExceeded, detail));
+        }
+    };
+    let run = tokio::spawn(async move {
+        let result = admitted.dispatch().await;
+        settle_claim(&state, running, &result);
+        result
+    });
+    run.await.unwrap_or_else(|error| {
+        let detail = format!("the run of the call ended early: {error}");
+        Err(CallRefusal::unknown(RefusalKind::AnswerBroken, detail))
+    })
+}
+
+fn settle_claim(
+    state: &DaemonState,
+    running: RunningClaim,
+    result: &Result<GuardAnswer, CallRefusal>,
+) {
+    match result {
+        Ok(response) => match record(response) {
+            Some(answer) => state.claims.complete(running, answer),
+            None => state.claims.fail(running),
+        },
+        Err(refusal) if refusal.outcome == RunOutcome::NotRun => {
+            state.claims.release_unsent(running);
+        }
+        Err(_) => state.claims.fail(running),
+    }
+}
+
+/// The answer for repeats; `None` for one that is streamed.
+fn record(response: &GuardAnswer) -> Option<RecordedAnswer> {
+    let body = response.body().whole_data()?;
+    let headers = response
+        .headers()
+        .iter()
+        .map(|(name, value)| RecordedHeader {
+            name: name.as_str().to_owned(),
+            value: value.as_bytes().to_vec(),
+        });
+    Some(RecordedAnswer {
+        status: response.status().as_u16(),
+        headers: headers.collect(),
+        body: body.as_ref().into(),
+    })
+}
+
+fn replay(state: &DaemonState, answer: &RecordedAnswer) -> GuardAnswer {
+    let body = Bytes::copy_from_slice(&answer.body);
+    let mut response = Response::new(AnswerBody::whole(body, None));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    for header in answer.headers.iter() {
+        let name = HeaderName::try_from(&header.name);
+        let value = HeaderValue::from_bytes(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    let load = state.load_note(CallPriority::LOWEST);
+    stamp_answer(response.headers_mut(), RunOutcome::Run, load);
+    response
+}
+
+async fn join(
+    state: &DaemonState,
+    context: &CallContext,
+    joined: JoinedCall,
+) -> Result<GuardAnswer, CallRefusal> {
+    let deadline = state.clock.instant_of(context.deadline);
+    match timeout_at(deadline, joined.outcome()).await {
+        Ok(JoinedOutcome::Answered(answer)) => Ok(replay(state, &answer)),
+        Ok(JoinedOutcome::Unknown(reason)) => Err(unknown_refusal(reason)),
+        Ok(JoinedOutcome::Mismatch) => Err(mismatch_refusal()),
+        Ok(JoinedOutcome::NotRun { retry_after }) => Err(unavailable_refusal(retry_after)),
+        Err(_) => Err(unknown_refusal(UnknownReason::StillRunning)),
+    }
+}
+
+fn unknown_refusal(reason: UnknownReason) -> CallRefusal {
+    let detail = format!("the key was used before, and its run is not known: {reason}");
+    let refusal = CallRefusal::unknown(RefusalKind::KeyUnknown, detail);
+    match reason {
+        UnknownReason::StillRunning | UnknownReason::TooManyRepeats => {
+            refusal.with_retry_after(RUNNING_RETRY)
+        }
+        _ => refusal,
+    }
+}
+
+fn mismatch_refusal() -> CallRefusal {
+    let detail = "the key was used for a call with another method, path or body";
+    CallRefusal::not_run(RefusalKind::KeyMismatch, detail)
+}
+
+fn unavailable_refusal(retry_after: Duration) -> CallRefusal {
+    let detail = "the table service did not settle the claim of the key";
+    CallRefusal::not_run(RefusalKind::ClaimUnavailable, detail).with_retry_after(retry_after)
+}
+
+fn record_verdict(
+    state: &DaemonState,
+    context: &CallContext,
+    service: &ServiceName,
+    verdict: &ClaimVerdict,
+) {
+    let request = context.request;
+    let call = context.call;
+    let service = service.clone();
+    state.events.record(match verdict {
+        ClaimVerdict::Won(_) => EventKind::ClaimWon {
+            request,
+            call,
+            service,
+        },
+        ClaimVerdict::Unknown(reason) => EventKind::ClaimUnknown {
+            request,
+            call,
+            service,
+            reason: <&'static str>::from(*reason).into(),
+        },
+        ClaimVerdict::Replay(_)
+        | ClaimVerdict::Joined(_)
+        | ClaimVerdict::Mismatch
+        | ClaimVerdict::Unavailable { .. } => EventKind::ClaimLost {
+            request,
+            call,
+            service,
+        },
+    });
+}
--- a/src/daemon/daemon_process.rs
+++ b/src/daemon/daemon_process.rs
@@ -18,6 +18,7 @@
     crate::{
         admission::FrontGate,
         auth::SharedKey,
+        claims::{ClaimIdentity, ClaimLimits, ClaimService},
         console::AdminToken,
         error::StepError,
         events::{EventKind, EventLog},
@@ -92,9 +93,22 @@
         let events = EventLog::new(member, clock, settings.limits.events);
         let silence = Duration::from_millis(settings.limits.silence_ms);
         let mesh = Arc::new(MeshPool::new(silence));
+        let transport = MeshTransport::new(mesh.clone(), key.clone());
+        let identity = ClaimIdentity {
+            member,
+            mesh: listen.mesh,
+        };
+        let claims = ClaimService::start(
+            table.clone(),
+            transport.clone(),
+            identity,
+            ClaimLimits::default(),
+            clock,
+            rand::make_rng(),
+        );
         let policies = PolicyService::start(PolicyParts {
             table,
-            source: MeshTransport::new(mesh.clone(), key.clone()),
+            source: transport,
             events: events.clone(),
             logger: log.clone(),
             clock,
@@ -120,6 +134,7 @@
             phase: watch::Sender::new(DaemonPhase::Starting),
             policy: policies.current(),
             policies,
+            claims,
             tables: RoutingTables {
                 targets: Mutex::new(TargetTable::new(place)),
                 roots: Mutex::new(RootTable::new()),
--- a/src/daemon/daemon_state.rs
+++ b/src/daemon/daemon_state.rs
@@ -6,6 +6,7 @@
     crate::{
         admission::{FrontGate, GuardSettings, SojournMode, ThresholdMode},
         auth::SharedKey,
+        claims::{ClaimService, RingMember},
         console::AdminToken,
         context::{CallId, CallPriority, ClassName, RequestId, ServiceName},
         events::{EventLog, HybridStamp, STAMP_HEADER},
@@ -47,6 +48,7 @@
     pub(crate) active: ActiveCalls,
     pub(crate) target: TargetSlot,
     pub(crate) phase: watch::Sender<DaemonPhase>,
+    pub(crate) claims: ClaimService<HttpTable, MeshTransport>,
     pub(crate) policies: PolicyService<HttpTable, MeshTransport>,
     pub(crate) policy: watch::Receiver<Arc<ActivePolicy>>,
     pub(crate) tables: RoutingTables,
@@ -124,6 +126,21 @@
         settings
     }
 
+    /// Names the daemons that may commit the claims of the service served here.
+    pub(crate) fn refresh_ring(&self) {
+        let Some(target) = self.target.get() else {
+            return;
+        };
+        let service = target.announcement.service.clone();
+        let view = self.membership.view().borrow().clone();
+        let members = view.serving(&service).map(|record| RingMember {
+            id: record.id,
+            mesh: record.mesh,
+        });
+        let members = members.collect();
+        self.claims.set_members(service, members);
+    }
+
     /// The priority that is held against thresholds of targets.
     pub(crate) fn shed_priority(&self, priority: CallPriority) -> CallPriority {
         if self.options.is_on(DaemonPart::Threshold) {
--- a/src/daemon/member_watch.rs
+++ b/src/daemon/member_watch.rs
@@ -12,6 +12,7 @@
         let now = state.clock.now();
         let records = view.members.iter().map(AsRef::as_ref);
         state.routing().update(now, records);
+        state.refresh_ring();
         let meshes: HashSet<_> = view.members.iter().map(|record| record.mesh).collect();
         state.mesh.retain(|peer| meshes.contains(peer));
         let count = u32::try_from(view.members.len()).unwrap_or(u32::MAX);
--- a/src/daemon/mesh_service.rs
+++ b/src/daemon/mesh_service.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        claimed_call::run_claimed,
         daemon_phase::DaemonPhase,
         daemon_state::DaemonState,
         guarded_call::{GuardAnswer, GuardedCall, stamp_answer},
@@ -10,9 +11,9 @@
     crate::{
         context::{CONTEXT_HEADER, CallContext, CallPriority, ServiceName},
         net::{
-            AnswerBody, CallRefusal, CallRequest, MESH_PREFIX, PERMIT_PATH, POLICY_PATH,
-            RefusalKind, TAG_HEADER, is_valid_call_tag, is_valid_message_tag, parse_route,
-            read_request, remove_own_headers,
+            ANSWER_PATH, AnswerBody, CLAIM_HEADER, CLAIMS_PATH, CallRefusal, CallRequest,
+            MESH_PREFIX, PERMIT_PATH, POLICY_PATH, RefusalKind, TAG_HEADER, is_valid_call_tag,
+            is_valid_message_tag, parse_route, read_request, remove_own_headers,
         },
     },
     bytes::Bytes,
@@ -56,6 +57,7 @@
     let body = read_request(body, limit, BODY_PATIENCE)
         .await
         .map_err(|error| CallRefusal::not_run(RefusalKind::BadRequest, error.to_string()))?;
+    let is_claimed = head.headers.contains_key(CLAIM_HEADER);
     remove_own_headers(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
     let call = GuardedCall {
@@ -70,7 +72,18 @@
         },
         context,
     };
-    call.admit().await?.dispatch().await
+    let policy = state.policy();
+    let request = &call.request;
+    let rule = policy.classify(
+        &request.service,
+        request.method.as_str(),
+        request.path.as_str(),
+    );
+    if rule.non_idempotent || is_claimed {
+        run_claimed(call, rule.key_window).await
+    } else {
+        call.admit().await?.dispatch().await
+    }
 }
 
 fn check_context(
@@ -137,6 +150,14 @@
         POLICY_PATH => answer_message(&body, |_: PolicyRequest| PolicyAnswer {
             json: serde_json::to_string(&state.policy().to_versioned()).unwrap_or_default(),
         }),
+        CLAIMS_PATH => match postcard::from_bytes(&body) {
+            Ok(message) => encode_answer(&state.claims.serve_commit(message).await),
+            Err(_) => None,
+        },
+        ANSWER_PATH => match postcard::from_bytes(&body) {
+            Ok(message) => encode_answer(&state.claims.serve_answer(message).await),
+            Err(_) => None,
+        },
         _ => None,
     };
     match answer {
@@ -152,7 +173,11 @@
     F: FnOnce(Q) -> A,
 {
     let message = postcard::from_bytes(body).ok()?;
-    let answer = postcard::to_allocvec(&answer(message)).ok()?;
+    encode_answer(&answer(message))
+}
+
+fn encode_answer<A: Serialize>(answer: &A) -> Option<Bytes> {
+    let answer = postcard::to_allocvec(answer).ok()?;
     Some(answer.into())
 }
 
--- a/src/daemon/mesh_transport.rs
+++ b/src/daemon/mesh_transport.rs
@@ -2,8 +2,12 @@
     super::mesh_client::post_message,
     crate::{
         auth::SharedKey,
+        claims::{
+            AnswerRequest, ClaimTransport, CommitAnswer, CommitRequest, HolderAnswer,
+            TransportError,
+        },
         error::{ProcessStep, StepError},
-        net::{MeshPool, POLICY_PATH},
+        net::{ANSWER_PATH, CLAIMS_PATH, MeshPool, POLICY_PATH},
         policy::{PolicySource, VersionedPolicy},
     },
     serde::{Deserialize, Serialize},
@@ -13,6 +17,11 @@
 /// Longest wait for the policy of another daemon.
 const POLICY_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest wait for a batcher; the claim service asks the next one before.
+const COMMIT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time on top of the holder's own wait for an answer.
+const ANSWER_MARGIN: Duration = Duration::from_millis(500);
+
 /// Asks another daemon for the policy in force there.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(crate) struct PolicyRequest {}
@@ -52,3 +61,28 @@
             .map_err(|error| StepError::new(ProcessStep::LoadPolicy, peer, error))
     }
 }
+
+impl ClaimTransport for MeshTransport {
+    async fn commit_at(
+        &self,
+        peer_mesh: SocketAddr,
+        request: CommitRequest,
+    ) -> Result<CommitAnswer, TransportError> {
+        let (mesh, key) = (&self.mesh, &self.key);
+        post_message(mesh, key, peer_mesh, CLAIMS_PATH, &request, COMMIT_TIMEOUT)
+            .await
+            .map_err(|error| TransportError::Lost(error.to_string()))
+    }
+
+    async fn answer_at(
+        &self,
+        peer_mesh: SocketAddr,
+        request: AnswerRequest,
+    ) -> Result<HolderAnswer, TransportError> {
+        let (mesh, key) = (&self.mesh, &self.key);
+        let patience = Duration::from_millis(request.wait_ms) + ANSWER_MARGIN;
+        post_message(mesh, key, peer_mesh, ANSWER_PATH, &request, patience)
+            .await
+            .map_err(|error| TransportError::Lost(error.to_string()))
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -10,6 +10,7 @@
 mod announce_service;
 mod call_entry;
 mod call_router;
+mod claimed_call;
 mod daemon_command;
 mod daemon_options;
 mod daemon_phase;
--- a/src/net/answer_body.rs
+++ b/src/net/answer_body.rs
@@ -72,6 +72,14 @@
         Self::Whole(WholeBody { data, trailers })
     }
 
+    /// All data of a body that was read to its end.
+    pub(crate) fn whole_data(&self) -> Option<Bytes> {
+        match self {
+            Self::Whole(whole) => Some(whole.data.clone().unwrap_or_default()),
+            Self::Stream(_) => None,
+        }
+    }
+
     pub(crate) fn stream(
         prefix: VecDeque<Bytes>,
         rest: Incoming,
--- a/src/net/header_names.rs
+++ b/src/net/header_names.rs
@@ -12,8 +12,8 @@
 pub(crate) const TAG_HEADER: &str = "banyantrestle-tag";
 /// Why a call was refused.
 pub(crate) const REASON_HEADER: &str = "banyantrestle-reason";
-/// Key of a non-idempotent call.
-pub(crate) const KEY_HEADER: &str = "idempotency-key";
+/// The router holds the call for non-idempotent, whatever the policy of the guard says.
+pub(crate) const CLAIM_HEADER: &str = "banyantrestle-claim";
 
 const OWN_PREFIX: &str = "banyantrestle-";
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,14 +19,14 @@
     answer_reader::{AnswerPrefix, read_answer},
     call_request::{CallRequest, parse_route},
     header_names::{
-        KEY_HEADER, LOAD_HEADER, TAG_HEADER, clean_answer_headers, remove_hop_headers,
+        CLAIM_HEADER, LOAD_HEADER, TAG_HEADER, clean_answer_headers, remove_hop_headers,
         remove_length, remove_own_headers, set_header,
     },
     listener::{ConnectionGate, ListenerLimits, bind, serve_http, serve_mesh},
     mesh_pool::{MeshFailure, MeshPool},
     mesh_wire::{
-        MESH_PREFIX, PERMIT_PATH, POLICY_PATH, call_tag, encode_tag, is_valid_call_tag,
-        is_valid_message_tag, message_tag,
+        ANSWER_PATH, CLAIMS_PATH, MESH_PREFIX, PERMIT_PATH, POLICY_PATH, call_tag, encode_tag,
+        is_valid_call_tag, is_valid_message_tag, message_tag,
     },
     request_reader::{RequestError, read_request},
     target_pool::{SendFailure, TargetConnection, TargetPool},
