--- a/standins/src/target/run_ledger.rs
+++ b/standins/src/target/run_ledger.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Forgets all that was counted.
+    pub fn clear(&self) {
+        *self.tables() = LedgerTables::default();
+    }
+
     /// Adds time for which an attempt held a slot.
     pub fn record_busy(&self, attempt: &str, busy: Duration) {
         let mut tables = self.tables();
