--- a/src/daemon/admission_desk.rs
+++ b/src/daemon/admission_desk.rs
@@ -70,8 +70,13 @@
     fn offer(
         &self,
         request: AdmissionRequest,
-    ) -> Result<(TicketKey, Option<oneshot::Receiver<Result<(), AdmissionRefusal>>>), AdmissionRefusal>
-    {
+    ) -> Result<
+        (
+            TicketKey,
+            Option<oneshot::Receiver<Result<(), AdmissionRefusal>>>,
+        ),
+        AdmissionRefusal,
+    > {
         let now = self.clock.now();
         let mut state = self.lock();
         let verdict = state.guard.offer(now, request, &mut rand::rng());
--- a/src/daemon/call_router.rs
+++ b/src/daemon/call_router.rs
@@ -1,6 +1,8 @@
 use {
-    super::{daemon_state::DaemonState, in_flight_call::InFlightCall,
-        permit_client::ask_permit, root_entry::RootEntry},
+    super::{
+        daemon_state::DaemonState, in_flight_call::InFlightCall, permit_client::ask_permit,
+        root_entry::RootEntry,
+    },
     crate::{
         context::{CONTEXT_HEADER, CallContext, OUTCOME_HEADER, RunOutcome},
         events::EventKind,
@@ -12,9 +14,7 @@
         routing::{CallEnd, LoadNote, PickVerdict, TargetKey},
     },
     bytes::Bytes,
-    http::{
-        HeaderMap, Request, Response, Uri, header::HOST,
-    },
+    http::{HeaderMap, Request, Response, Uri, header::HOST},
     http_body_util::Full,
     hyper::body::Incoming,
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -263,8 +263,7 @@
     }
 
     fn is_retryable(&self, refusal: &CallRefusal) -> bool {
-        let is_safe =
-            self.safety == RunSafety::Idempotent || refusal.outcome == RunOutcome::NotRun;
+        let is_safe = self.safety == RunSafety::Idempotent || refusal.outcome == RunOutcome::NotRun;
         let is_passing = matches!(
             refusal.kind,
             RefusalKind::Overload
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,7 +19,9 @@
 
 pub mod admission;
 pub mod auth;
+pub mod console;
 pub mod context;
+pub mod daemon;
 pub mod error;
 pub mod events;
 pub mod jsonc;
