--- /dev/null
+++ b/examples/overload.rs
@@ -0,0 +1,153 @@
+//! Measures goodput and recovery of a deployment in small, with the protection off, with single
+//! parts of it off, and on.
+
+mod support;
+
+use {
+    anyhow::{Context, bail},
+    banyantrestle::daemon::DaemonOptions,
+    std::str::FromStr,
+    strum::{Display, EnumIter, EnumString, IntoEnumIterator},
+    support::{
+        DeploymentPlan, PressureKind, PressureScenario, RunFigures, TrialMode, TrialRun,
+        probe_capacity,
+    },
+};
+
+xflags::xflags! {
+    /// Runs a deployment through overload and faults, and prints a line for each run.
+    cmd overload {
+        /// `kereru` or `kita`.
+        required --deployment name: String
+        /// Seed of arrivals and service times.
+        required --seed number: u64
+        /// Part to switch off: retry-budget, threshold, front-gate or admission; may be repeated,
+        /// `none` for no run with a single part off. All parts by default.
+        repeated --off part: String
+        /// Pressures of one scenario, joined by `+`: surge, slow-service, lost-data-centre,
+        /// table-down. All scenarios by default.
+        optional --scenario name: String
+        /// Only the runs with the whole protection on.
+        optional --only-on
+        /// Prints the figures as JSON.
+        optional --json
+    }
+}
+
+/// A part of the protection that can be switched off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, EnumString)]
+#[strum(serialize_all = "kebab-case")]
+enum ProtectionPart {
+    RetryBudget,
+    Threshold,
+    FrontGate,
+    Admission,
+}
+
+impl ProtectionPart {
+    fn mode(self) -> TrialMode {
+        let mut options = DaemonOptions::default();
+        match self {
+            Self::RetryBudget => options.has_retry_budget = false,
+            Self::Threshold => options.has_threshold = false,
+            Self::FrontGate => options.has_front_gate = false,
+            Self::Admission => options.has_admission = false,
+        }
+        TrialMode::Daemons {
+            name: format!("-{self}"),
+            options,
+        }
+    }
+}
+
+impl Overload {
+    fn plan(&self) -> anyhow::Result<DeploymentPlan> {
+        match self.deployment.as_str() {
+            "kereru" => Ok(DeploymentPlan::kereru()),
+            "kita" => Ok(DeploymentPlan::kita()),
+            other => bail!("deployment {other:?} is neither kereru nor kita"),
+        }
+    }
+
+    fn scenarios(&self) -> anyhow::Result<Vec<PressureScenario>> {
+        let Some(name) = &self.scenario else {
+            return Ok(PressureScenario::all());
+        };
+        let kinds: Result<Vec<PressureKind>, _> = name.split('+').map(str::parse).collect();
+        let kinds = kinds.with_context(|| format!("scenario {name:?}"))?;
+        Ok(vec![PressureScenario::new(&kinds)])
+    }
+
+    fn modes(&self) -> anyhow::Result<Vec<TrialMode>> {
+        if self.only_on {
+            return Ok(vec![TrialMode::on()]);
+        }
+        let parts: Vec<ProtectionPart> = match self.off.as_slice() {
+            [] => ProtectionPart::iter().collect(),
+            [none] if none == "none" => Vec::new(),
+            names => {
+                let parts = names.iter().map(|name| {
+                    ProtectionPart::from_str(name).with_context(|| format!("part {name:?}"))
+                });
+                parts.collect::<anyhow::Result<_>>()?
+            }
+        };
+        let mut modes = vec![TrialMode::Direct];
+        modes.extend(parts.into_iter().map(ProtectionPart::mode));
+        modes.push(TrialMode::on());
+        Ok(modes)
+    }
+}
+
+async fn run(flags: &Overload) -> anyhow::Result<Vec<RunFigures>> {
+    let plan = flags.plan()?;
+    let modes = flags.modes()?;
+    let capacity = probe_capacity(&plan, flags.seed).await?;
+    if !flags.json {
+        let bottleneck = plan.bottleneck().name;
+        println!(
+            "{}: {bottleneck} serves {capacity:.0} calls/s at most",
+            plan.name
+        );
+        println!("{}", RunFigures::heading());
+    }
+    let mut runs = Vec::new();
+    for scenario in flags.scenarios()? {
+        let trial = TrialRun {
+            plan: &plan,
+            scenario: &scenario,
+            capacity,
+            seed: flags.seed,
+        };
+        for mode in &modes {
+            let figures = trial.run(mode).await?.figures;
+            if !flags.json {
+                print(&figures);
+            }
+            runs.push(figures);
+        }
+    }
+    Ok(runs)
+}
+
+fn print(figures: &RunFigures) {
+    println!("{}", figures.line());
+    let classes: Vec<String> = figures.classes.iter().map(ToString::to_string).collect();
+    println!("    {}", classes.join("  "));
+    let missed: Vec<&str> = figures.missed().collect();
+    if missed.is_empty() {
+        println!("    all stated targets met");
+    } else {
+        println!("    missed: {}", missed.join(", "));
+    }
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let flags = Overload::from_env_or_exit();
+    let runs = run(&flags).await?;
+    if flags.json {
+        println!("{}", serde_json::to_string_pretty(&runs)?);
+    }
+    Ok(())
+}
--- a/examples/support/target_fleet.rs
+++ b/examples/support/target_fleet.rs
@@ -56,7 +56,8 @@
     }
 
     pub fn lose_data_centre(&mut self, data_centre: usize) {
-        self.targets.retain(|placed| placed.data_centre != data_centre);
+        self.targets
+            .retain(|placed| placed.data_centre != data_centre);
     }
 }
 
--- /dev/null
+++ b/standins/src/client/text_client.rs
@@ -0,0 +1,67 @@
+use {
+    anyhow::bail,
+    bytes::Bytes,
+    http::{Method, Request, StatusCode},
+    http_body_util::{BodyExt, Full},
+    hyper_util::{client::legacy::Client, rt::TokioExecutor},
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::timeout,
+};
+
+const TEXT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// An answer that is a short text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TextAnswer {
+    pub status: StatusCode,
+    pub text: String,
+}
+
+/// A request over a connection of its own.
+#[derive(Clone, Debug)]
+pub struct TextRequest {
+    pub method: Method,
+    pub path: String,
+    pub headers: Vec<(&'static str, String)>,
+    pub body: String,
+}
+
+impl TextRequest {
+    #[must_use]
+    pub fn get(path: &str) -> Self {
+        Self {
+            method: Method::GET,
+            path: path.into(),
+            headers: Vec::new(),
+            body: String::new(),
+        }
+    }
+
+    /// Sends the request and reads the answer.
+    ///
+    /// # Errors
+    /// No whole answer came in time.
+    pub async fn send(&self, address: SocketAddr) -> anyhow::Result<TextAnswer> {
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        let mut request = Request::builder()
+            .method(&self.method)
+            .uri(format!("http://{address}{}", self.path));
+        for (name, value) in &self.headers {
+            request = request.header(*name, value);
+        }
+        let request = request.body(Full::new(Bytes::from(self.body.clone())))?;
+        let exchange = async {
+            let response = client.request(request).await?;
+            let status = response.status();
+            let body = response.into_body().collect().await?.to_bytes();
+            anyhow::Ok(TextAnswer {
+                status,
+                text: String::from_utf8_lossy(&body).into_owned(),
+            })
+        };
+        match timeout(TEXT_TIMEOUT, exchange).await {
+            Ok(answer) => answer,
+            Err(_) => bail!("no answer of {address} in {TEXT_TIMEOUT:?}"),
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/deployment/initial_policy.rs
@@ -0,0 +1,28 @@
+use {
+    banyantrestle::{
+        platform::{HttpTable, TableStore, TableWrite, WriteCondition},
+        policy::{POLICY_KEY, POLICY_TABLE, PolicyDocument},
+    },
+    serde_json::json,
+    std::{net::SocketAddr, time::Duration},
+};
+
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Puts a policy into the table as version 1, before any daemon runs.
+///
+/// # Errors
+/// The table service does not answer.
+pub async fn accept_policy(platform: SocketAddr, policy: &PolicyDocument) -> anyhow::Result<()> {
+    let table = HttpTable::new(platform, PLATFORM_TIMEOUT);
+    let row = json!({"version": 1, "document": policy, "recent_writes": []});
+    let write = TableWrite {
+        table: POLICY_TABLE.into(),
+        key: POLICY_KEY.into(),
+        write_id: "first".into(),
+        value: Some(row.to_string()),
+        condition: WriteCondition::Absent,
+    };
+    table.transact(vec![write]).await?;
+    Ok(())
+}
--- /dev/null
+++ b/standins/src/deployment/mod.rs
@@ -0,0 +1,11 @@
+//! What a deployment on loopback needs: settings, a policy in the table, daemons as processes.
+
+mod daemon_process;
+mod initial_policy;
+mod loopback_settings;
+
+pub use {
+    daemon_process::DaemonProcess,
+    initial_policy::accept_policy,
+    loopback_settings::{ADMIN_TOKEN, LOOPBACK, loopback_settings},
+};
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod answer;
 pub mod caller;
 pub mod client;
+pub mod deployment;
 pub mod http;
 pub mod model;
 pub mod platform;
