--- a/standins/src/target/target_service.rs
+++ b/standins/src/target/target_service.rs
@@ -18,7 +18,7 @@
     std::{
         sync::{
             Arc,
-            atomic::{AtomicU32, Ordering},
+            atomic::{AtomicU32, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -41,6 +41,7 @@
     slots: Semaphore,
     waiting: AtomicU32,
     running: AtomicU32,
+    arrived: AtomicU64,
     control: watch::Sender<TargetControl>,
     ledger: RunLedger,
 }
@@ -57,6 +58,7 @@
             slots,
             waiting: AtomicU32::new(0),
             running: AtomicU32::new(0),
+            arrived: AtomicU64::new(0),
             control: watch::Sender::new(TargetControl::default()),
             ledger,
         }))
@@ -73,6 +75,11 @@
         }
     }
 
+    /// Calls that were read so far.
+    pub fn arrived(&self) -> u64 {
+        self.0.arrived.load(Ordering::SeqCst)
+    }
+
     /// Calls that run or wait.
     pub fn in_flight(&self) -> u32 {
         self.0.running.load(Ordering::Relaxed) + self.0.waiting.load(Ordering::Relaxed)
@@ -123,6 +130,7 @@
         let now = self.0.clock.now();
         let (parts, body) = request.into_parts();
         let call = InboundCall::read(&parts, now);
+        self.0.arrived.fetch_add(1, Ordering::SeqCst);
         self.record(&call, RunStage::Arrived);
         if body.collect().await.is_err() {
             return status(StatusCode::BAD_REQUEST);
--- a/standins/src/target/target_standin.rs
+++ b/standins/src/target/target_standin.rs
@@ -102,6 +102,12 @@
         self.server.open_connections()
     }
 
+    /// Calls that were read here so far.
+    #[must_use]
+    pub fn arrived(&self) -> u64 {
+        self.service.arrived()
+    }
+
     /// Calls that run or wait here.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
--- /dev/null
+++ b/tests/fleet/mod.rs
@@ -0,0 +1,15 @@
+//! Daemons as processes, with the platform and the targets in the test.
+
+#![allow(dead_code, reason = "each test program uses a part")]
+
+mod process_fleet;
+mod slow_reader;
+
+use std::time::Duration;
+pub use {
+    process_fleet::{ProcessFleet, RETRIES, browse, buy, name, target_settings, test_policy},
+    slow_reader::SlowReader,
+};
+
+/// Longest wait for a condition; only a failure takes so long.
+pub const PATIENCE: Duration = Duration::from_secs(60);
--- /dev/null
+++ b/tests/fleet/process_fleet.rs
@@ -0,0 +1,191 @@
+use {
+    super::PATIENCE,
+    banyantrestle::{
+        context::{ClassName, ServiceName},
+        policy::{ClassPolicy, OverloadPolicy, PolicyDocument, RetryPolicy, RoutePolicy},
+    },
+    standins::{
+        client::{CallClient, CallPath, CallRouter, OutboundCall},
+        deployment::{DaemonProcess, LOOPBACK, accept_policy, loopback_settings},
+        platform::{PlatformMode, PlatformStandin},
+        target::{RunLedger, TargetSettings, TargetStandin},
+    },
+    std::{net::SocketAddr, path::Path, time::Duration},
+    tokio::time::{Instant, sleep},
+};
+
+/// Retries of one request that the policy of the tests allows.
+pub const RETRIES: u32 = 3;
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+const DEADLINE: Duration = Duration::from_secs(10);
+
+/// A deployment whose daemons are processes.
+pub struct ProcessFleet {
+    pub platform: PlatformStandin,
+    pub daemons: Vec<DaemonProcess>,
+    pub targets: Vec<TargetStandin>,
+    pub ledger: RunLedger,
+}
+
+impl ProcessFleet {
+    /// The platform alone, with the policy of the tests accepted.
+    pub async fn new() -> Self {
+        let fleet = Self::without_policy().await;
+        let accepted = accept_policy(fleet.platform.address(), &test_policy()).await;
+        accepted.expect("the table works");
+        fleet
+    }
+
+    pub async fn without_policy() -> Self {
+        let platform = PlatformStandin::start(LOOPBACK, PlatformMode::uncapped()).await;
+        Self {
+            platform: platform.expect("a free port"),
+            daemons: Vec::new(),
+            targets: Vec::new(),
+            ledger: RunLedger::default(),
+        }
+    }
+
+    /// A daemon and a target for each name.
+    pub async fn with_services(services: &[&str]) -> Self {
+        let mut fleet = Self::new().await;
+        for service in services {
+            fleet.add(target_settings(service)).await;
+        }
+        fleet
+    }
+
+    /// Adds a daemon with a target beside it.
+    pub async fn add(&mut self, settings: TargetSettings) -> usize {
+        self.add_at(settings, self.platform.address()).await
+    }
+
+    /// Adds a daemon, which reaches the platform at `platform`, with a target beside it.
+    pub async fn add_at(&mut self, settings: TargetSettings, platform: SocketAddr) -> usize {
+        let index = self.add_daemon(platform);
+        let local = self.daemons[index].listen.local;
+        let target = TargetStandin::beside(settings, local, self.ledger.clone()).await;
+        self.targets.push(target.expect("a free port"));
+        index
+    }
+
+    /// Adds a daemon without a target, which reaches the platform at `platform`.
+    pub fn add_daemon(&mut self, platform: SocketAddr) -> usize {
+        let peers: Vec<SocketAddr> = self.daemons.iter().map(|one| one.listen.gossip).collect();
+        let settings = loopback_settings("dc-1", platform, &peers);
+        let program = Path::new(env!("CARGO_BIN_EXE_banyantrestled"));
+        let daemon = DaemonProcess::start(program, &settings).expect("a daemon that starts");
+        self.daemons.push(daemon);
+        self.daemons.len() - 1
+    }
+
+    /// Starts a daemon on the addresses of one that has ended.
+    pub fn restart(&mut self, index: usize) {
+        let ended = &mut self.daemons[index];
+        let status = ended.process.wait_for_exit(PATIENCE).expect("a child");
+        assert!(status.is_some(), "daemon {index} still runs");
+        let program = Path::new(env!("CARGO_BIN_EXE_banyantrestled"));
+        let settings = ended.successor_settings();
+        *ended = DaemonProcess::start(program, &settings).expect("a daemon that starts");
+    }
+
+    /// Callers of one daemon.
+    pub fn client(&self, daemon: usize) -> CallClient {
+        CallClient::new(CallRouter::daemons(vec![self.daemons[daemon].listen.edge]))
+    }
+
+    /// Callers of all daemons in turn.
+    pub fn clients(&self) -> CallClient {
+        let edges = self.daemons.iter().map(|daemon| daemon.listen.edge);
+        CallClient::new(CallRouter::daemons(edges.collect()))
+    }
+
+    /// Waits until a daemon brings `count` whole answers of a service in a row.
+    pub async fn wait_until_whole(&self, daemon: usize, service: &str, count: u32) {
+        let client = self.client(daemon);
+        let end = Instant::now() + PATIENCE;
+        let mut in_a_row = 0;
+        let mut tries = 0;
+        while in_a_row < count {
+            let attempt = format!("whole-{daemon}-{service}-{tries}");
+            let result = client.call(&browse(service, &attempt)).await;
+            tries += 1;
+            if result.is_whole() {
+                in_a_row += 1;
+                continue;
+            }
+            in_a_row = 0;
+            let log = self.daemons[daemon].process.log();
+            assert!(
+                Instant::now() < end,
+                "{service} through {daemon}: {result:?}\n{log}"
+            );
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// Waits until calls through a daemon reach a target.
+    pub async fn wait_until_reached(&self, daemon: usize, target: usize) {
+        let client = self.client(daemon);
+        let target = &self.targets[target];
+        let service = target.service_name().as_str();
+        let end = Instant::now() + PATIENCE;
+        let before = target.arrived();
+        let mut tries = 0;
+        while target.arrived() == before {
+            assert!(
+                Instant::now() < end,
+                "no call of {service} reaches the target"
+            );
+            let attempt = format!("reach-{daemon}-{service}-{tries}");
+            client.call(&browse(service, &attempt)).await;
+            tries += 1;
+        }
+    }
+}
+
+/// Fast targets, so that tests take little time.
+pub fn target_settings(service: &str) -> TargetSettings {
+    let mut settings = TargetSettings::new(&name(service));
+    settings.service_mean = Duration::from_millis(2);
+    settings
+}
+
+pub fn name(text: &str) -> ServiceName {
+    ServiceName::new(text).expect("a valid name")
+}
+
+/// An idempotent call.
+pub fn browse(service: &str, attempt: &str) -> OutboundCall {
+    OutboundCall::get(&name(service), CallPath::new("browse"), attempt, DEADLINE)
+}
+
+/// A call that must run at most once.
+pub fn buy(service: &str, attempt: &str, key: &str) -> OutboundCall {
+    OutboundCall::get(&name(service), CallPath::new("buy"), attempt, DEADLINE).keyed(key)
+}
+
+/// Two classes: `buy`, which is not idempotent, and `browse`.
+pub fn test_policy() -> PolicyDocument {
+    let class = |name: &str, weight, non_idempotent| ClassPolicy {
+        name: ClassName::new(name).expect("a valid name"),
+        weight,
+        deadline_ms: u64::try_from(DEADLINE.as_millis()).expect("a short time"),
+        non_idempotent,
+        key_window_s: 3_600,
+    };
+    let buy = class("buy", 100, true);
+    let browse = class("browse", 1, false);
+    PolicyDocument {
+        deployment: "test".into(),
+        routes: Vec::new(),
+        default_class: browse.name.clone(),
+        default_unsafe_class: Some(buy.name.clone()),
+        classes: vec![buy, browse],
+        retry: RetryPolicy {
+            per_request: RETRIES,
+            ratio_percent: 20,
+        },
+        overload: OverloadPolicy::default(),
+    }
+}
--- /dev/null
+++ b/tests/processes.rs
@@ -0,0 +1,255 @@
+//! Whole paths through daemons that run as processes.
+
+mod fleet;
+
+use {
+    banyantrestle::context::RunOutcome,
+    fleet::{PATIENCE, ProcessFleet, SlowReader, browse, buy, name, target_settings, test_policy},
+    futures_util::future::join_all,
+    http::{Method, StatusCode},
+    serde_json::json,
+    standins::{
+        answer::AnswerVerdict,
+        caller::{CallerClass, CallerFleet, CallerSettings, RetryHabit},
+        client::{CallClient, CallPath, CallResult, TextAnswer, TextRequest},
+        deployment::ADMIN_TOKEN,
+        platform::{DownMode, PlatformMode},
+        process::{ProcessSignal, wait_until},
+    },
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::sleep,
+};
+
+/// Time after which a leaving target must get no new work.
+const LEAVE_TIME: Duration = Duration::from_secs(5);
+const LONG_ANSWER_BYTES: u64 = 100 << 20;
+
+fn load(service: &str, client: CallClient, seed: u64) -> CallerFleet {
+    let class = CallerClass {
+        name: "browse".into(),
+        service: name(service),
+        path: CallPath::new("browse"),
+        rate: 100.0,
+        is_keyed: false,
+        timeout: PATIENCE,
+    };
+    let settings = CallerSettings {
+        classes: vec![class],
+        habit: RetryHabit::Never,
+        seed,
+    };
+    CallerFleet::start(settings, client)
+}
+
+async fn wait_for_load(load: &CallerFleet, more: u64) {
+    let start = load.report().classes[0].whole;
+    let is_under_load = wait_until(PATIENCE, || async {
+        load.report().classes[0].whole >= start + more
+    });
+    assert!(is_under_load.await, "{:?}", load.report().classes);
+}
+
+async fn submit(admin: SocketAddr, base_version: u64, deployment: &str) -> TextAnswer {
+    let mut document = test_policy();
+    document.deployment = deployment.into();
+    let body = json!({"base_version": base_version, "document": document});
+    let request = TextRequest {
+        method: Method::POST,
+        path: "/api/policy".into(),
+        headers: vec![("authorization", format!("Bearer {ADMIN_TOKEN}"))],
+        body: body.to_string(),
+    };
+    request.send(admin).await.expect("an answer of the console")
+}
+
+async fn enforced_version(admin: SocketAddr) -> Option<u64> {
+    let answer = TextRequest::get("/api/policy").send(admin).await.ok()?;
+    let view: serde_json::Value = serde_json::from_str(&answer.text).ok()?;
+    view.get("version")?.as_u64()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chain_of_three_services_runs_once_at_each() {
+    let fleet = ProcessFleet::with_services(&["a", "b", "c"]).await;
+    let mut call = browse("a", "chain");
+    call.path = CallPath::new("browse").with_via(vec![name("b"), name("c")]);
+    for service in ["a", "b", "c"] {
+        fleet.wait_until_whole(0, service, 1).await;
+    }
+    let client = fleet.client(0);
+    let is_whole = wait_until(PATIENCE, || async { client.call(&call).await.is_whole() });
+    assert!(is_whole.await, "{:?}", client.call(&call).await);
+    fleet.ledger.clear();
+    call.attempt = "counted".into();
+    assert_eq!(client.call(&call).await, CallResult::Whole);
+    let report = fleet.ledger.report();
+    assert_eq!((report.started, report.finished), (3, 3));
+    assert_eq!(report.wrong_answers, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn key_sent_to_five_daemons_at_once_runs_once() {
+    let mut fleet = ProcessFleet::with_services(&["a", "a", "a"]).await;
+    for _ in 0..2 {
+        fleet.add_daemon(fleet.platform.address());
+    }
+    for daemon in 0..5 {
+        fleet.wait_until_whole(daemon, "a", 3).await;
+    }
+    for round in 0..10 {
+        let key = format!("key-{round}");
+        let clients: Vec<CallClient> = (0..5).map(|daemon| fleet.client(daemon)).collect();
+        let calls: Vec<_> = (0..5)
+            .map(|number| buy("a", &format!("buy-{round}.{number}"), &key))
+            .collect();
+        let sends = clients
+            .iter()
+            .zip(&calls)
+            .map(|(client, call)| client.call(call));
+        let results = join_all(sends).await;
+        assert_eq!(fleet.ledger.key_runs("a", &key), 1, "{results:?}");
+        let is_answered = results.iter().any(CallResult::is_whole);
+        assert!(is_answered, "{results:?}");
+        let wrong = |result: &CallResult| matches!(result, CallResult::Wrong(_));
+        assert!(!results.iter().any(wrong), "{results:?}");
+        for (call, result) in calls.iter().zip(&results) {
+            let is_not_run = result.outcome() == Some(RunOutcome::NotRun);
+            assert!(!is_not_run || !fleet.ledger.has_arrived(&call.attempt));
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn table_down_refuses_purchases_as_not_run_and_serves_the_rest() {
+    let fleet = ProcessFleet::with_services(&["a", "a"]).await;
+    fleet.wait_until_whole(0, "a", 3).await;
+    let client = fleet.client(0);
+    assert_eq!(
+        client.call(&buy("a", "up", "key-up")).await,
+        CallResult::Whole
+    );
+    fleet.platform.set_mode(PlatformMode {
+        down: DownMode::Close,
+        ..PlatformMode::uncapped()
+    });
+    for number in 0..5 {
+        let key = format!("key-down-{number}");
+        let result = client.call(&buy("a", &key, &key)).await;
+        let CallResult::Refused {
+            outcome,
+            retry_after,
+            ..
+        } = result
+        else {
+            panic!("{result:?}");
+        };
+        assert_eq!(outcome, Some(RunOutcome::NotRun));
+        assert!(retry_after.is_some());
+        assert_eq!(fleet.ledger.key_runs("a", &key), 0);
+        let result = client.call(&browse("a", &format!("down-{number}"))).await;
+        assert_eq!(result, CallResult::Whole);
+    }
+    fleet.platform.set_mode(PlatformMode::uncapped());
+    let call = buy("a", "healed", "key-healed");
+    let is_served = wait_until(PATIENCE, || async { client.call(&call).await.is_whole() });
+    assert!(is_served.await);
+    assert_eq!(fleet.ledger.key_runs("a", "key-healed"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_find_each_other_while_the_table_is_down() {
+    let mut fleet = ProcessFleet::without_policy().await;
+    fleet.platform.set_mode(PlatformMode {
+        down: DownMode::Close,
+        ..PlatformMode::uncapped()
+    });
+    fleet.add(target_settings("a")).await;
+    fleet.add(target_settings("b")).await;
+    fleet.wait_until_whole(0, "b", 3).await;
+    fleet.wait_until_whole(1, "a", 3).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_of_two_operators_is_told_of_the_conflict() {
+    let fleet = ProcessFleet::with_services(&["a", "b", "c"]).await;
+    for daemon in 0..3 {
+        let admin = fleet.daemons[daemon].listen.admin;
+        let is_first = wait_until(PATIENCE, || async {
+            enforced_version(admin).await == Some(1)
+        });
+        assert!(is_first.await, "daemon {daemon} does not enforce version 1");
+    }
+    let (first, second) = tokio::join!(
+        submit(fleet.daemons[0].listen.admin, 1, "of-the-first"),
+        submit(fleet.daemons[1].listen.admin, 1, "of-the-second"),
+    );
+    let mut statuses = [first.status, second.status];
+    statuses.sort();
+    assert_eq!(
+        statuses,
+        [StatusCode::OK, StatusCode::CONFLICT],
+        "{first:?} {second:?}"
+    );
+    for daemon in &fleet.daemons {
+        let admin = daemon.listen.admin;
+        let is_second = wait_until(PATIENCE, || async {
+            enforced_version(admin).await == Some(2)
+        });
+        assert!(is_second.await, "{admin} does not enforce version 2");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_cuts_nothing_off() {
+    let mut fleet = ProcessFleet::with_services(&["a", "a", "b"]).await;
+    fleet.wait_until_reached(2, 0).await;
+    fleet.wait_until_reached(2, 1).await;
+    let load = load("a", fleet.client(2), 11);
+    wait_for_load(&load, 20).await;
+    // A stream through each daemon: whichever target it chose, one of them is told to stop.
+    let edge = fleet.daemons[2].listen.edge;
+    let mut streams = Vec::new();
+    for number in 0..4 {
+        let attempt = format!("stream-{number}");
+        streams.push(SlowReader::open(edge, "a", LONG_ANSWER_BYTES, &attempt).await);
+    }
+    let stopping = &fleet.daemons[0].process;
+    stopping.signal(ProcessSignal::Terminate).expect("it runs");
+    let before = fleet.targets[0].arrived();
+    wait_for_load(&load, 100).await;
+    sleep(LEAVE_TIME).await;
+    let after_leave = fleet.targets[0].arrived();
+    wait_for_load(&load, 50).await;
+    assert_eq!(
+        fleet.targets[0].arrived(),
+        after_leave,
+        "{before} when told to stop"
+    );
+    for stream in streams {
+        let verdict = stream.finish().await;
+        assert_eq!(verdict.expect("not cut off"), AnswerVerdict::Whole);
+    }
+    let status = fleet.daemons[0].process.wait_for_exit(PATIENCE);
+    let status = status.expect("a child").expect("it ends by itself");
+    assert!(status.success(), "{}", fleet.daemons[0].process.log());
+    let report = load.stop().await;
+    let class = &report.classes[0];
+    assert_eq!(class.whole, class.offered, "{class:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn draining_target_gets_no_new_work_after_a_few_seconds() {
+    let fleet = ProcessFleet::with_services(&["a", "a", "b"]).await;
+    fleet.wait_until_reached(2, 0).await;
+    fleet.wait_until_reached(2, 1).await;
+    let load = load("a", fleet.clients(), 12);
+    wait_for_load(&load, 20).await;
+    fleet.targets[0].drain();
+    sleep(LEAVE_TIME).await;
+    let before = fleet.targets[0].arrived();
+    wait_for_load(&load, 100).await;
+    assert_eq!(fleet.targets[0].arrived(), before);
+    let report = load.stop().await;
+    let class = &report.classes[0];
+    assert_eq!(class.whole, class.offered, "{class:?}");
+}
--- /dev/null
+++ b/tests/processes_faults.rs
@@ -0,0 +1,220 @@
+//! Daemons that are killed, frozen or cut off while calls run.
+
+mod fleet;
+
+use {
+    banyantrestle::context::RunOutcome,
+    fleet::{PATIENCE, ProcessFleet, RETRIES, browse, buy, name, target_settings},
+    standins::{
+        caller::{CallerClass, CallerFleet, CallerReport, CallerSettings, RetryHabit},
+        client::{CallClient, CallPath, CallResult},
+        deployment::LOOPBACK,
+        platform::PlatformMode,
+        process::{ProcessSignal, wait_until},
+        relay::TcpRelay,
+        target::{RunLedger, TargetFault, TargetStandin},
+    },
+    std::time::Duration,
+    tokio::time::sleep,
+};
+
+/// Delay each way that leaves time to strike between the commit of a claim and its answer.
+const TABLE_DELAY: Duration = Duration::from_millis(200);
+/// Time for which a daemon is frozen; membership gives it up meanwhile.
+const FREEZE_TIME: Duration = Duration::from_secs(8);
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+fn hard_load(client: CallClient, seed: u64) -> CallerFleet {
+    let class = |name_text: &str, rate, is_keyed| CallerClass {
+        name: name_text.into(),
+        service: name("a"),
+        path: CallPath::new(name_text),
+        rate,
+        is_keyed,
+        timeout: CALL_TIMEOUT,
+    };
+    let settings = CallerSettings {
+        classes: vec![class("buy", 30.0, true), class("browse", 100.0, false)],
+        habit: RetryHabit::Hard { attempts: 3 },
+        seed,
+    };
+    CallerFleet::start(settings, client)
+}
+
+async fn wait_for_load(load: &CallerFleet, more: u64) {
+    let whole = || load.report().total(|class| class.whole);
+    let start = whole();
+    let is_under_load = wait_until(PATIENCE, || async { whole() >= start + more });
+    assert!(is_under_load.await, "{:?}", load.report().classes);
+}
+
+/// What holds whatever happens to a daemon.
+fn check_promises(report: &CallerReport, ledger: &RunLedger) {
+    let runs = ledger.report();
+    assert_eq!(runs.doubled_keys, 0, "{:?}", runs.keys);
+    assert_eq!(report.false_not_run(ledger), 0);
+    assert_eq!(report.total(|class| class.wrong), 0);
+    assert!(
+        runs.most_repeats <= RETRIES,
+        "{} retries",
+        runs.most_repeats
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_daemon_of_a_target_costs_no_promise() {
+    let fleet = ProcessFleet::with_services(&["a", "a", "b"]).await;
+    fleet.wait_until_reached(2, 0).await;
+    fleet.wait_until_reached(2, 1).await;
+    let load = hard_load(fleet.client(2), 21);
+    wait_for_load(&load, 50).await;
+    let killed = &fleet.daemons[0].process;
+    killed.signal(ProcessSignal::Kill).expect("it runs");
+    wait_for_load(&load, 200).await;
+    fleet.wait_until_whole(2, "a", 50).await;
+    check_promises(&load.stop().await, &fleet.ledger);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_daemon_is_avoided_and_taken_back() {
+    let fleet = ProcessFleet::with_services(&["a", "a", "b"]).await;
+    fleet.wait_until_reached(2, 0).await;
+    fleet.wait_until_reached(2, 1).await;
+    let load = hard_load(fleet.client(2), 22);
+    wait_for_load(&load, 50).await;
+    let frozen = &fleet.daemons[0].process;
+    frozen.signal(ProcessSignal::Stop).expect("it runs");
+    fleet.wait_until_whole(2, "a", 50).await;
+    sleep(FREEZE_TIME).await;
+    frozen.signal(ProcessSignal::Continue).expect("it runs");
+    fleet.wait_until_reached(2, 0).await;
+    wait_for_load(&load, 50).await;
+    check_promises(&load.stop().await, &fleet.ledger);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_daemon_takes_the_place_of_the_killed_one() {
+    let mut fleet = ProcessFleet::with_services(&["a", "b"]).await;
+    fleet.wait_until_reached(1, 0).await;
+    let killed = &fleet.daemons[0].process;
+    killed.signal(ProcessSignal::Kill).expect("it runs");
+    fleet.restart(0);
+    fleet.wait_until_reached(1, 0).await;
+    fleet.wait_until_whole(1, "a", 20).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connection_to_a_target_is_replaced() {
+    let mut fleet = ProcessFleet::new().await;
+    let index = fleet.add_daemon(fleet.platform.address());
+    let listen = fleet.daemons[index].listen;
+    let settings = target_settings("a");
+    let router = standins::client::CallRouter::daemons(vec![listen.local]);
+    let target = TargetStandin::start(settings, router, fleet.ledger.clone()).await;
+    let mut target = target.expect("a free port");
+    let relay = TcpRelay::start(LOOPBACK, target.address()).await;
+    let relay = relay.expect("a free port");
+    target.announce(listen.local, relay.address());
+    fleet.targets.push(target);
+    fleet.wait_until_whole(0, "a", 5).await;
+    relay.silence();
+    fleet.wait_until_whole(0, "a", 5).await;
+    let result = fleet.client(0).call(&browse("a", "after")).await;
+    assert_eq!(result, CallResult::Whole);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_answer_is_never_whole_and_retries_stay_in_the_budget() {
+    let fleet = ProcessFleet::with_services(&["a", "a", "b"]).await;
+    fleet.wait_until_reached(2, 0).await;
+    fleet.wait_until_reached(2, 1).await;
+    fleet.targets[0].set_fault(TargetFault::Cutting);
+    fleet.targets[1].set_fault(TargetFault::Cutting);
+    for number in 0..20 {
+        let result = fleet
+            .client(2)
+            .call(&browse("a", &format!("cut-{number}")))
+            .await;
+        assert!(!result.is_whole());
+        assert!(!matches!(result, CallResult::Wrong(_)), "{result:?}");
+        assert_ne!(result.outcome(), Some(RunOutcome::NotRun));
+    }
+    assert!(fleet.ledger.report().most_repeats <= RETRIES);
+    fleet.targets[0].set_fault(TargetFault::None);
+    fleet.targets[1].set_fault(TargetFault::None);
+    fleet.wait_until_whole(2, "a", 20).await;
+}
+
+/// Sends purchases whose claims are committed but not yet answered when `strike` hits the daemon
+/// of their target, then repeats their keys.
+async fn strike_during_claim(strike: ProcessSignal) {
+    let mut fleet = ProcessFleet::new().await;
+    let relay = TcpRelay::start(LOOPBACK, fleet.platform.address()).await;
+    let relay = relay.expect("a free port");
+    fleet.add_at(target_settings("a"), relay.address()).await;
+    fleet.add(target_settings("b")).await;
+    fleet.wait_until_reached(1, 0).await;
+    for round in 0..3 {
+        relay.set_delay(TABLE_DELAY);
+        let key = format!("struck-{round}");
+        let before = fleet.platform.counters().transactions;
+        let client = fleet.client(1);
+        let first = buy("a", &format!("{key}.0"), &key);
+        let running = tokio::spawn(async move { client.call(&first).await });
+        let has_claimed = wait_until(PATIENCE, || async {
+            fleet.platform.counters().transactions > before
+        });
+        assert!(has_claimed.await, "no claim was sent");
+        fleet.daemons[0].process.signal(strike).expect("it runs");
+        relay.set_delay(Duration::ZERO);
+        if strike == ProcessSignal::Kill {
+            fleet.restart(0);
+        } else {
+            sleep(FREEZE_TIME).await;
+            let continued = fleet.daemons[0].process.signal(ProcessSignal::Continue);
+            continued.expect("it runs");
+        }
+        let result = running.await.expect("a caller");
+        fleet.wait_until_reached(1, 0).await;
+        for repeat in 1..4 {
+            let call = buy("a", &format!("{key}.{repeat}"), &key);
+            fleet.client(1).call(&call).await;
+        }
+        let runs = fleet.ledger.key_runs("a", &key);
+        assert!(
+            runs <= 1,
+            "{runs} runs after {strike:?} in round {round}: {result:?}"
+        );
+        let is_not_run = result.outcome() == Some(RunOutcome::NotRun);
+        let has_arrived = fleet.ledger.has_arrived(&format!("{key}.0"));
+        assert!(!(is_not_run && has_arrived), "told not-run: {result:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_frozen_during_a_claim_runs_the_call_at_most_once() {
+    strike_during_claim(ProcessSignal::Stop).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_killed_during_a_claim_runs_the_call_at_most_once() {
+    strike_during_claim(ProcessSignal::Kill).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_of_the_table_double_nothing() {
+    let fleet = ProcessFleet::with_services(&["a", "a", "b"]).await;
+    fleet.wait_until_reached(2, 0).await;
+    fleet.wait_until_reached(2, 1).await;
+    fleet.platform.set_mode(PlatformMode {
+        lose_percent: 40,
+        seed: 5,
+        ..PlatformMode::uncapped()
+    });
+    let load = hard_load(fleet.clients(), 23);
+    wait_for_load(&load, 300).await;
+    fleet.platform.set_mode(PlatformMode::uncapped());
+    wait_for_load(&load, 50).await;
+    let report = load.stop().await;
+    check_promises(&report, &fleet.ledger);
+}
