--- /dev/null
+++ b/src/cli/admin_client.rs
@@ -0,0 +1,107 @@
+use {
+    crate::error::{ProcessStep, StepError},
+    bytes::Bytes,
+    http::{Method, Request, StatusCode, header},
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::client::conn::http1,
+    hyper_util::rt::TokioIo,
+    serde::{Serialize, de::DeserializeOwned},
+    std::{net::SocketAddr, time::Duration},
+    tokio::{net::TcpStream, time::timeout},
+};
+
+/// Wait for a connection.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Wait for a whole answer; longer than a commit takes to settle.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Bytes of the longest answer.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Talks to the console of one daemon, each request over a connection of its own.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AdminClient(SocketAddr);
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub(super) struct AdminAnswer {
+    pub status: StatusCode,
+    pub body: Bytes,
+}
+
+impl AdminClient {
+    pub(super) const fn new(address: SocketAddr) -> Self {
+        Self(address)
+    }
+
+    /// Reads a page.
+    pub(super) async fn get(&self, path: &str) -> Result<Bytes, StepError> {
+        let request = Request::builder().method(Method::GET).uri(path);
+        let request = request.header(header::HOST, self.0.to_string());
+        let request = request.body(Full::default());
+        let request = request.map_err(|error| self.fault(error))?;
+        let answer = self.send(request).await?;
+        if answer.status != StatusCode::OK {
+            return Err(self.fault(format!("status {} for {path}", answer.status)));
+        }
+        Ok(answer.body)
+    }
+
+    /// Reads a JSON page.
+    pub(super) async fn get_json<T: DeserializeOwned>(&self, path: &str) -> Result<T, StepError> {
+        let body = self.get(path).await?;
+        serde_json::from_slice(&body).map_err(|error| self.fault(error))
+    }
+
+    /// Posts JSON with the admin token.
+    pub(super) async fn post(
+        &self,
+        path: &str,
+        token: &str,
+        body: &impl Serialize,
+    ) -> Result<AdminAnswer, StepError> {
+        let body = serde_json::to_vec(body).map_err(|error| self.fault(error))?;
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(path)
+            .header(header::HOST, self.0.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .header(header::AUTHORIZATION, format!("Bearer {token}"))
+            .body(Full::from(body))
+            .map_err(|error| self.fault(error))?;
+        self.send(request).await
+    }
+
+    async fn send(&self, request: Request<Full<Bytes>>) -> Result<AdminAnswer, StepError> {
+        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.0)).await;
+        let stream = connecting
+            .map_err(|_| self.fault(format!("no connection within {CONNECT_TIMEOUT:?}")))?
+            .map_err(|error| self.fault(error))?;
+        let exchange = self.exchange(stream, request);
+        timeout(ANSWER_TIMEOUT, exchange)
+            .await
+            .map_err(|_| self.fault(format!("no answer within {ANSWER_TIMEOUT:?}")))?
+    }
+
+    async fn exchange(
+        &self,
+        stream: TcpStream,
+        request: Request<Full<Bytes>>,
+    ) -> Result<AdminAnswer, StepError> {
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (mut sender, connection) = handshake.map_err(|error| self.fault(error))?;
+        tokio::spawn(connection);
+        let response = sender.send_request(request).await;
+        let (head, body) = response.map_err(|error| self.fault(error))?.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        let body = body.map_err(|error| self.fault(error))?;
+        Ok(AdminAnswer {
+            status: head.status,
+            body: body.to_bytes(),
+        })
+    }
+
+    fn fault(&self, source: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> StepError {
+        StepError::new(ProcessStep::CallAdmin, self.0, source)
+    }
+}
--- /dev/null
+++ b/src/cli/cli_output.rs
@@ -0,0 +1,54 @@
+use {
+    serde::Serialize,
+    std::{fmt::Display, io::Write},
+};
+
+/// Standard output and error of a command.
+///
+/// A reader that closes its end early, such as `head`, is no failure.
+pub struct CliOutput<O, E> {
+    output: O,
+    errors: E,
+}
+
+impl<O: Write, E: Write> CliOutput<O, E> {
+    pub const fn new(output: O, errors: E) -> Self {
+        Self { output, errors }
+    }
+
+    /// Prints a line of the result.
+    pub fn line(&mut self, line: impl Display) {
+        let _ = writeln!(self.output, "{line}");
+    }
+
+    /// Prints a result as one line of JSON.
+    pub fn json(&mut self, value: &impl Serialize) {
+        let text = serde_json::to_string(value).unwrap_or_default();
+        self.line(text);
+    }
+
+    /// Prints an error, a line for each of its faults.
+    pub fn error(&mut self, error: impl Display) {
+        let _ = writeln!(self.errors, "{error}");
+    }
+
+    /// Prints rows in columns of equal width.
+    pub fn table(&mut self, rows: &[Vec<String>]) {
+        let columns = rows.iter().map(Vec::len).max().unwrap_or_default();
+        let width = |column| {
+            let cells = rows.iter().filter_map(|row| row.get(column));
+            cells
+                .map(|cell: &String| cell.chars().count())
+                .max()
+                .unwrap_or(0)
+        };
+        let widths: Vec<usize> = (0..columns).map(width).collect();
+        for row in rows {
+            let cells = row.iter().zip(&widths);
+            let cells: Vec<_> = cells
+                .map(|(cell, width)| format!("{cell:width$}"))
+                .collect();
+            self.line(cells.join("  ").trim_end());
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/command_flags.rs
@@ -0,0 +1,79 @@
+use {
+    crate::{context::RequestId, events::EventName},
+    std::{net::SocketAddr, path::PathBuf},
+    strum::EnumString,
+};
+
+/// What can be done with a settings file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub enum SettingsAction {
+    Check,
+}
+
+xflags::xflags! {
+    /// Operates a deployment of banyantrestle.
+    cmd banyantrestle {
+        /// Checks, submits and shows the policy.
+        cmd policy {
+            /// Checks a policy document and says what is wrong with it, by line and field.
+            cmd check {
+                /// Document in JSON with comments.
+                required file: PathBuf
+            }
+            /// Submits a policy document; it is in force everywhere within seconds.
+            cmd submit {
+                /// Document in JSON with comments.
+                required file: PathBuf
+                /// Admin address of any daemon.
+                required --admin address: SocketAddr
+                /// Version that the document was made from.
+                required --base version: u64
+                /// File that holds the admin token.
+                required --token-file path: PathBuf
+                /// Prints the answer as JSON.
+                optional --json
+            }
+            /// Prints the policy in force at a daemon as a document.
+            cmd show {
+                /// Admin address of the daemon.
+                required address: SocketAddr
+                /// Prints version, hash and document as JSON.
+                optional --json
+            }
+        }
+        /// Prints the members that a daemon knows, with the policy version each enforces.
+        cmd members {
+            /// Admin address of the daemon.
+            required address: SocketAddr
+            /// Prints the records as JSON.
+            optional --json
+        }
+        /// Prints the events of several daemons in one order.
+        cmd timeline {
+            /// Admin addresses of the daemons.
+            repeated addresses: SocketAddr
+            /// Only events of this request, 32 hexadecimal digits.
+            optional --request id: RequestId
+            /// Only events about this target or daemon, or recorded by this daemon.
+            optional --target address: SocketAddr
+            /// Only events of this kind, such as call-refused.
+            optional --kind kind: EventName
+            /// Only events from this time on, in ms of the Unix epoch.
+            optional --from ms: u64
+            /// Only events before this time, in ms of the Unix epoch.
+            optional --to ms: u64
+            /// Prints one JSON object a line.
+            optional --json
+        }
+        /// Checks the settings of a daemon: `settings check FILE`.
+        cmd settings {
+            /// Only `check`.
+            required action: SettingsAction
+            /// Settings in JSON with comments.
+            required file: PathBuf
+        }
+        /// Prints the version of the program.
+        cmd version {}
+    }
+}
--- /dev/null
+++ b/src/cli/event_line.rs
@@ -0,0 +1,60 @@
+use {
+    crate::{
+        events::{EventRecord, TimeEntry},
+        membership::MemberId,
+    },
+    humantime::format_rfc3339_millis,
+    serde::Serialize,
+    serde_json::Value,
+    std::time::{Duration, UNIX_EPOCH},
+};
+
+/// The last time of four-digit years, in ms of the Unix epoch.
+const MAX_SHOWN_MS: u64 = 253_402_300_799_999;
+const INDENT: &str = "  ";
+
+/// An event as one line of JSON.
+#[derive(Serialize)]
+pub(super) struct EventLine<'a> {
+    process: &'a MemberId,
+    depth: usize,
+    #[serde(flatten)]
+    record: &'a EventRecord,
+}
+
+impl<'a> EventLine<'a> {
+    pub(super) const fn new(entry: TimeEntry<'a>) -> Self {
+        Self {
+            process: entry.process,
+            depth: entry.depth,
+            record: entry.record,
+        }
+    }
+
+    /// Time, process and event for a reader; calls are indented by their depth.
+    pub(super) fn to_text(&self) -> String {
+        let stamp = self.record.stamp;
+        let wall = Duration::from_millis(stamp.wall_ms.min(MAX_SHOWN_MS));
+        let time = format_rfc3339_millis(UNIX_EPOCH + wall);
+        let address = self.process.address.to_string();
+        let indent = INDENT.repeat(self.depth);
+        let name = self.record.kind.name();
+        let fields = self.fields();
+        format!(
+            "{time}+{:04x}  {address:21}  {indent}{name}{fields}",
+            stamp.count
+        )
+    }
+
+    fn fields(&self) -> String {
+        let Ok(Value::Object(fields)) = serde_json::to_value(&self.record.kind) else {
+            return String::new();
+        };
+        let shown = fields.iter().filter(|(name, _)| *name != "kind");
+        let shown = shown.map(|(name, value)| match value {
+            Value::String(text) if !text.contains(' ') => format!(" {name}={text}"),
+            other => format!(" {name}={other}"),
+        });
+        shown.collect()
+    }
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,74 @@
+//! The operators' command line.
+//!
+//! [`run`] reads the arguments, carries out one command and returns the exit status: 0 for
+//! success, 1 for a failure, 2 for bad input. Results go to standard output, errors to standard
+//! error.
+
+mod admin_client;
+mod cli_error;
+mod cli_output;
+mod command_flags;
+mod event_line;
+mod member_command;
+mod policy_command;
+mod settings_command;
+mod timeline_command;
+
+pub use {
+    admin_client::{ANSWER_TIMEOUT, CONNECT_TIMEOUT},
+    cli_error::CliError,
+    cli_output::CliOutput,
+};
+
+use {
+    command_flags::{Banyantrestle, BanyantrestleCmd},
+    std::{ffi::OsString, io::Write, process::ExitCode},
+};
+
+const USAGE_STATUS: u8 = 2;
+
+/// Carries out the command that `arguments` name, without the name of the program.
+pub async fn run<O, E>(arguments: Vec<OsString>, output: &mut CliOutput<O, E>) -> ExitCode
+where
+    O: Write,
+    E: Write,
+{
+    let flags = match Banyantrestle::from_vec(arguments) {
+        Ok(flags) => flags,
+        Err(error) if error.is_help() => {
+            output.line(error);
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            output.error(format_args!("{error}\nTry banyantrestle --help."));
+            return ExitCode::from(USAGE_STATUS);
+        }
+    };
+    match carry_out(flags.subcommand, output).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            output.error(&error);
+            error.exit_code()
+        }
+    }
+}
+
+async fn carry_out<O, E>(
+    command: BanyantrestleCmd,
+    output: &mut CliOutput<O, E>,
+) -> Result<(), CliError>
+where
+    O: Write,
+    E: Write,
+{
+    match command {
+        BanyantrestleCmd::Policy(policy) => policy_command::run(policy.subcommand, output).await,
+        BanyantrestleCmd::Members(members) => member_command::run(&members, output).await,
+        BanyantrestleCmd::Timeline(timeline) => timeline_command::run(&timeline, output).await,
+        BanyantrestleCmd::Settings(settings) => settings_command::run(&settings, output),
+        BanyantrestleCmd::Version(_) => {
+            output.line(concat!("banyantrestle ", env!("CARGO_PKG_VERSION")));
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/policy_command.rs
@@ -0,0 +1,156 @@
+use {
+    super::{
+        CliError, CliOutput,
+        admin_client::{AdminAnswer, AdminClient},
+        command_flags::{Check, PolicyCmd, Show, Submit},
+    },
+    crate::{
+        console::{PolicyProblem, PolicySubmission, PolicyView},
+        policy::{self, FieldChange, PolicyAccepted, PolicyConflict},
+    },
+    http::StatusCode,
+    std::{
+        fs::File,
+        io::{self, Read, Write},
+        path::Path,
+    },
+};
+
+/// Bytes of the longest token file.
+const MAX_TOKEN_FILE_BYTES: u64 = 4_096;
+
+pub(super) async fn run<O, E>(
+    command: PolicyCmd,
+    output: &mut CliOutput<O, E>,
+) -> Result<(), CliError>
+where
+    O: Write,
+    E: Write,
+{
+    match command {
+        PolicyCmd::Check(flags) => check(&flags, output),
+        PolicyCmd::Submit(flags) => submit(&flags, output).await,
+        PolicyCmd::Show(flags) => show(&flags, output).await,
+    }
+}
+
+fn check<O, E>(flags: &Check, output: &mut CliOutput<O, E>) -> Result<(), CliError>
+where
+    O: Write,
+    E: Write,
+{
+    let document = policy::load(&flags.file)?;
+    output.line(format_args!(
+        "{}: ok, {} classes and {} routes for {}",
+        flags.file.display(),
+        document.classes.len(),
+        document.routes.len(),
+        document.deployment,
+    ));
+    Ok(())
+}
+
+async fn show<O, E>(flags: &Show, output: &mut CliOutput<O, E>) -> Result<(), CliError>
+where
+    O: Write,
+    E: Write,
+{
+    let client = AdminClient::new(flags.address);
+    let view: PolicyView = client.get_json("/api/policy").await?;
+    if flags.json {
+        output.json(&view);
+        return Ok(());
+    }
+    output.line(format_args!(
+        "// version {}, hash {}",
+        view.version, view.hash
+    ));
+    let document = serde_json::to_string_pretty(&view.document);
+    output.line(document.unwrap_or_default());
+    Ok(())
+}
+
+async fn submit<O, E>(flags: &Submit, output: &mut CliOutput<O, E>) -> Result<(), CliError>
+where
+    O: Write,
+    E: Write,
+{
+    let submission = PolicySubmission {
+        base_version: flags.base,
+        document: policy::load(&flags.file)?,
+    };
+    let token = read_token(&flags.token_file)?;
+    let client = AdminClient::new(flags.admin);
+    let answer = client.post("/api/policy", &token, &submission).await?;
+    if answer.status != StatusCode::OK {
+        return Err(refusal(&answer, output));
+    }
+    let accepted: PolicyAccepted = serde_json::from_slice(&answer.body)
+        .map_err(|error| CliError::Refused(format!("answer not understood: {error}")))?;
+    if flags.json {
+        output.json(&accepted);
+    } else {
+        let (version, hash) = (accepted.version, accepted.hash);
+        output.line(format_args!("version {version} is accepted, hash {hash}"));
+    }
+    Ok(())
+}
+
+fn read_token(path: &Path) -> Result<String, CliError> {
+    let unreadable = |source: io::Error| CliError::Unreadable {
+        path: path.to_owned(),
+        source,
+    };
+    let mut token = String::new();
+    let file = File::open(path).map_err(unreadable)?;
+    file.take(MAX_TOKEN_FILE_BYTES)
+        .read_to_string(&mut token)
+        .map_err(unreadable)?;
+    let token = token.trim();
+    if token.is_empty() || !token.bytes().all(|byte| byte.is_ascii_graphic()) {
+        let message = format!("{}: holds no token on one line", path.display());
+        return Err(CliError::Usage(message));
+    }
+    Ok(token.into())
+}
+
+fn refusal<O, E>(answer: &AdminAnswer, output: &mut CliOutput<O, E>) -> CliError
+where
+    O: Write,
+    E: Write,
+{
+    let Ok(problem) = serde_json::from_slice::<PolicyProblem>(&answer.body) else {
+        return CliError::Refused(format!("not accepted: status {}", answer.status));
+    };
+    for error in &problem.errors {
+        output.error(error);
+    }
+    if let Some(conflict) = &problem.conflict {
+        show_conflict(conflict, output);
+    }
+    CliError::Refused(format!("not accepted: {}", problem.title))
+}
+
+fn show_conflict<O, E>(conflict: &PolicyConflict, output: &mut CliOutput<O, E>)
+where
+    O: Write,
+    E: Write,
+{
+    let shown = |value: &Option<String>| value.clone().unwrap_or_else(|| "(none)".into());
+    let titles = vec![
+        "FIELD".into(),
+        format!("VERSION {}", conflict.base_version),
+        format!("VERSION {}", conflict.current.version),
+        "YOURS".into(),
+    ];
+    let row = |change: &FieldChange| {
+        vec![
+            change.field.clone(),
+            shown(&change.base),
+            shown(&change.current),
+            shown(&change.mine),
+        ]
+    };
+    let rows = std::iter::once(titles).chain(conflict.changes.iter().map(row));
+    output.table(&rows.collect::<Vec<_>>());
+}
--- /dev/null
+++ b/src/cli/settings_command.rs
@@ -0,0 +1,22 @@
+use {
+    super::{
+        CliError, CliOutput,
+        command_flags::{Settings, SettingsAction},
+    },
+    crate::settings,
+    std::io::Write,
+};
+
+pub(super) fn run<O, E>(flags: &Settings, output: &mut CliOutput<O, E>) -> Result<(), CliError>
+where
+    O: Write,
+    E: Write,
+{
+    match flags.action {
+        SettingsAction::Check => {
+            settings::load(&flags.file)?;
+            output.line(format_args!("{}: ok", flags.file.display()));
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/timeline_command.rs
@@ -0,0 +1,106 @@
+use {
+    super::{
+        CliError, CliOutput, admin_client::AdminClient, command_flags::Timeline,
+        event_line::EventLine,
+    },
+    crate::{
+        error::{ProcessStep, StepError},
+        events::{EventFilter, EventPage, MAX_PAGE_EVENTS, TimeLine},
+    },
+    futures_util::future::join_all,
+    std::{io::Write, net::SocketAddr},
+};
+
+/// Events asked for at a time.
+const PAGE_EVENTS: usize = 2_000;
+/// Pages that are read of one daemon.
+const MAX_PAGES: usize = 64;
+
+const _: () = assert!(PAGE_EVENTS <= MAX_PAGE_EVENTS);
+
+pub(super) async fn run<O, E>(
+    flags: &Timeline,
+    output: &mut CliOutput<O, E>,
+) -> Result<(), CliError>
+where
+    O: Write,
+    E: Write,
+{
+    let asked = flags.addresses.len();
+    if asked == 0 {
+        return Err(CliError::Usage("timeline needs an admin address".into()));
+    }
+    let mut pages = Vec::new();
+    let mut failed = 0;
+    for fetched in join_all(flags.addresses.iter().copied().map(fetch)).await {
+        match fetched {
+            Ok(fetched) => pages.extend(fetched),
+            Err(error) => {
+                failed += 1;
+                output.error(error);
+            }
+        }
+    }
+    report_dropped(&pages, output);
+    print(flags, &TimeLine::build(pages), output);
+    if failed > 0 {
+        return Err(CliError::Partial { failed, asked });
+    }
+    Ok(())
+}
+
+/// Reads the log of one daemon up to its end, which moves on meanwhile.
+async fn fetch(address: SocketAddr) -> Result<Vec<EventPage>, StepError> {
+    let client = AdminClient::new(address);
+    let mut pages = Vec::new();
+    let mut since = 0;
+    for _ in 0..MAX_PAGES {
+        let path = format!("/events?since={since}&limit={PAGE_EVENTS}");
+        let body = client.get(&path).await?;
+        let page = EventPage::decode(&body)
+            .map_err(|error| StepError::new(ProcessStep::CallAdmin, address, error))?;
+        let is_last = page.events.len() < PAGE_EVENTS || page.next <= since;
+        since = page.next;
+        pages.push(page);
+        if is_last {
+            break;
+        }
+    }
+    Ok(pages)
+}
+
+fn report_dropped<O, E>(pages: &[EventPage], output: &mut CliOutput<O, E>)
+where
+    O: Write,
+    E: Write,
+{
+    for page in pages.iter().filter(|page| page.dropped > 0) {
+        let (process, dropped) = (page.process, page.dropped);
+        output.error(format_args!(
+            "{process}: {dropped} earlier events are no longer held"
+        ));
+    }
+}
+
+fn print<O, E>(flags: &Timeline, line: &TimeLine, output: &mut CliOutput<O, E>)
+where
+    O: Write,
+    E: Write,
+{
+    let is_bounded = flags.from.is_some() || flags.to.is_some();
+    let range = flags.from.unwrap_or(0)..flags.to.unwrap_or(u64::MAX);
+    let filter = EventFilter {
+        request: flags.request,
+        peer: flags.target,
+        kind: flags.kind,
+        wall_ms: is_bounded.then_some(range),
+    };
+    for entry in line.events(&filter) {
+        let line = EventLine::new(entry);
+        if flags.json {
+            output.json(&line);
+        } else {
+            output.line(line.to_text());
+        }
+    }
+}
--- a/src/context/request_id.rs
+++ b/src/context/request_id.rs
@@ -1,8 +1,11 @@
 use {
-    super::hex_id::{HexId, deserialize_text},
+    super::{
+        hex_id::{HexId, deserialize_text},
+        service_name::NameError,
+    },
     rapidhash::v3::rapidhash_v3,
     serde::{Deserialize, Deserializer, Serialize, Serializer},
-    std::fmt,
+    std::{fmt, str::FromStr},
 };
 
 /// Identity of one user request, the same at every hop.
@@ -44,6 +47,14 @@
     }
 }
 
+impl FromStr for RequestId {
+    type Err = NameError;
+
+    fn from_str(text: &str) -> Result<Self, NameError> {
+        Self::parse(text).ok_or_else(|| NameError::new(text))
+    }
+}
+
 impl HexId for RequestId {
     const EXPECTED: &'static str = "32 hexadecimal digits";
 
--- a/src/error/step_error.rs
+++ b/src/error/step_error.rs
@@ -14,6 +14,7 @@
     ServeLocal,
     ServeMesh,
     ServeAdmin,
+    CallAdmin,
     CallTarget,
     CallMesh,
     SendGossip,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod admission;
 pub mod auth;
 pub mod claims;
+pub mod cli;
 pub mod console;
 pub mod context;
 pub mod daemon;
--- a/src/policy/active_policy.rs
+++ b/src/policy/active_policy.rs
@@ -77,6 +77,12 @@
         &self.rules[class.0]
     }
 
+    /// Whether a route names the service.
+    #[must_use]
+    pub fn is_named(&self, service: &ServiceName) -> bool {
+        self.routes.is_named(service)
+    }
+
     /// The rule of a class by its name.
     #[must_use]
     pub fn rule(&self, name: &ClassName) -> Option<&ClassRule> {
--- a/src/policy/policy_commit.rs
+++ b/src/policy/policy_commit.rs
@@ -10,11 +10,8 @@
         platform::{TableStore, TableWrite},
     },
     rand::Rng,
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
-    tokio::time::sleep,
+    std::{sync::Arc, time::Duration},
+    tokio::time::{Instant, sleep},
 };
 
 /// Time after which a commit without an answer is reported as unknown.
--- a/src/policy/route_table.rs
+++ b/src/policy/route_table.rs
@@ -99,6 +99,10 @@
         }
     }
 
+    pub(super) fn is_named(&self, service: &ServiceName) -> bool {
+        self.services.contains_key(service)
+    }
+
     fn rules_of(&self, service: &ServiceName) -> &[RouteRule] {
         self.services
             .get(service)
--- /dev/null
+++ b/tests/console.rs
@@ -0,0 +1,441 @@
+//! The console over a daemon that a test plays.
+
+use {
+    banyantrestle::{
+        console::{
+            AdminToken, ConsoleState, FormAction, LoadView, MAX_BODY_BYTES, PolicyForm,
+            PolicyProblem, PolicyView, ReadyView, respond,
+        },
+        error::{ProcessStep, StepError},
+        events::{EventKind, EventLog, EventPage},
+        membership::{MemberId, MemberRecord, MemberState},
+        policy::{
+            ActivePolicy, PolicyAccepted, PolicyConflict, PolicyDocument, SubmitError,
+            VersionedPolicy,
+        },
+        time::ProcessClock,
+    },
+    bytes::Bytes,
+    http::{Method, Request, Response, StatusCode},
+    proptest::{collection::vec, prelude::*, test_runner::RngSeed},
+    serde_json::json,
+    std::sync::{Arc, Mutex},
+};
+
+const TOKEN: &str = "the-admin-token-1";
+
+/// A daemon with a policy in memory and no table service.
+struct FakeDaemon {
+    token: AdminToken,
+    policy: Mutex<Arc<ActivePolicy>>,
+    events: EventLog,
+    ready: ReadyView,
+    is_table_down: bool,
+}
+
+impl FakeDaemon {
+    fn new() -> Self {
+        Self {
+            token: AdminToken::new(TOKEN),
+            policy: Mutex::new(Arc::new(ActivePolicy::initial())),
+            events: EventLog::new(member(), ProcessClock::start(), 10),
+            ready: ReadyView::Ready,
+            is_table_down: false,
+        }
+    }
+
+    fn enforce(&self, version: u64, document: PolicyDocument) -> PolicyAccepted {
+        let policy = VersionedPolicy { version, document };
+        let policy = ActivePolicy::compile(policy).unwrap();
+        let hash = policy.hash;
+        *self.policy.lock().unwrap() = Arc::new(policy);
+        PolicyAccepted { version, hash }
+    }
+}
+
+impl ConsoleState for FakeDaemon {
+    fn token(&self) -> &AdminToken {
+        &self.token
+    }
+
+    fn member(&self) -> MemberId {
+        member()
+    }
+
+    fn members(&self) -> Vec<MemberRecord> {
+        let record = |data_centre: &str, state| MemberRecord {
+            id: member(),
+            incarnation: 1,
+            state,
+            region: "nz-north".into(),
+            data_centre: data_centre.into(),
+            mesh: member().address,
+            admin: member().address,
+            target: None,
+            policy_version: 4,
+        };
+        vec![
+            record("akl-a", MemberState::Alive),
+            record("<b>ham</b>", MemberState::Dead),
+        ]
+    }
+
+    fn load(&self) -> Vec<LoadView> {
+        Vec::new()
+    }
+
+    fn policy(&self) -> Arc<ActivePolicy> {
+        Arc::clone(&self.policy.lock().unwrap())
+    }
+
+    fn events(&self, since: u64, limit: usize) -> EventPage {
+        self.events.since(since, limit)
+    }
+
+    fn metrics(&self) -> String {
+        "calls_total 7\n".into()
+    }
+
+    fn ready(&self) -> ReadyView {
+        self.ready.clone()
+    }
+
+    async fn submit(
+        &self,
+        document: PolicyDocument,
+        base_version: u64,
+    ) -> Result<PolicyAccepted, SubmitError> {
+        if self.is_table_down {
+            let step = ProcessStep::ReadTable;
+            return Err(StepError::new(step, "table policy", "down").into());
+        }
+        document.check().map_err(SubmitError::Invalid)?;
+        let current = self.policy().to_versioned();
+        if current.version != base_version {
+            let conflict = PolicyConflict::new(base_version, None, current, &document);
+            return Err(SubmitError::Conflict(Box::new(conflict)));
+        }
+        Ok(self.enforce(base_version + 1, document))
+    }
+}
+
+fn member() -> MemberId {
+    MemberId {
+        address: ([127, 0, 0, 1], 7_103).into(),
+        started_ms: 1,
+    }
+}
+
+async fn send(
+    daemon: &FakeDaemon,
+    method: Method,
+    path: &str,
+    token: &str,
+    body: impl Into<Bytes>,
+) -> Response<Bytes> {
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("authorization", format!("Bearer {token}"))
+        .body(body.into())
+        .unwrap();
+    respond(daemon, request).await
+}
+
+async fn get(daemon: &FakeDaemon, path: &str) -> Response<Bytes> {
+    send(daemon, Method::GET, path, "", "").await
+}
+
+fn text(response: &Response<Bytes>) -> &str {
+    std::str::from_utf8(response.body()).unwrap()
+}
+
+/// The fields of a form as a browser posts them.
+fn post_body(form: &PolicyForm, action: &str, token: &str) -> String {
+    let mut body = form_urlencoded::Serializer::new(String::new());
+    body.append_pair("base_version", &form.base_version)
+        .append_pair("deployment", &form.deployment)
+        .append_pair("default_class", &form.default_class)
+        .append_pair("default_unsafe_class", &form.default_unsafe_class)
+        .append_pair("retry.per_request", &form.per_request)
+        .append_pair("retry.ratio_percent", &form.ratio_percent)
+        .append_pair("overload.queue_target_ms", &form.queue_target_ms)
+        .append_pair("overload.queue_interval_ms", &form.queue_interval_ms)
+        .append_pair("action", action)
+        .append_pair("token", token);
+    for (at, row) in form.classes.iter().enumerate() {
+        body.append_pair(&format!("class.{at}.name"), &row.name)
+            .append_pair(&format!("class.{at}.weight"), &row.weight)
+            .append_pair(&format!("class.{at}.deadline_ms"), &row.deadline_ms)
+            .append_pair(&format!("class.{at}.key_window_s"), &row.key_window_s);
+        if row.non_idempotent {
+            body.append_pair(&format!("class.{at}.non_idempotent"), "true");
+        }
+    }
+    for (at, row) in form.routes.iter().enumerate() {
+        body.append_pair(&format!("route.{at}.service"), &row.service)
+            .append_pair(&format!("route.{at}.method"), &row.method)
+            .append_pair(&format!("route.{at}.path"), &row.path)
+            .append_pair(&format!("route.{at}.class"), &row.class);
+    }
+    body.finish()
+}
+
+async fn post_form(
+    daemon: &FakeDaemon,
+    form: &PolicyForm,
+    action: &str,
+    token: &str,
+) -> Response<Bytes> {
+    send(
+        daemon,
+        Method::POST,
+        "/policy",
+        "",
+        post_body(form, action, token),
+    )
+    .await
+}
+
+#[tokio::test]
+async fn pages_show_what_the_daemon_knows() {
+    let daemon = FakeDaemon::new();
+    daemon
+        .events
+        .record(EventKind::MemberJoined { member: member() });
+    for (path, content) in [
+        ("/", "akl-a"),
+        ("/", "&lt;b&gt;ham"),
+        ("/policy", "name=\"class.0.weight\""),
+        ("/api/policy", "\"version\":0"),
+        ("/api/members", "\"policy_version\":4"),
+        ("/events?since=0&limit=5", "\"kind\":\"member-joined\""),
+        ("/metrics", "calls_total 7"),
+        ("/health", "live"),
+        ("/ready", "ready"),
+    ] {
+        let response = get(&daemon, path).await;
+        assert_eq!(response.status(), StatusCode::OK, "{path}");
+        assert!(
+            text(&response).contains(content),
+            "{path}: {}",
+            text(&response)
+        );
+        assert!(!text(&response).contains(TOKEN), "{path}");
+        assert!(response.headers().contains_key("content-security-policy"));
+    }
+}
+
+#[tokio::test]
+async fn wrong_requests_are_refused() {
+    let mut daemon = FakeDaemon::new();
+    daemon.ready = ReadyView::NotReady {
+        reason: "no policy".into(),
+    };
+    let long = vec![b'x'; MAX_BODY_BYTES + 1];
+    let cases = [
+        (Method::GET, "/none", Bytes::new(), StatusCode::NOT_FOUND),
+        (
+            Method::DELETE,
+            "/policy",
+            Bytes::new(),
+            StatusCode::METHOD_NOT_ALLOWED,
+        ),
+        (
+            Method::POST,
+            "/events",
+            Bytes::new(),
+            StatusCode::METHOD_NOT_ALLOWED,
+        ),
+        (
+            Method::GET,
+            "/events?since=x",
+            Bytes::new(),
+            StatusCode::BAD_REQUEST,
+        ),
+        (
+            Method::GET,
+            "/events?until=1",
+            Bytes::new(),
+            StatusCode::BAD_REQUEST,
+        ),
+        (
+            Method::POST,
+            "/policy",
+            Bytes::from("action=frob"),
+            StatusCode::BAD_REQUEST,
+        ),
+        (
+            Method::POST,
+            "/policy",
+            long.into(),
+            StatusCode::PAYLOAD_TOO_LARGE,
+        ),
+        (
+            Method::POST,
+            "/api/policy",
+            Bytes::from("{"),
+            StatusCode::BAD_REQUEST,
+        ),
+        (
+            Method::GET,
+            "/ready",
+            Bytes::new(),
+            StatusCode::SERVICE_UNAVAILABLE,
+        ),
+    ];
+    for (method, path, body, status) in cases {
+        let response = send(&daemon, method, path, TOKEN, body).await;
+        assert_eq!(response.status(), status, "{path}");
+    }
+}
+
+#[tokio::test]
+async fn a_write_needs_the_token() {
+    let daemon = FakeDaemon::new();
+    let form = PolicyForm::of(&daemon.policy());
+    let document = &daemon.policy().document.clone();
+    let body = json!({ "base_version": 0, "document": document }).to_string();
+    for wrong in ["", "the-admin-token-2", "the-admin-token-1x"] {
+        let response = post_form(&daemon, &form, "submit", wrong).await;
+        assert_eq!(response.status(), StatusCode::UNAUTHORIZED);
+        let path = "/api/policy";
+        let response = send(&daemon, Method::POST, path, wrong, body.clone()).await;
+        assert_eq!(response.status(), StatusCode::UNAUTHORIZED);
+    }
+    assert_eq!(daemon.policy().version, 0);
+    let response = send(&daemon, Method::POST, "/api/policy", TOKEN, body).await;
+    assert_eq!(response.status(), StatusCode::OK, "{}", text(&response));
+    let response = get(&daemon, "/api/policy").await;
+    let view: PolicyView = serde_json::from_slice(response.body()).unwrap();
+    assert_eq!(view.version, 1);
+}
+
+#[tokio::test]
+async fn rows_are_changed_without_a_write() {
+    let daemon = FakeDaemon::new();
+    let mut form = PolicyForm::of(&daemon.policy());
+    form.classes[0].weight = "typed".into();
+    for (action, content) in [
+        ("add-class", "class.2.name"),
+        ("add-route", "route.0.service"),
+        ("class.1.up", "name=\"class.1.weight\" value=\"typed\""),
+        ("class.0.down", "name=\"class.1.weight\" value=\"typed\""),
+        ("class.1.remove", "name=\"class.0.weight\" value=\"typed\""),
+        ("class.9.remove", "name=\"class.0.weight\" value=\"typed\""),
+    ] {
+        let response = post_form(&daemon, &form, action, TOKEN).await;
+        assert_eq!(response.status(), StatusCode::OK, "{action}");
+        assert!(
+            text(&response).contains(content),
+            "{action}: {}",
+            text(&response)
+        );
+        assert!(
+            !text(&response).contains(TOKEN),
+            "the token is not shown again"
+        );
+    }
+    assert_eq!(daemon.policy().version, 0);
+}
+
+#[tokio::test]
+async fn the_form_makes_the_one_document() {
+    let daemon = FakeDaemon::new();
+    let kereru = include_str!("../examples/policy/kereru.jsonc");
+    let text = banyantrestle::jsonc::DocumentText::new("kereru", kereru.as_bytes()).unwrap();
+    let document = banyantrestle::policy::parse(&text).unwrap();
+    daemon.enforce(3, document.clone());
+    let form = PolicyForm::of(&daemon.policy());
+    assert_eq!(form.to_document().unwrap(), document);
+    let response = post_form(&daemon, &form, "submit", TOKEN).await;
+    assert_eq!(response.status(), StatusCode::OK);
+    assert_eq!(daemon.policy().version, 4);
+    assert_eq!(daemon.policy().document, document);
+}
+
+#[tokio::test]
+async fn errors_stand_beside_their_fields() {
+    let daemon = FakeDaemon::new();
+    let form = PolicyForm::of(&daemon.policy());
+    for (weight, message) in [("x", "not a whole number"), ("0", "0 is not 1 to 1000")] {
+        let mut form = form.clone();
+        form.classes[0].weight = weight.into();
+        let response = post_form(&daemon, &form, "submit", TOKEN).await;
+        assert_eq!(response.status(), StatusCode::UNPROCESSABLE_ENTITY);
+        let field =
+            format!("name=\"class.0.weight\" value=\"{weight}\"><span class=\"error\">{message}");
+        assert!(text(&response).contains(&field), "{}", text(&response));
+    }
+}
+
+#[tokio::test]
+async fn a_conflict_keeps_the_input_and_shows_what_changed() {
+    let daemon = FakeDaemon::new();
+    let mut mine = PolicyForm::of(&daemon.policy());
+    mine.classes[0].weight = "77".into();
+    let mut theirs = daemon.policy().document.clone();
+    theirs.classes[0].weight = 55;
+    daemon.enforce(1, theirs);
+    let response = post_form(&daemon, &mine, "submit", TOKEN).await;
+    assert_eq!(response.status(), StatusCode::CONFLICT);
+    let page = text(&response);
+    for content in [
+        "<td>classes[write].weight</td>",
+        "<td>55</td><td>77</td>",
+        "name=\"class.0.weight\" value=\"77\"",
+        "name=\"base_version\" value=\"1\"",
+    ] {
+        assert!(page.contains(content), "{content}: {page}");
+    }
+    mine.base_version = "1".into();
+    let response = post_form(&daemon, &mine, "submit", TOKEN).await;
+    assert_eq!(response.status(), StatusCode::OK);
+    assert_eq!(daemon.policy().document.classes[0].weight, 77);
+}
+
+#[tokio::test]
+async fn an_outage_is_told_and_the_input_kept() {
+    let mut daemon = FakeDaemon::new();
+    daemon.is_table_down = true;
+    let mut form = PolicyForm::of(&daemon.policy());
+    form.classes[0].weight = "77".into();
+    let response = post_form(&daemon, &form, "submit", TOKEN).await;
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(text(&response).contains("value=\"77\""));
+    assert!(text(&response).contains("nothing was committed: read-table with table policy"));
+    let body = json!({ "base_version": 0, "document": daemon.policy().document }).to_string();
+    let response = send(&daemon, Method::POST, "/api/policy", TOKEN, body).await;
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(response.headers().contains_key("retry-after"));
+    let problem: PolicyProblem = serde_json::from_slice(response.body()).unwrap();
+    assert_eq!(problem.status, 503);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(75),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_form_is_read_or_refused(
+        fields in vec(("(class|route|x)\\.[0-9]{1,6}\\.(name|weight|path|method)", ".{0,9}"), 0..9),
+        raw in vec(any::<u8>(), 0..200),
+        action in ".{0,20}",
+    ) {
+        let mut body = form_urlencoded::Serializer::new(String::new());
+        for (name, value) in &fields {
+            body.append_pair(name, value);
+        }
+        for body in [body.finish().into_bytes(), raw] {
+            let mut form = PolicyForm::decode(&body);
+            if let Some(action) = FormAction::parse(&action) {
+                action.apply(&mut form);
+            }
+            prop_assert!(form.classes.len() <= 32 && form.routes.len() <= 2_000);
+            let _ = form.to_document();
+        }
+    }
+}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,197 @@
+//! Settings files: each fault gives one line with file, line and field.
+
+use {
+    banyantrestle::{
+        jsonc::DocumentText,
+        settings::{DaemonSettings, parse},
+    },
+    proptest::{prelude::*, test_runner::RngSeed},
+};
+
+const KERERU: &str = include_str!("../examples/settings/kereru-akl-a.jsonc");
+const KITA: &str = include_str!("../examples/settings/kita-sapporo.jsonc");
+
+fn read(text: &str) -> Result<DaemonSettings, String> {
+    let text = DocumentText::new("s.jsonc", text.as_bytes());
+    let text = text.map_err(|error| error.to_string())?;
+    parse(&text).map_err(|error| error.to_string())
+}
+
+#[test]
+fn examples_are_valid() {
+    let kereru = read(KERERU).unwrap();
+    assert_eq!(kereru.data_centre, "akl-a");
+    assert_eq!(kereru.limits.shutdown_s, 120);
+    assert_eq!(read(KITA).unwrap().limits.shutdown_s, 60);
+}
+
+#[test]
+fn each_fault_is_told_with_line_and_field() {
+    let cases = [
+        (
+            r#""region": "nz-north""#,
+            r#""region": "NZ""#,
+            "s.jsonc:3: region: is not 1 to 64",
+        ),
+        (
+            r#""region""#,
+            r#""zone""#,
+            "s.jsonc:3: zone: unknown field `zone`",
+        ),
+        (
+            "0.0.0.0:8080",
+            "akl:8080",
+            "s.jsonc:6: listen.edge: invalid socket address syntax",
+        ),
+        (
+            "127.0.0.1:7101",
+            "10.20.1.11:7101",
+            "s.jsonc:7: listen.local: is not a loopback",
+        ),
+        (
+            "10.20.1.11:7102",
+            "0.0.0.0:7102",
+            "s.jsonc:8: listen.mesh: other daemons need",
+        ),
+        (
+            "11:7103\",",
+            "11:7102\",",
+            "s.jsonc:9: listen.gossip: port 7102 is that of listen.mesh",
+        ),
+        (
+            "11:7104",
+            "11:8080",
+            "s.jsonc:10: listen.admin: port 8080 is that of listen.edge",
+        ),
+        (
+            r#""timeout_ms": 500"#,
+            r#""timeout_ms": 0"#,
+            "s.jsonc:14: platform.timeout_ms: 0 is not",
+        ),
+        (
+            r#""timeout_ms": 500"#,
+            r#""timeout_ms": "x""#,
+            "s.jsonc:14: platform.timeout_ms: invalid",
+        ),
+        (
+            "10.21.1.11:7103",
+            "10.21.1.11:0",
+            "s.jsonc:17: peers[1]: 10.21.1.11:0 cannot",
+        ),
+        (
+            "replace-with-32-random-characters",
+            "",
+            "s.jsonc:19: shared_secret: is not 16 to",
+        ),
+        (
+            "replace-with-32-random-characters",
+            "short",
+            "s.jsonc:19: shared_secret: is not 16 to",
+        ),
+        (
+            "replace-with-32-random-characters",
+            "aaaaaaaaaaaaaaaaaaaaaaaa",
+            "s.jsonc:19: shared_secret: has fewer than 6 characters",
+        ),
+        (
+            "replace-with-another-random-token",
+            "replace-with-32-random-characters",
+            "s.jsonc:20: admin_token: is the same",
+        ),
+        (
+            r#""info""#,
+            r#""loud""#,
+            "s.jsonc:21: log.level: is not one of error, warning",
+        ),
+        (
+            "1024",
+            "0",
+            "s.jsonc:24: limits.connections: 0 is not 1 to 65536",
+        ),
+        (
+            r#""shutdown_s""#,
+            r#""shutdown""#,
+            "s.jsonc:26: limits.shutdown: unknown field",
+        ),
+        (
+            r#""admin": "10.20.1.11:7104""#,
+            r#""edge": "1.1.1.1:1""#,
+            "s.jsonc:10: listen: duplicate field `edge`",
+        ),
+        (
+            ",\n    \"admin\": \"10.20.1.11:7104\"",
+            "",
+            "s.jsonc:10: listen: missing field `admin`",
+        ),
+    ];
+    for (from, to, message) in cases {
+        assert!(KERERU.contains(from), "{from}");
+        let error = read(&KERERU.replacen(from, to, 1)).unwrap_err();
+        let is_told = error.lines().any(|line| line.starts_with(message));
+        assert!(is_told, "{message}\n{error}");
+    }
+}
+
+#[test]
+fn all_values_out_of_bounds_are_told_at_once() {
+    let text = KERERU
+        .replace("1024", "0")
+        .replace("\"timeout_ms\": 500", "\"timeout_ms\": 0");
+    let error = read(&text).unwrap_err();
+    let lines: Vec<_> = error.lines().collect();
+    assert_eq!(lines.len(), 2, "{error}");
+    assert!(lines[0].starts_with("s.jsonc:14: ") && lines[1].starts_with("s.jsonc:24: "));
+}
+
+#[test]
+fn no_secret_shows_in_errors_or_in_the_debug_form() {
+    let settings = read(KERERU).unwrap();
+    let debug = format!("{settings:?}");
+    assert!(!debug.contains("replace-with"), "{debug}");
+    for (from, to) in [
+        (r#""replace-with-32-random-characters""#, "987654321"),
+        (r#""replace-with-another-random-token""#, "[987654321]"),
+        ("replace-with-32-random-characters", "987654321"),
+    ] {
+        let error = read(&KERERU.replacen(from, to, 1)).unwrap_err();
+        assert!(!error.contains("987654321"), "{error}");
+    }
+}
+
+#[test]
+fn broken_text_is_refused() {
+    for text in [
+        "",
+        "{",
+        "[]",
+        "null",
+        "{} {}",
+        "/* no end",
+        "{\"region\": \"x",
+    ] {
+        let error = read(text).unwrap_err();
+        assert!(error.starts_with("s.jsonc"), "{text}: {error}");
+    }
+    let long = " ".repeat(1024 * 1024 + 1);
+    assert!(read(&long).unwrap_err().contains("over the bound"));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(73),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_change_of_a_byte_is_read_or_refused(at in any::<usize>(), byte in any::<u8>()) {
+        let mut bytes = KERERU.as_bytes().to_vec();
+        let at = at % bytes.len();
+        bytes[at] = byte;
+        for source in [&bytes[..], &bytes[..at]] {
+            if let Ok(text) = DocumentText::new("any", source) {
+                let _ = parse(&text);
+            }
+        }
+    }
+}
