Eject every unreachable target, and cap only ejections for broken answers

Cause: with most targets of a service in a lost data centre, the cap of one half brought all of them back into the choice, and calls waited out a connect timeout each. Unreachable is evidence of the target itself; broken answers may come from the calls, so only they are capped. If every target is ejected, all are tried.

A member that announces another service now gets a new entry in the table.

--- a/src/routing/target_entry.rs
+++ b/src/routing/target_entry.rs
@@ -1,6 +1,10 @@
 use {
     super::{CallEnd, LoadNote},
-    crate::{context::CallPriority, membership::MemberId, time::TimePoint},
+    crate::{
+        context::{CallPriority, ServiceName},
+        membership::MemberId,
+        time::TimePoint,
+    },
     slotmap::new_key_type,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
@@ -20,10 +24,19 @@
 const RAMP_SPAN: Duration = Duration::from_secs(5);
 const RAMP_FLOOR: f64 = 0.1;
 
+/// Whether one more target of a service may be ejected for broken answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EjectionRoom {
+    Free,
+    /// As many as allowed are ejected.
+    Full,
+}
+
 /// What the router knows of one target.
 #[derive(Clone, Debug)]
 pub struct TargetEntry {
     pub(super) member: MemberId,
+    pub(super) service: ServiceName,
     pub(super) mesh: SocketAddr,
     pub(super) region: Arc<str>,
     pub(super) data_centre: Arc<str>,
@@ -40,6 +53,7 @@
 impl TargetEntry {
     pub(super) fn new(
         member: MemberId,
+        service: ServiceName,
         mesh: SocketAddr,
         region: Arc<str>,
         data_centre: Arc<str>,
@@ -48,6 +62,7 @@
     ) -> Self {
         Self {
             member,
+            service,
             mesh,
             region,
             data_centre,
@@ -84,12 +99,12 @@
         self.in_flight += 1;
     }
 
-    pub(super) fn end(&mut self, now: TimePoint, end: CallEnd) {
+    pub(super) fn end(&mut self, now: TimePoint, end: CallEnd, room: EjectionRoom) {
         self.in_flight = self.in_flight.saturating_sub(1);
         match end {
             CallEnd::Answered(load) => self.note_answer(now, load),
             CallEnd::Unreachable => self.eject(now),
-            CallEnd::Broken => self.note_failure(now),
+            CallEnd::Broken => self.note_failure(now, room),
             CallEnd::Abandoned => {}
         }
     }
@@ -103,9 +118,9 @@
         }
     }
 
-    fn note_failure(&mut self, now: TimePoint) {
+    fn note_failure(&mut self, now: TimePoint, room: EjectionRoom) {
         self.failures += 1;
-        if self.failures >= EJECTION_FAILURES {
+        if self.failures >= EJECTION_FAILURES && room == EjectionRoom::Free {
             self.eject(now);
         }
     }
--- a/src/routing/target_table.rs
+++ b/src/routing/target_table.rs
@@ -1,8 +1,8 @@
 use {
-    super::{CallEnd, PickVerdict, TargetEntry, TargetKey},
+    super::{CallEnd, PickVerdict, TargetEntry, TargetKey, target_entry::EjectionRoom},
     crate::{
         context::{CallPriority, ServiceName},
-        membership::{MemberId, MemberRecord, MemberState, TargetState},
+        membership::{MemberId, MemberRecord, MemberState, TargetAnnouncement, TargetState},
         time::TimePoint,
     },
     rand::{Rng, RngExt},
@@ -14,7 +14,7 @@
     },
 };
 
-/// Share of a service's targets that may be ejected at once, in %.
+/// Share of a service's targets beyond which none is ejected for broken answers, in %.
 const MAX_EJECTED_PERCENT: usize = 50;
 /// Services that are remembered after their last target has gone.
 const MAX_SEEN_SERVICES: usize = 1_024;
@@ -103,8 +103,9 @@
 
     /// Notes how a call to a target ended.
     pub fn end(&mut self, now: TimePoint, key: TargetKey, end: CallEnd) {
+        let room = self.ejection_room(now, key);
         if let Some(entry) = self.targets.get_mut(key) {
-            entry.end(now, end);
+            entry.end(now, end, room);
         }
     }
 
@@ -128,9 +129,11 @@
         if !is_present || target.state == TargetState::Draining {
             return None;
         }
-        let key = match self.by_member.get(&record.id) {
-            Some(key) => *key,
-            None => self.add(now, record, target.slots),
+        let known = self.by_member.get(&record.id).copied();
+        let known = known.filter(|key| self.targets[*key].service == target.service);
+        let key = match known {
+            Some(key) => key,
+            None => self.add(now, record, target),
         };
         self.targets[key].slots = target.slots;
         let keys = self.by_service.entry(target.service.clone()).or_default();
@@ -138,13 +141,19 @@
         Some(key)
     }
 
-    fn add(&mut self, now: TimePoint, record: &MemberRecord, slots: u32) -> TargetKey {
+    fn add(
+        &mut self,
+        now: TimePoint,
+        record: &MemberRecord,
+        target: &TargetAnnouncement,
+    ) -> TargetKey {
         let entry = TargetEntry::new(
             record.id,
+            target.service.clone(),
             record.mesh,
             record.region.clone(),
             record.data_centre.clone(),
-            slots,
+            target.slots,
             now,
         );
         let key = self.targets.insert(entry);
@@ -152,7 +161,7 @@
         key
     }
 
-    /// Targets that are not ejected; all of them if too many are.
+    /// Targets that are not ejected; all of them if every one is.
     fn able_targets(
         &self,
         now: TimePoint,
@@ -162,16 +171,32 @@
         let Some(keys) = self.by_service.get(service) else {
             return Vec::new();
         };
+        let is_untried = |key: &TargetKey| !tried.contains(key);
+        let is_able = |key: &TargetKey| is_untried(key) && !self.targets[*key].is_ejected(now);
+        let able: Vec<TargetKey> = keys.iter().copied().filter(is_able).collect();
+        if !able.is_empty() {
+            return able;
+        }
+        keys.iter().copied().filter(is_untried).collect()
+    }
+
+    /// Broken answers may come from the calls rather than the targets, so they eject only a part.
+    fn ejection_room(&self, now: TimePoint, key: TargetKey) -> EjectionRoom {
+        let Some(entry) = self.targets.get(key) else {
+            return EjectionRoom::Full;
+        };
+        let Some(keys) = self.by_service.get(&entry.service) else {
+            return EjectionRoom::Full;
+        };
         let ejected = keys
             .iter()
             .filter(|key| self.targets[**key].is_ejected(now))
             .count();
-        let is_capped = ejected * 100 > keys.len() * MAX_EJECTED_PERCENT;
-        keys.iter()
-            .copied()
-            .filter(|key| !tried.contains(key))
-            .filter(|key| is_capped || !self.targets[*key].is_ejected(now))
-            .collect()
+        if (ejected + 1) * 100 > keys.len() * MAX_EJECTED_PERCENT {
+            EjectionRoom::Full
+        } else {
+            EjectionRoom::Free
+        }
     }
 
     fn nearest_with_room(&self, now: TimePoint, keys: &[TargetKey]) -> Vec<TargetKey> {
