--- a/examples/overload.rs
+++ b/examples/overload.rs
@@ -5,9 +5,9 @@
 
 use {
     anyhow::{Context, bail},
-    banyantrestle::daemon::DaemonOptions,
+    banyantrestle::daemon::{DaemonOptions, DaemonPart},
     std::str::FromStr,
-    strum::{Display, EnumIter, EnumString, IntoEnumIterator},
+    strum::IntoEnumIterator,
     support::{
         DeploymentPlan, PressureKind, PressureScenario, RunFigures, TrialMode, TrialRun,
         probe_capacity,
@@ -21,7 +21,7 @@
         required --deployment name: String
         /// Seed of arrivals and service times.
         required --seed number: u64
-        /// Part to switch off: retry-budget, threshold, front-gate or admission; may be repeated,
+        /// Part to switch off: retry-budget, threshold, front-gate or sojourn; may be repeated,
         /// `none` for no run with a single part off. All parts by default.
         repeated --off part: String
         /// Pressures of one scenario, joined by `+`: surge, slow-service, lost-data-centre,
@@ -34,29 +34,11 @@
     }
 }
 
-/// A part of the protection that can be switched off.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, EnumString)]
-#[strum(serialize_all = "kebab-case")]
-enum ProtectionPart {
-    RetryBudget,
-    Threshold,
-    FrontGate,
-    Admission,
-}
-
-impl ProtectionPart {
-    fn mode(self) -> TrialMode {
-        let mut options = DaemonOptions::default();
-        match self {
-            Self::RetryBudget => options.has_retry_budget = false,
-            Self::Threshold => options.has_threshold = false,
-            Self::FrontGate => options.has_front_gate = false,
-            Self::Admission => options.has_admission = false,
-        }
-        TrialMode::Daemons {
-            name: format!("-{self}"),
-            options,
-        }
+/// The protection without one of its parts.
+fn without(part: DaemonPart) -> TrialMode {
+    TrialMode::Daemons {
+        name: format!("-{part}"),
+        options: DaemonOptions::without(&[part]),
     }
 }
 
@@ -82,18 +64,18 @@
         if self.only_on {
             return Ok(vec![TrialMode::on()]);
         }
-        let parts: Vec<ProtectionPart> = match self.off.as_slice() {
-            [] => ProtectionPart::iter().collect(),
+        let parts: Vec<DaemonPart> = match self.off.as_slice() {
+            [] => DaemonPart::iter().collect(),
             [none] if none == "none" => Vec::new(),
             names => {
                 let parts = names.iter().map(|name| {
-                    ProtectionPart::from_str(name).with_context(|| format!("part {name:?}"))
+                    DaemonPart::from_str(name).with_context(|| format!("part {name:?}"))
                 });
                 parts.collect::<anyhow::Result<_>>()?
             }
         };
         let mut modes = vec![TrialMode::Direct];
-        modes.extend(parts.into_iter().map(ProtectionPart::mode));
+        modes.extend(parts.into_iter().map(without));
         modes.push(TrialMode::on());
         Ok(modes)
     }
--- a/examples/support/capacity_probe.rs
+++ b/examples/support/capacity_probe.rs
@@ -21,8 +21,8 @@
     for number in 0..service.targets {
         let mut settings = service.settings(plan.deadline, seed + number as u64);
         settings.calls.clear();
-        let router = CallRouter::Direct(routes.clone());
-        let target = TargetStandin::start(settings, router, ledger.clone()).await?;
+        let onward = CallRouter::Direct(routes.clone());
+        let target = TargetStandin::start(settings, onward, ledger.clone()).await?;
         routes.add(target.service_name(), target.address());
         targets.push(target);
     }
--- a/examples/support/daemon_fleet.rs
+++ b/examples/support/daemon_fleet.rs
@@ -86,7 +86,7 @@
         let settings = loopback_settings(centre.name, self.platform.address(), &self.peers);
         let runtime = centre.runtime.as_ref().context("a data centre that runs")?;
         let log = slog::Logger::root(slog::Discard, slog::o!());
-        let daemon = runtime.spawn(Daemon::start(settings, self.options, log));
+        let daemon = runtime.spawn(Daemon::start(settings, self.options.clone(), log));
         let daemon = daemon.await??;
         let listen = daemon.listen();
         let settings = service.settings(plan.deadline, seed);
--- a/examples/support/mod.rs
+++ b/examples/support/mod.rs
@@ -1,5 +1,7 @@
 //! What the examples share: deployments in small, fleets with and without daemons, scenarios.
 
+#![allow(dead_code, unused_imports, reason = "each example uses a part")]
+
 mod capacity_probe;
 mod daemon_fleet;
 mod deployment_plan;
@@ -10,10 +12,8 @@
 
 pub use {
     capacity_probe::probe_capacity,
-    daemon_fleet::DaemonFleet,
     deployment_plan::{DeploymentPlan, service_name},
     pressure_scenario::{PressureKind, PressureScenario},
-    run_figures::{RunFigures, TargetVerdict},
-    target_fleet::TargetFleet,
-    trial_run::{TrialMode, TrialRun},
+    run_figures::RunFigures,
+    trial_run::{TrialMode, TrialResult, TrialRun},
 };
--- a/examples/support/trial_run.rs
+++ b/examples/support/trial_run.rs
@@ -97,7 +97,7 @@
                 TrialFleet::Direct(TargetFleet::start(self.plan, self.seed).await?)
             }
             TrialMode::Daemons { options, .. } => {
-                let fleet = DaemonFleet::start(self.plan, *options, self.seed).await?;
+                let fleet = DaemonFleet::start(self.plan, options.clone(), self.seed).await?;
                 TrialFleet::Daemons(Box::new(fleet))
             }
         })
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -1,6 +1,6 @@
 //! Daemons as processes, with the platform and the targets in the test.
 
-#![allow(dead_code, reason = "each test program uses a part")]
+#![allow(dead_code, unused_imports, reason = "each test program uses a part")]
 
 mod process_fleet;
 mod slow_reader;
--- a/tests/fleet/process_fleet.rs
+++ b/tests/fleet/process_fleet.rs
@@ -2,7 +2,7 @@
     super::PATIENCE,
     banyantrestle::{
         context::{ClassName, ServiceName},
-        policy::{ClassPolicy, OverloadPolicy, PolicyDocument, RetryPolicy, RoutePolicy},
+        policy::{ClassPolicy, OverloadPolicy, PolicyDocument, RetryPolicy},
     },
     standins::{
         client::{CallClient, CallPath, CallRouter, OutboundCall},
