Tell an evicted call before its place in the table is taken

Cause: a call that evicts another from a full queue gets the slot of the evicted ticket in the table, and the waiter of the old key was overwritten before its refusal was delivered. The call then ended in a panic of its task. Ruled out: a ticket that the guard dropped without an effect. Seen failing first: an_evicted_call_is_told_though_its_place_is_taken_at_once.

--- a/src/daemon/admission_desk.rs
+++ b/src/daemon/admission_desk.rs
@@ -79,7 +79,9 @@
         let now = self.clock.now();
         let mut state = self.lock();
         let verdict = state.guard.offer(now, request, &mut rand::rng());
-        let result = match verdict {
+        // The new ticket may stand in the place of one that was evicted, so that one is told first.
+        state.deliver();
+        match verdict {
             AdmissionVerdict::Start(ticket) => Ok(OfferedTicket {
                 ticket,
                 effect: None,
@@ -93,9 +95,7 @@
                 })
             }
             AdmissionVerdict::Refused(refusal) => Err(refusal),
-        };
-        state.deliver();
-        result
+        }
     }
 
     fn finish(&self, ticket: TicketKey, completion: CompletionKind) {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -36,3 +36,6 @@
     daemon_phase::DaemonPhase,
     daemon_process::Daemon,
 };
+
+#[cfg(test)]
+mod tests;
