Gradient limit holds slowdowns from outside, and cuts on trial

Cause: a target may slow tenfold for a service further down. Now: each class has its own floor; a slowdown that crowding cannot explain (more than twice the limit against the calls run at full speed before) is held to come from outside, and any cut is a trial that is taken back if latency does not follow.

--- a/examples/admission_weigh/main.rs
+++ b/examples/admission_weigh/main.rs
@@ -1,7 +1,7 @@
 //! Weighs ways of admission against each other on a model of one target.
 //!
 //! ```sh
-//! cargo run --release --example admission_weigh -- --seed 1
+//! cargo run --release --example admission_weigh -- --seed 1 --runs 8
 //! ```
 
 mod adaptive_lifo;
@@ -17,62 +17,70 @@
     },
     banyantrestle::admission::{AimdLimit, GradientLimit, PriorityQueue, StaticLimit},
     standins::model::{LoadScenario, RunResult},
-    std::time::Duration,
+    std::{ops::Range, time::Duration},
 };
 
+const DEFAULT_SEED: u64 = 1;
+const DEFAULT_RUNS: u64 = 8;
+
 xflags::xflags! {
     /// Weighs ways of admission on a model of one target.
     cmd admission-weigh {
-        /// Seed of the arrivals and service times; 1 if absent.
+        /// First seed of the arrivals and service times; 1 if absent.
         optional --seed seed: u64
+        /// Runs of each way, with a seed each; 8 if absent.
+        optional --runs runs: u64
     }
 }
 
 fn main() {
     let flags = AdmissionWeigh::from_env_or_exit();
-    let seed = flags.seed.unwrap_or(1);
+    let seed = flags.seed.unwrap_or(DEFAULT_SEED);
+    let runs = flags.runs.unwrap_or(DEFAULT_RUNS).max(1);
     for scenario in scenarios::all() {
-        print_scenario(&scenario, seed);
+        print_scenario(&scenario, seed..seed + runs);
     }
 }
 
-fn print_scenario(scenario: &LoadScenario, seed: u64) {
-    println!("\n{}, seed {seed}", scenario.name);
+fn print_scenario(scenario: &LoadScenario, seeds: Range<u64>) {
+    println!("\n{}, {} runs", scenario.name, seeds.end - seeds.start);
     println!(
-        "{:<28} {:>8} {:>9} {:>8} {:>9} {:>9} {:>9} {:>7} {:>7}",
-        "way",
-        "goodput%",
-        "weighted%",
-        "highest%",
-        "answering",
-        "all back",
-        "refused-0",
-        "wasted",
-        "running"
+        "{:<26} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9}",
+        "way", "goodput%", "weighted%", "highest%", "least%", "answering", "refused-0", "wasted",
     );
     for variant in variants() {
-        print_result(&variant, &(variant.run)(scenario, variant.way, seed));
+        let run = |seed| (variant.run)(scenario, variant.way, seed);
+        let results: Vec<RunResult> = seeds.clone().map(run).collect();
+        print_results(&variant, &results);
     }
 }
 
-fn print_result(variant: &GuardVariant, result: &RunResult) {
-    let wasted: u32 = result.classes.iter().map(|class| class.wasted).sum();
+/// Means over the runs; the worst for the least and for the recovery.
+fn print_results(variant: &GuardVariant, results: &[RunResult]) {
+    let highest = |result: &RunResult| result.classes[0].served_percent();
+    let wasted =
+        |result: &RunResult| -> u32 { result.classes.iter().map(|class| class.wasted).sum() };
     println!(
-        "{:<28} {:>8.1} {:>9.1} {:>8.1} {:>9} {:>9} {:>9} {:>7} {:>7}",
+        "{:<26} {:>9.1} {:>9.1} {:>9.1} {:>9.1} {:>9} {:>9.1} {:>9.1}",
         variant.name,
-        result.goodput_percent,
-        result.weighted_percent,
-        result.classes[0].served_percent(),
-        seconds(result.answering),
-        seconds(result.recovery),
-        result.refused_before,
-        wasted,
-        result.most_in_flight,
+        mean(results, |result| result.goodput_percent),
+        mean(results, |result| result.weighted_percent),
+        mean(results, highest),
+        results.iter().map(highest).fold(f64::MAX, f64::min),
+        longest(results),
+        mean(results, |result| f64::from(result.refused_before)),
+        mean(results, |result| f64::from(wasted(result))),
     );
 }
 
-fn seconds(span: Option<Duration>) -> String {
-    match span {
+fn mean(results: &[RunResult], figure: impl Fn(&RunResult) -> f64) -> f64 {
+    let count = u32::try_from(results.len()).unwrap_or(u32::MAX);
+    results.iter().map(figure).sum::<f64>() / f64::from(count)
+}
+
+fn longest(results: &[RunResult]) -> String {
+    let spans: Option<Vec<Duration>> = results.iter().map(|result| result.answering).collect();
+    match spans.and_then(|spans| spans.into_iter().max()) {
         Some(span) => format!("{:.1} s", span.as_secs_f64()),
         None => "none".into(),
     }
--- a/examples/admission_weigh/scenarios.rs
+++ b/examples/admission_weigh/scenarios.rs
@@ -23,6 +23,7 @@
             THRASH,
         ),
         slow_dependency(),
+        lost_capacity(),
         cold_start(),
         misleading_report("threefold surge, reports 200% always", SLOTS, 200),
         misleading_report(
@@ -59,6 +60,15 @@
     scenario
 }
 
+fn lost_capacity() -> LoadScenario {
+    let mut scenario = surge("a fifth of the capacity, then healed", SLOTS, THRASH);
+    scenario.phases[1] = ScenarioPhase {
+        warmth: 0.2..0.2,
+        ..ScenarioPhase::new(PRESSURE, CALM_DEMAND)
+    };
+    scenario
+}
+
 fn cold_start() -> LoadScenario {
     let mut scenario = surge(
         "cold start, a tenth of the capacity at first",
--- a/src/admission/admission_guard.rs
+++ b/src/admission/admission_guard.rs
@@ -16,8 +16,12 @@
     std::{collections::VecDeque, time::Duration},
 };
 
-/// Departures that a queued call waits for at least before its delay counts as overload.
-const TARGET_DEPARTURES: usize = 2;
+/// Part of the mean service time that a call may wait before its delay counts as overload, as a
+/// share of the calls in flight that leave in the meantime: 1 in so many.
+const TARGET_SHARE: u32 = 4;
+const MIN_TARGET_DEPARTURES: u32 = 2;
+/// Interval of a standing queue at least, against its target delay.
+const INTERVAL_TARGETS: u32 = 4;
 
 /// Decides which calls one target runs, and when.
 #[derive(Clone, Debug)]
@@ -208,7 +212,9 @@
             return Some(RefusalReason::BelowThreshold);
         }
         let ahead = self.queue.count_before(CallOrder::of(request));
-        let wait = self.drain.wait_for(ahead);
+        let wait = self
+            .drain
+            .wait_for(u32::try_from(ahead).unwrap_or(u32::MAX));
         let service = self.service.service_time(now, request.priority.rank());
         if now + wait + service > request.deadline {
             return Some(RefusalReason::DeadlineTooNear);
@@ -220,7 +226,7 @@
         self.drain.note_refused();
         AdmissionRefusal {
             reason,
-            retry_after: self.drain.retry_after(self.queue.len(), rng),
+            retry_after: self.drain.retry_after(self.queued(), rng),
         }
     }
 
@@ -295,7 +301,7 @@
             return;
         }
         let target = self.target_delay();
-        let interval = self.settings.queue_interval.max(target);
+        let interval = self.settings.queue_interval.max(target * INTERVAL_TARGETS);
         loop {
             let delay = self.oldest_age(now);
             if !self.sojourn.is_drop_due(now, delay, target, interval) {
@@ -306,7 +312,7 @@
     }
 
     fn move_threshold(&mut self, now: TimePoint) {
-        self.queue_delay = self.drain.wait_for(self.queue.len());
+        self.queue_delay = self.drain.wait_for(self.queued());
         if self.settings.threshold == ThresholdMode::Lowest {
             return;
         }
@@ -318,10 +324,11 @@
         self.threshold.tick(now, pressure, &self.demand);
     }
 
-    /// A slow target empties a slot seldom; waiting for the next one is no overload.
+    /// A slow target frees a slot seldom; waiting for the next ones is no overload.
     fn target_delay(&self) -> Duration {
-        let departures = self.drain.wait_for(TARGET_DEPARTURES);
-        self.settings.queue_target.max(departures)
+        let departures = (self.limit.limit() / TARGET_SHARE).max(MIN_TARGET_DEPARTURES);
+        let wait = self.drain.wait_for(departures);
+        self.settings.queue_target.max(wait)
     }
 
     fn oldest_age(&self, now: TimePoint) -> Duration {
--- a/src/admission/admission_threshold.rs
+++ b/src/admission/admission_threshold.rs
@@ -11,8 +11,10 @@
 /// The same for a delay that has grown by the target since the move before.
 const GROWTH_GAIN: f64 = 0.04;
 const MAX_TRIM: f64 = 0.1;
-/// Work that is admitted beyond the limit, so that the queue does not run dry.
-const ADMITTED_EXCESS: f64 = 1.1;
+/// Work against the limit down to which a move sheds, so that the queue does not run dry.
+const LEAST_ADMITTED: f64 = 1.1;
+/// Work against the limit beyond which all is shed in one move.
+const MOST_ADMITTED: f64 = 1.3;
 /// Share of all work that the first move after pressure admits again; it doubles with each move.
 const FIRST_ADMIT_SHARE: f64 = 0.005;
 
@@ -73,7 +75,7 @@
 
     pub(super) fn tick(&mut self, now: TimePoint, pressure: QueuePressure, demand: &DemandTable) {
         self.peak_delay = self.peak_delay.max(pressure.delay);
-        if now.since(self.moved) < MOVE_PERIOD {
+        if now.since(self.moved) < MOVE_PERIOD.max(pressure.target) {
             return;
         }
         if self.peak_delay < pressure.target / 2 {
@@ -101,15 +103,16 @@
         if trim < 0.0 {
             self.lowest = demand.lowered(self.lowest, -trim);
         } else {
-            let excess = self.excess(pressure, demand);
-            self.lowest = demand.raised(self.lowest, trim.max(excess));
+            let work = demand.work_from(self.lowest);
+            let limit = f64::from(pressure.limit);
+            let least = excess(work, limit * MOST_ADMITTED);
+            let most = excess(work, limit * LEAST_ADMITTED);
+            self.lowest = demand.raised(self.lowest, trim.min(most).max(least));
         }
     }
+}
 
-    /// Share of the admitted work that is plainly too much.
-    fn excess(&self, pressure: QueuePressure, demand: &DemandTable) -> f64 {
-        let admitted = demand.work_from(self.lowest);
-        let admissible = f64::from(pressure.limit) * ADMITTED_EXCESS;
-        1.0 - admissible / admitted.max(admissible)
-    }
+/// Share of `work` that goes beyond `bound`.
+fn excess(work: f64, bound: f64) -> f64 {
+    1.0 - bound / work.max(bound)
 }
--- a/src/admission/aimd_limit.rs
+++ b/src/admission/aimd_limit.rs
@@ -1,10 +1,16 @@
 use {
-    super::{ConcurrencyLimit, LimitUse, LoadReport, ServiceSample, latency_window::LatencyWindow},
+    super::{
+        ConcurrencyLimit, LimitUse, LoadReport, ServiceSample,
+        latency_window::{LatencyWindow, WindowUse},
+    },
     crate::time::TimePoint,
 };
 
+/// Share of the slots that a target starts with: 1 in so many.
+const COLD_SHARE: f64 = 4.0;
 /// Slowdown against the floor that counts as loss.
 const TOLERANCE: f64 = 1.5;
+const WINDOW_SAMPLES: u32 = 32;
 /// Part of the limit that one loss leaves.
 const DECREASE: f64 = 0.8;
 
@@ -18,9 +24,10 @@
 
 impl ConcurrencyLimit for AimdLimit {
     fn new(now: TimePoint, slots: u32) -> Self {
+        let slots = f64::from(slots.max(1));
         Self {
-            slots: f64::from(slots.max(1)),
-            limit: 1.0,
+            slots,
+            limit: (slots / COLD_SHARE).max(1.0),
             window: LatencyWindow::new(now),
         }
     }
@@ -42,15 +49,13 @@
     fn report_load(&mut self, _: TimePoint, _: LoadReport) {}
 
     fn tick(&mut self, now: TimePoint, usage: LimitUse) {
-        if usage.queued > 0 || usage.in_flight >= self.limit() {
-            self.window.note_saturated();
-        }
-        let Some(summary) = self.window.close(now) else {
+        self.window.note_use(usage, self.limit());
+        let Some(summary) = self.window.close(now, self.limit(), WINDOW_SAMPLES) else {
             return;
         };
         if summary.slowdown > TOLERANCE {
             self.limit = (self.limit * DECREASE).max(1.0);
-        } else if summary.is_saturated {
+        } else if summary.usage >= WindowUse::Full {
             self.limit = (self.limit + 1.0).min(self.slots);
         }
     }
--- a/src/admission/drain_estimate.rs
+++ b/src/admission/drain_estimate.rs
@@ -64,16 +64,16 @@
     }
 
     /// Time until `count` calls have left; zero if the rate is unknown.
-    pub(super) fn wait_for(&self, count: usize) -> Duration {
+    pub(super) fn wait_for(&self, count: u32) -> Duration {
         match self.rate {
-            Some(rate) if count > 0 => as_duration(as_f64(count) / rate),
+            Some(rate) if count > 0 => as_duration(f64::from(count) / rate),
             _ => Duration::ZERO,
         }
     }
 
     /// When a refused call has a chance: once the queue and those refused before it are served.
-    pub(super) fn retry_after<R: Rng + ?Sized>(&self, queued: usize, rng: &mut R) -> Duration {
-        let backlog = as_f64(queued) + self.refused_recently + f64::from(self.refused);
+    pub(super) fn retry_after<R: Rng + ?Sized>(&self, queued: u32, rng: &mut R) -> Duration {
+        let backlog = f64::from(queued) + self.refused_recently + f64::from(self.refused);
         let seconds = self.rate.map_or(0.0, |rate| backlog / rate);
         let base = as_duration(seconds).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         base.mul_f64(rng.random_range(1.0..2.0))
@@ -90,10 +90,6 @@
     }
 }
 
-fn as_f64(count: usize) -> f64 {
-    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
-}
-
 fn as_duration(seconds: f64) -> Duration {
     Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
 }
--- a/src/admission/gradient_limit.rs
+++ b/src/admission/gradient_limit.rs
@@ -1,36 +1,63 @@
 use {
     super::{
-        ConcurrencyLimit, LimitUse, LoadReport, ServiceSample, latency_window::LatencyWindow,
-        latency_window::WindowSummary,
+        ConcurrencyLimit, LimitUse, LoadReport, ServiceSample,
+        latency_window::{LatencyWindow, WindowSummary, WindowUse},
+        outside_slowdown::OutsideSlowdown,
     },
     crate::time::TimePoint,
     std::time::Duration,
 };
 
 /// Share of the slots that a target starts with: 1 in so many.
-const COLD_SHARE: f64 = 8.0;
-/// Slowdown against the floor that counts as too many calls.
-const TOLERANCE: f64 = 1.5;
+const COLD_SHARE: f64 = 4.0;
+const WINDOW_SAMPLES: u32 = 64;
+/// Samples of a window for each call at once, while the limit ramps up.
+const RAMP_SAMPLES: u32 = 2;
+/// Part of the limit that was in use on average, without which its speed says little of it.
+const GROWTH_USE: f64 = 0.6;
+/// Slowdown up to which the limit grows.
+const GROWTH_BOUND: f64 = 1.1;
 /// The same while the target itself reports overload.
-const CAREFUL_TOLERANCE: f64 = 1.25;
+const CAREFUL_GROWTH_BOUND: f64 = 1.05;
+/// Slowdown that counts as too many calls.
+const TOLERANCE: f64 = 1.2;
 const OVERLOAD_PERCENT: u32 = 100;
 /// Time for which a load report counts.
 const REPORT_EXPIRY: Duration = Duration::from_secs(1);
+/// Slow windows in a row before a cut.
+const SLOW_WINDOWS: u32 = 2;
+/// Slowdown that needs no second window.
+const PLAIN_SLOWDOWN: f64 = 2.0;
 /// Smallest part of the limit that one cut leaves.
-const MAX_CUT: f64 = 0.5;
+const SMALLEST_REST: f64 = 0.7;
+/// Part of the limit in use on average without which its slowdown says little of it.
+const CUT_USE: f64 = 0.8;
+/// Part of the calls that a cut may leave at most to say anything.
+const MAX_REST: f64 = 0.9;
+/// Windows after which a cut is judged.
+const TRIAL_WINDOWS: u32 = 2;
+/// Part of the expected relief without which a cut has failed.
+const RELIEF_SHARE: f64 = 0.6;
+/// The same after the first window.
+const PLAIN_FAILURE: f64 = 0.3;
 
 /// Limit by the gradient of in-service latency against its own floor.
 ///
 /// A target may slow for a reason other than its own concurrency, such as a slow service further
-/// down. Fewer calls at once would then only lose goodput. So each cut is a trial: if latency does
-/// not fall with it, the limit is restored and the floor is raised to what was seen.
+/// down. Fewer calls at once would then only lose goodput. So a target that has run as many calls
+/// at full speed before is held to be slowed from outside at first, and each cut is a trial: if
+/// latency does not fall with it, the limit is restored.
 #[derive(Clone, Debug)]
 pub struct GradientLimit {
     slots: f64,
     limit: f64,
     growth: LimitGrowth,
     window: LatencyWindow,
+    slow_windows: u32,
+    /// Most calls at once that the target has run at full speed; zero if that is in doubt.
+    proven: f64,
     trial: Option<CutTrial>,
+    outside: OutsideSlowdown,
     careful_until: TimePoint,
 }
 
@@ -38,67 +65,138 @@
 enum LimitGrowth {
     /// Doubles with each window until the first slowdown.
     Ramp,
-    /// Grows by the square root.
+    /// Grows by half the square root.
     Probe,
 }
 
+/// A cut that is not judged yet.
 #[derive(Clone, Copy, Debug)]
 struct CutTrial {
-    limit_before: f64,
-    slowdown_before: f64,
-    /// Part of the limit that was left.
-    rest: f64,
+    /// Before the cut.
+    limit: f64,
+    before: WindowSummary,
+    windows: u32,
+    /// Sums over the windows since.
+    in_flight: f64,
+    slowdown: f64,
+}
+
+impl CutTrial {
+    fn add(&mut self, summary: WindowSummary) {
+        self.windows += 1;
+        self.in_flight += summary.in_flight;
+        self.slowdown += summary.slowdown;
+    }
+
+    fn slowdown_after(&self) -> f64 {
+        self.slowdown / f64::from(self.windows)
+    }
+
+    /// Part of the relief that crowding would explain; `None` if there are hardly fewer calls.
+    fn relief(&self) -> Option<f64> {
+        let in_flight = self.in_flight / f64::from(self.windows);
+        let rest = in_flight / self.before.in_flight;
+        if rest > MAX_REST {
+            return None;
+        }
+        let relief = 1.0 - self.slowdown_after() / self.before.slowdown;
+        Some(relief / (1.0 - rest))
+    }
 }
 
 impl GradientLimit {
-    fn is_careful(&self, now: TimePoint) -> bool {
-        now < self.careful_until
+    fn window_samples(&self) -> u32 {
+        match self.growth {
+            LimitGrowth::Ramp => WINDOW_SAMPLES.min(self.limit() * RAMP_SAMPLES),
+            LimitGrowth::Probe => WINDOW_SAMPLES,
+        }
     }
 
     fn weigh(&mut self, now: TimePoint, summary: WindowSummary) {
-        let tolerance = if self.is_careful(now) {
-            CAREFUL_TOLERANCE
-        } else {
-            TOLERANCE
-        };
+        let slowdown = self.outside.correct(now, summary.slowdown);
         if let Some(trial) = self.trial.take() {
-            self.end_trial(trial, summary);
-        } else if summary.slowdown > tolerance {
-            self.cut(now, summary);
-        } else if summary.is_saturated {
+            self.judge(now, trial, summary);
+        } else if slowdown > TOLERANCE {
+            self.slow_windows += 1;
+            self.answer_slowdown(now, summary, slowdown);
+        } else {
+            self.slow_windows = 0;
+            self.answer_speed(now, summary, slowdown);
+        }
+    }
+
+    fn answer_speed(&mut self, now: TimePoint, summary: WindowSummary, slowdown: f64) {
+        if summary.slowdown < GROWTH_BOUND {
+            self.proven = self.proven.max(summary.in_flight);
+        }
+        let is_used = summary.in_flight >= self.limit * GROWTH_USE;
+        if is_used && summary.usage >= WindowUse::Full && slowdown < self.growth_bound(now) {
             self.grow();
         }
     }
 
-    fn cut(&mut self, now: TimePoint, summary: WindowSummary) {
-        if !summary.is_saturated || self.limit <= 1.0 {
-            self.window.raise_floors(summary.slowdown);
+    fn growth_bound(&self, now: TimePoint) -> f64 {
+        if now < self.careful_until {
+            CAREFUL_GROWTH_BOUND
+        } else {
+            GROWTH_BOUND
+        }
+    }
+
+    fn answer_slowdown(&mut self, now: TimePoint, summary: WindowSummary, slowdown: f64) {
+        let is_crowded = summary.usage >= WindowUse::Full && self.limit > 1.0;
+        let is_outside = self.outside.is_open(now) && self.is_beyond_crowding(summary.slowdown);
+        if !is_crowded || is_outside {
+            self.outside.note(now, summary.slowdown);
             return;
         }
-        let rest = (1.0 / summary.slowdown).max(MAX_CUT);
+        let is_settled = self.outside.is_settled(now) && slowdown < PLAIN_SLOWDOWN;
+        let is_lasting = self.slow_windows >= SLOW_WINDOWS || slowdown > PLAIN_SLOWDOWN;
+        let is_measured = summary.in_flight >= self.limit * CUT_USE;
+        if is_lasting && is_measured && !is_settled {
+            self.cut(now, summary, slowdown);
+        }
+    }
+
+    /// Calls that share a target slow it in proportion to their number, or little more.
+    fn is_beyond_crowding(&self, slowdown: f64) -> bool {
+        slowdown * self.proven > PLAIN_SLOWDOWN * self.limit
+    }
+
+    fn cut(&mut self, now: TimePoint, summary: WindowSummary, slowdown: f64) {
+        let rest = (1.0 / slowdown).max(SMALLEST_REST);
         self.trial = Some(CutTrial {
-            limit_before: self.limit,
-            slowdown_before: summary.slowdown,
-            rest,
+            limit: self.limit,
+            before: summary,
+            windows: 0,
+            in_flight: 0.0,
+            slowdown: 0.0,
         });
         self.growth = LimitGrowth::Probe;
         self.limit = (self.limit * rest).max(1.0);
         self.window.open(now);
     }
 
-    /// Latency that follows concurrency falls with the cut; half of the way counts as following.
-    fn end_trial(&mut self, trial: CutTrial, summary: WindowSummary) {
-        let bound = trial.slowdown_before * f64::midpoint(1.0, trial.rest);
-        if summary.slowdown > bound {
-            self.limit = trial.limit_before.min(self.slots);
-            self.window.raise_floors(summary.slowdown);
+    /// Latency that follows concurrency falls with the cut. What is not plain after one window is
+    /// decided on two.
+    fn judge(&mut self, now: TimePoint, mut trial: CutTrial, summary: WindowSummary) {
+        trial.add(summary);
+        let Some(relief) = trial.relief() else {
+            return;
+        };
+        let is_last = trial.windows >= TRIAL_WINDOWS;
+        if relief < PLAIN_FAILURE || is_last && relief < RELIEF_SHARE {
+            self.limit = trial.limit.min(self.slots);
+            self.outside.note(now, trial.slowdown_after());
+        } else if !is_last && summary.slowdown > TOLERANCE {
+            self.trial = Some(trial);
         }
     }
 
     fn grow(&mut self) {
         let step = match self.growth {
             LimitGrowth::Ramp => self.limit,
-            LimitGrowth::Probe => self.limit.sqrt(),
+            LimitGrowth::Probe => self.limit.sqrt() / 2.0,
         };
         self.limit = (self.limit + step).min(self.slots);
     }
@@ -112,7 +210,10 @@
             limit: (slots / COLD_SHARE).max(1.0),
             growth: LimitGrowth::Ramp,
             window: LatencyWindow::new(now),
+            slow_windows: 0,
+            proven: 0.0,
             trial: None,
+            outside: OutsideSlowdown::default(),
             careful_until: now,
         }
     }
@@ -138,10 +239,8 @@
     }
 
     fn tick(&mut self, now: TimePoint, usage: LimitUse) {
-        if usage.queued > 0 || usage.in_flight >= self.limit() {
-            self.window.note_saturated();
-        }
-        if let Some(summary) = self.window.close(now) {
+        self.window.note_use(usage, self.limit());
+        if let Some(summary) = self.window.close(now, self.limit(), self.window_samples()) {
             self.weigh(now, summary);
         }
     }
--- a/src/admission/latency_window.rs
+++ b/src/admission/latency_window.rs
@@ -1,17 +1,20 @@
 use {
-    super::{CompletionKind, ServiceSample, rank_table::RankTable},
+    super::{CompletionKind, LimitUse, ServiceSample, rank_table::RankTable},
     crate::time::TimePoint,
     std::time::Duration,
 };
 
 const MIN_WINDOW: Duration = Duration::from_millis(50);
-const MAX_WINDOW: Duration = Duration::from_secs(1);
-/// Samples that close a window early.
-const WHOLE_SAMPLES: u32 = 32;
-/// Samples of a class from which its floor is learned.
-const MIN_RANK_SAMPLES: u32 = 8;
-/// Weight of a lower mean in the floor.
-const FLOOR_GAIN: f64 = 0.5;
+const MAX_WINDOW: Duration = Duration::from_secs(3);
+/// Samples without which a window stays open.
+const MIN_SAMPLES: u32 = 8;
+/// Samples over which the first floor of a class is averaged.
+const FIRST_SAMPLES: f64 = 32.0;
+/// Weight of a new mean in a floor.
+const FLOOR_GAIN: f64 = 0.2;
+/// Relative deviation of one latency from the mean of its class, of which a lower mean must be
+/// twice as far away.
+const LATENCY_SPREAD: f64 = 0.5;
 
 /// Time in the target against the floor of each class, over one window.
 ///
@@ -24,24 +27,65 @@
     samples: u32,
     /// Time of calls that failed or were cancelled, in s.
     lost_seconds: f64,
-    is_saturated: bool,
+    ticks: u32,
+    /// Ticks at which all of the limit was in use.
+    full_ticks: u32,
+    most_in_flight: u32,
+    /// Sum over the ticks.
+    in_flight: u32,
+}
+
+/// How much of the limit was in use during a window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum WindowUse {
+    /// At most half of it.
+    Low,
+    Partial,
+    /// All of it at some tick.
+    Full,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
 struct RankLatency {
     /// In s; zero until it is known.
     floor: f64,
+    /// Samples that the first floor is averaged from.
+    learned: f64,
     seconds: f64,
     successes: u32,
 }
 
+impl RankLatency {
+    /// Only a target with few calls may raise a floor, or calls that crowd it would do so.
+    fn learn(&mut self, usage: WindowUse) {
+        if self.successes == 0 {
+            return;
+        }
+        let count = f64::from(self.successes);
+        let mean = self.seconds / count;
+        if self.learned < FIRST_SAMPLES {
+            self.learned += count;
+            self.floor += (mean - self.floor) * count / self.learned;
+        } else if usage == WindowUse::Low || self.is_plainly_lower(mean, count) {
+            let gain = FLOOR_GAIN.max(1.0 - mean / self.floor);
+            self.floor += (mean - self.floor) * gain * (count / FIRST_SAMPLES).min(1.0);
+        }
+    }
+
+    fn is_plainly_lower(&self, mean: f64, count: f64) -> bool {
+        let deviation = LATENCY_SPREAD / count.sqrt();
+        mean < self.floor * (1.0 - 2.0 * deviation)
+    }
+}
+
 /// What one window showed.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct WindowSummary {
     /// Time in the target for each success, against the floor.
     pub(super) slowdown: f64,
-    /// The whole limit was in use at some tick.
-    pub(super) is_saturated: bool,
+    pub(super) usage: WindowUse,
+    /// Calls in flight on average.
+    pub(super) in_flight: f64,
 }
 
 impl LatencyWindow {
@@ -51,7 +95,10 @@
             ranks: RankTable::default(),
             samples: 0,
             lost_seconds: 0.0,
-            is_saturated: false,
+            ticks: 0,
+            full_ticks: 0,
+            most_in_flight: 0,
+            in_flight: 0,
         }
     }
 
@@ -71,24 +118,37 @@
         }
     }
 
-    pub(super) fn note_saturated(&mut self) {
-        self.is_saturated = true;
+    pub(super) fn note_use(&mut self, usage: LimitUse, limit: u32) {
+        self.ticks += 1;
+        self.most_in_flight = self.most_in_flight.max(usage.in_flight);
+        self.in_flight = self.in_flight.saturating_add(usage.in_flight);
+        if usage.queued > 0 || usage.in_flight >= limit {
+            self.full_ticks += 1;
+        }
     }
 
-    /// Closes the window once it holds enough; `None` too if nothing in it succeeded.
-    pub(super) fn close(&mut self, now: TimePoint) -> Option<WindowSummary> {
+    /// Closes the window once it holds `whole` samples or is old; `None` too if no call succeeded.
+    pub(super) fn close(
+        &mut self,
+        now: TimePoint,
+        limit: u32,
+        whole: u32,
+    ) -> Option<WindowSummary> {
         let age = now.since(self.opened);
-        let is_whole = age >= MIN_WINDOW && self.samples >= WHOLE_SAMPLES;
-        if !is_whole && age < MAX_WINDOW {
+        let is_whole = age >= MIN_WINDOW && self.samples >= whole;
+        let is_old = age >= MAX_WINDOW && self.samples >= MIN_SAMPLES;
+        if !is_whole && !is_old {
             return None;
         }
-        self.learn_floors();
+        let usage = self.usage(limit);
+        let in_flight = f64::from(self.in_flight) / f64::from(self.ticks.max(1));
+        self.learn_floors(usage);
         let slowdown = self.slowdown();
-        let is_saturated = self.is_saturated;
         self.open(now);
         slowdown.map(|slowdown| WindowSummary {
             slowdown,
-            is_saturated,
+            usage,
+            in_flight,
         })
     }
 
@@ -97,30 +157,29 @@
         self.opened = now;
         self.samples = 0;
         self.lost_seconds = 0.0;
-        self.is_saturated = false;
+        self.ticks = 0;
+        self.full_ticks = 0;
+        self.most_in_flight = 0;
+        self.in_flight = 0;
         for latency in self.ranks.values_mut() {
             latency.seconds = 0.0;
             latency.successes = 0;
         }
     }
 
-    /// Raises all floors: what has slowed the target is not the number of its calls.
-    pub(super) fn raise_floors(&mut self, factor: f64) {
-        for latency in self.ranks.values_mut() {
-            latency.floor *= factor;
+    fn usage(&self, limit: u32) -> WindowUse {
+        if self.full_ticks > 0 {
+            WindowUse::Full
+        } else if self.most_in_flight > limit / 2 {
+            WindowUse::Partial
+        } else {
+            WindowUse::Low
         }
     }
 
-    fn learn_floors(&mut self) {
+    fn learn_floors(&mut self, usage: WindowUse) {
         for latency in self.ranks.values_mut() {
-            if latency.successes >= MIN_RANK_SAMPLES {
-                let mean = latency.seconds / f64::from(latency.successes);
-                if latency.floor <= 0.0 {
-                    latency.floor = mean;
-                } else if mean < latency.floor {
-                    latency.floor += FLOOR_GAIN * (mean - latency.floor);
-                }
-            }
+            latency.learn(usage);
         }
     }
 
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -28,6 +28,7 @@
 mod guard_settings;
 mod latency_window;
 mod load_report;
+mod outside_slowdown;
 mod priority_queue;
 mod rank_table;
 mod service_estimate;
