--- a/standins/src/caller/caller_record.rs
+++ b/standins/src/caller/caller_record.rs
@@ -3,9 +3,14 @@
     crate::client::CallResult,
     banyantrestle::context::RunOutcome,
     hdrhistogram::Histogram,
-    std::time::{Duration, Instant},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
 };
 
+/// Different reasons that are counted.
+const MAX_REASONS: usize = 32;
 const LONGEST_LATENCY_US: u64 = 120_000_000;
 const LATENCY_DIGITS: u8 = 3;
 
@@ -61,15 +66,20 @@
             CallResult::Whole => {
                 self.report.whole_attempts.insert(attempt.into());
             }
-            CallResult::Refused { outcome, .. } => match outcome {
-                Some(RunOutcome::NotRun) => {
-                    class.not_run += 1;
-                    self.report.told_not_run.push(attempt.into());
+            CallResult::Refused {
+                outcome, detail, ..
+            } => {
+                match outcome {
+                    Some(RunOutcome::NotRun) => {
+                        class.not_run += 1;
+                        self.report.told_not_run.push(attempt.into());
+                    }
+                    Some(RunOutcome::Unknown) => class.unknown += 1,
+                    Some(RunOutcome::Run) => class.run += 1,
+                    None => class.unnamed += 1,
                 }
-                Some(RunOutcome::Unknown) => class.unknown += 1,
-                Some(RunOutcome::Run) => class.run += 1,
-                None => class.unnamed += 1,
-            },
+                count_reason(&mut class.reasons, detail);
+            }
             CallResult::Wrong(_) => class.wrong += 1,
             CallResult::Failed(_) => class.failed += 1,
             CallResult::TimedOut => class.timed_out += 1,
@@ -104,7 +114,7 @@
         let since = time.saturating_duration_since(self.started);
         let step = since.as_millis() / SERIES_STEP.as_millis();
         let step = usize::try_from(step).unwrap_or_default();
-        let series = &mut self.report.classes[class].series;
+        let series = &mut self.report.classes[class].series.0;
         if series.len() <= step {
             series.resize(step + 1, SeriesBucket::default());
         }
@@ -112,6 +122,14 @@
     }
 }
 
+fn count_reason(reasons: &mut BTreeMap<String, u64>, detail: &str) {
+    if let Some(count) = reasons.get_mut(detail) {
+        *count += 1;
+    } else if reasons.len() < MAX_REASONS {
+        reasons.insert(detail.into(), 1);
+    }
+}
+
 #[expect(
     clippy::cast_precision_loss,
     reason = "latencies stay far below 2^52 us"
--- a/standins/src/caller/caller_report.rs
+++ b/standins/src/caller/caller_report.rs
@@ -1,4 +1,11 @@
-use {crate::target::RunLedger, serde::Serialize, std::collections::HashSet};
+use {
+    crate::target::RunLedger,
+    serde::Serialize,
+    std::{
+        collections::{BTreeMap, HashSet},
+        fmt,
+    },
+};
 
 /// What became of the requests of one class.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
@@ -21,6 +28,8 @@
     /// Attempts that broke off.
     pub failed: u64,
     pub timed_out: u64,
+    /// Refused attempts by what was said of them.
+    pub reasons: BTreeMap<String, u64>,
     /// Answers that were whole by the protocol but not those of their calls.
     pub wrong: u64,
     /// Time to the whole answer over all attempts, in ms.
@@ -28,7 +37,7 @@
     pub p99_ms: f64,
     /// Requests by step of the time series.
     #[serde(skip)]
-    pub series: Vec<SeriesBucket>,
+    pub series: TimeSeries,
 }
 
 impl ClassReport {
@@ -44,6 +53,16 @@
     }
 }
 
+/// Steps of [`SERIES_STEP`](super::SERIES_STEP), from the start of the fleet.
+#[derive(Clone, Default, PartialEq)]
+pub struct TimeSeries(pub Vec<SeriesBucket>);
+
+impl fmt::Debug for TimeSeries {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} steps", self.0.len())
+    }
+}
+
 /// Requests of one class in one step of the time series.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct SeriesBucket {
--- a/standins/src/caller/mod.rs
+++ b/standins/src/caller/mod.rs
@@ -8,7 +8,7 @@
 
 pub use {
     caller_fleet::CallerFleet,
-    caller_report::{CallerReport, ClassReport, SeriesBucket},
+    caller_report::{CallerReport, ClassReport, SeriesBucket, TimeSeries},
     caller_settings::{CallerClass, CallerSettings, RetryHabit},
     recovery_time::{RunSpan, SERIES_STEP},
 };
--- a/standins/src/caller/recovery_time.rs
+++ b/standins/src/caller/recovery_time.rs
@@ -33,7 +33,7 @@
     pub fn during(&self, span: RunSpan) -> SeriesBucket {
         let mut sum = SeriesBucket::default();
         for step in span.steps() {
-            sum.add(self.series.get(step));
+            sum.add(self.series.0.get(step));
         }
         sum
     }
@@ -77,7 +77,7 @@
         let mut buckets = vec![SeriesBucket::default(); span.steps().len()];
         for class in self.classes.iter().filter(|class| select(class)) {
             for (bucket, step) in buckets.iter_mut().zip(span.steps()) {
-                bucket.add(class.series.get(step));
+                bucket.add(class.series.0.get(step));
             }
         }
         buckets
--- a/standins/src/client/call_client.rs
+++ b/standins/src/client/call_client.rs
@@ -11,6 +11,7 @@
         client::legacy::{Client, connect::HttpConnector},
         rt::{TokioExecutor, TokioTimer},
     },
+    serde::Deserialize,
     std::time::Duration,
     tokio::time::timeout,
 };
@@ -75,9 +76,7 @@
     async fn exchange(&self, call: &OutboundCall) -> anyhow::Result<CallResult> {
         let response = self.connect_and_send(call).await?;
         if !response.status().is_success() {
-            let refusal = refusal(&response);
-            response.into_body().collect().await?;
-            return Ok(refusal);
+            return read_refusal(response).await;
         }
         let verdict = verify(call, response.into_body()).await?;
         Ok(match verdict {
@@ -117,13 +116,23 @@
     Ok(verifier.verdict())
 }
 
-fn refusal(response: &Response<Incoming>) -> CallResult {
-    let header = |name: &str| response.headers().get(name)?.to_str().ok();
+async fn read_refusal(response: Response<Incoming>) -> anyhow::Result<CallResult> {
+    let (head, body) = response.into_parts();
+    let body = body.collect().await?.to_bytes();
+    let header = |name: &str| head.headers.get(name)?.to_str().ok();
     let outcome = header(OUTCOME_HEADER).and_then(|text| text.parse().ok());
     let seconds = header(RETRY_AFTER.as_str()).and_then(|text| text.parse().ok());
-    CallResult::Refused {
-        status: response.status(),
+    let problem: ProblemDetails = serde_json::from_slice(&body).unwrap_or_default();
+    Ok(CallResult::Refused {
+        status: head.status,
         outcome,
         retry_after: seconds.map(Duration::from_secs),
-    }
+        detail: problem.detail,
+    })
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct ProblemDetails {
+    detail: String,
 }
--- a/standins/src/client/call_result.rs
+++ b/standins/src/client/call_result.rs
@@ -13,6 +13,8 @@
         status: StatusCode,
         outcome: Option<RunOutcome>,
         retry_after: Option<Duration>,
+        /// What the problem details say (RFC 9457).
+        detail: String,
     },
     /// The answer was whole by the protocol but not that of the call.
     Wrong(AnswerVerdict),
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -49,9 +49,9 @@
     assert!(is_under_load.await, "{:?}", load.report().classes);
 }
 
-async fn submit(admin: SocketAddr, base_version: u64, deployment: &str) -> TextAnswer {
+async fn submit(admin: SocketAddr, base_version: u64, ratio_percent: u32) -> TextAnswer {
     let mut document = test_policy();
-    document.deployment = deployment.into();
+    document.retry.ratio_percent = ratio_percent;
     let body = json!({"base_version": base_version, "document": document});
     let request = TextRequest {
         method: Method::POST,
@@ -180,8 +180,8 @@
         assert!(is_first.await, "daemon {daemon} does not enforce version 1");
     }
     let (first, second) = tokio::join!(
-        submit(fleet.daemons[0].listen.admin, 1, "of-the-first"),
-        submit(fleet.daemons[1].listen.admin, 1, "of-the-second"),
+        submit(fleet.daemons[0].listen.admin, 1, 11),
+        submit(fleet.daemons[1].listen.admin, 1, 12),
     );
     let mut statuses = [first.status, second.status];
     statuses.sort();
