--- a/src/cli/command_flags.rs
+++ b/src/cli/command_flags.rs
@@ -1,16 +1,31 @@
 use {
     crate::{context::RequestId, events::EventName},
-    std::{net::SocketAddr, path::PathBuf},
-    strum::EnumString,
+    std::{net::SocketAddr, path::PathBuf, str::FromStr},
+    thiserror::Error,
 };
 
 /// What can be done with a settings file.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumString)]
-#[strum(serialize_all = "kebab-case")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SettingsAction {
     Check,
 }
 
+/// A text that names no action.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("the one action is check")]
+pub struct ActionError;
+
+impl FromStr for SettingsAction {
+    type Err = ActionError;
+
+    fn from_str(text: &str) -> Result<Self, ActionError> {
+        match text {
+            "check" => Ok(Self::Check),
+            _ => Err(ActionError),
+        }
+    }
+}
+
 xflags::xflags! {
     /// Operates a deployment of banyantrestle.
     cmd banyantrestle {
--- a/src/context/hex_id.rs
+++ b/src/context/hex_id.rs
@@ -4,8 +4,24 @@
         de::{Error, Unexpected, Visitor},
     },
     std::{fmt, marker::PhantomData},
+    thiserror::Error,
 };
 
+/// A text that is no identity.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("not {expected}")]
+pub struct IdError {
+    expected: &'static str,
+}
+
+impl IdError {
+    pub(super) const fn new<I: HexId>() -> Self {
+        Self {
+            expected: I::EXPECTED,
+        }
+    }
+}
+
 /// An identity that text formats hold as hexadecimal digits.
 pub(crate) trait HexId: Sized {
     const EXPECTED: &'static str;
--- a/src/context/mod.rs
+++ b/src/context/mod.rs
@@ -20,6 +20,7 @@
     call_id::CallId,
     call_priority::CallPriority,
     class_name::ClassName,
+    hex_id::IdError,
     request_id::RequestId,
     run_outcome::{OUTCOME_HEADER, RunOutcome},
     service_name::{NameError, ServiceName},
--- a/src/context/request_id.rs
+++ b/src/context/request_id.rs
@@ -1,8 +1,5 @@
 use {
-    super::{
-        hex_id::{HexId, deserialize_text},
-        service_name::NameError,
-    },
+    super::hex_id::{HexId, IdError, deserialize_text},
     rapidhash::v3::rapidhash_v3,
     serde::{Deserialize, Deserializer, Serialize, Serializer},
     std::{fmt, str::FromStr},
@@ -48,10 +45,10 @@
 }
 
 impl FromStr for RequestId {
-    type Err = NameError;
+    type Err = IdError;
 
-    fn from_str(text: &str) -> Result<Self, NameError> {
-        Self::parse(text).ok_or_else(|| NameError::new(text))
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        Self::parse(text).ok_or(IdError::new::<Self>())
     }
 }
 
--- a/src/events/event_kind.rs
+++ b/src/events/event_kind.rs
@@ -7,9 +7,19 @@
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
-    strum::{Display, EnumDiscriminants, EnumIter, EnumString, IntoStaticStr},
+    strum::{Display, EnumDiscriminants, EnumIter, EnumString, IntoStaticStr, VariantNames},
+    thiserror::Error,
 };
 
+/// A text that names no kind of event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("not one of {}", EventName::VARIANTS.join(", "))]
+pub struct EventNameError;
+
+fn unknown_name(_text: &str) -> EventNameError {
+    EventNameError
+}
+
 /// What happened. `peer` is the mesh address of the other daemon, `target` that of a target.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, EnumDiscriminants)]
 #[serde(tag = "kind", rename_all = "kebab-case")]
@@ -21,11 +31,16 @@
         EnumIter,
         EnumString,
         IntoStaticStr,
+        VariantNames,
         Hash,
         Serialize,
         Deserialize
     ),
-    strum(serialize_all = "kebab-case"),
+    strum(
+        serialize_all = "kebab-case",
+        parse_err_ty = EventNameError,
+        parse_err_fn = unknown_name
+    ),
     serde(rename_all = "kebab-case")
 )]
 pub enum EventKind {
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -23,7 +23,7 @@
 pub use {
     call_tree::{CallIndex, CallNode, CallTree, CallWalk},
     event_filter::EventFilter,
-    event_kind::{EventKind, EventName},
+    event_kind::{EventKind, EventName, EventNameError},
     event_log::EventLog,
     event_page::{EventPage, MAX_PAGE_BYTES, MAX_PAGE_EVENTS, PageError},
     event_reason::{EventReason, MAX_REASON_LENGTH},
--- a/src/policy/field_change.rs
+++ b/src/policy/field_change.rs
@@ -20,13 +20,14 @@
 type FieldValues = BTreeMap<String, String>;
 
 impl FieldChange {
-    /// Fields that differ in any of the three documents.
+    /// Fields that differ in any of the three documents; without the base, in the other two.
     #[must_use]
     pub fn compare(
         base: Option<&PolicyDocument>,
         current: &PolicyDocument,
         mine: &PolicyDocument,
     ) -> Vec<Self> {
+        let has_base = base.is_some();
         let base = base.map(field_values).unwrap_or_default();
         let current = field_values(current);
         let mine = field_values(mine);
@@ -41,7 +42,9 @@
             current: current.get(field).cloned(),
             mine: mine.get(field).cloned(),
         });
-        changes.filter(Self::is_change).collect()
+        changes
+            .filter(|change| change.is_change(has_base))
+            .collect()
     }
 
     /// Whether both sides changed the field, to different values.
@@ -50,8 +53,8 @@
         self.current != self.base && self.mine != self.base && self.current != self.mine
     }
 
-    fn is_change(&self) -> bool {
-        self.current != self.mine || self.base != self.mine
+    fn is_change(&self, has_base: bool) -> bool {
+        self.current != self.mine || has_base && self.base != self.mine
     }
 }
 
--- a/tests/console.rs
+++ b/tests/console.rs
@@ -1,131 +1,25 @@
 //! The console over a daemon that a test plays.
 
+#[path = "support/fake_daemon.rs"]
+mod fake_daemon;
+
 use {
     banyantrestle::{
         console::{
-            AdminToken, ConsoleState, FormAction, LoadView, MAX_BODY_BYTES, PolicyForm,
-            PolicyProblem, PolicyView, ReadyView, respond,
-        },
-        error::{ProcessStep, StepError},
-        events::{EventKind, EventLog, EventPage},
-        membership::{MemberId, MemberRecord, MemberState},
-        policy::{
-            ActivePolicy, PolicyAccepted, PolicyConflict, PolicyDocument, SubmitError,
-            VersionedPolicy,
+            ConsoleState, FormAction, MAX_BODY_BYTES, PolicyForm, PolicyProblem, PolicyView,
+            ReadyView, respond,
         },
-        time::ProcessClock,
+        events::EventKind,
+        jsonc::DocumentText,
+        policy::parse,
     },
     bytes::Bytes,
+    fake_daemon::{FakeDaemon, TOKEN, member},
     http::{Method, Request, Response, StatusCode},
     proptest::{collection::vec, prelude::*, test_runner::RngSeed},
     serde_json::json,
-    std::sync::{Arc, Mutex},
 };
 
-const TOKEN: &str = "the-admin-token-1";
-
-/// A daemon with a policy in memory and no table service.
-struct FakeDaemon {
-    token: AdminToken,
-    policy: Mutex<Arc<ActivePolicy>>,
-    events: EventLog,
-    ready: ReadyView,
-    is_table_down: bool,
-}
-
-impl FakeDaemon {
-    fn new() -> Self {
-        Self {
-            token: AdminToken::new(TOKEN),
-            policy: Mutex::new(Arc::new(ActivePolicy::initial())),
-            events: EventLog::new(member(), ProcessClock::start(), 10),
-            ready: ReadyView::Ready,
-            is_table_down: false,
-        }
-    }
-
-    fn enforce(&self, version: u64, document: PolicyDocument) -> PolicyAccepted {
-        let policy = VersionedPolicy { version, document };
-        let policy = ActivePolicy::compile(policy).unwrap();
-        let hash = policy.hash;
-        *self.policy.lock().unwrap() = Arc::new(policy);
-        PolicyAccepted { version, hash }
-    }
-}
-
-impl ConsoleState for FakeDaemon {
-    fn token(&self) -> &AdminToken {
-        &self.token
-    }
-
-    fn member(&self) -> MemberId {
-        member()
-    }
-
-    fn members(&self) -> Vec<MemberRecord> {
-        let record = |data_centre: &str, state| MemberRecord {
-            id: member(),
-            incarnation: 1,
-            state,
-            region: "nz-north".into(),
-            data_centre: data_centre.into(),
-            mesh: member().address,
-            admin: member().address,
-            target: None,
-            policy_version: 4,
-        };
-        vec![
-            record("akl-a", MemberState::Alive),
-            record("<b>ham</b>", MemberState::Dead),
-        ]
-    }
-
-    fn load(&self) -> Vec<LoadView> {
-        Vec::new()
-    }
-
-    fn policy(&self) -> Arc<ActivePolicy> {
-        Arc::clone(&self.policy.lock().unwrap())
-    }
-
-    fn events(&self, since: u64, limit: usize) -> EventPage {
-        self.events.since(since, limit)
-    }
-
-    fn metrics(&self) -> String {
-        "calls_total 7\n".into()
-    }
-
-    fn ready(&self) -> ReadyView {
-        self.ready.clone()
-    }
-
-    async fn submit(
-        &self,
-        document: PolicyDocument,
-        base_version: u64,
-    ) -> Result<PolicyAccepted, SubmitError> {
-        if self.is_table_down {
-            let step = ProcessStep::ReadTable;
-            return Err(StepError::new(step, "table policy", "down").into());
-        }
-        document.check().map_err(SubmitError::Invalid)?;
-        let current = self.policy().to_versioned();
-        if current.version != base_version {
-            let conflict = PolicyConflict::new(base_version, None, current, &document);
-            return Err(SubmitError::Conflict(Box::new(conflict)));
-        }
-        Ok(self.enforce(base_version + 1, document))
-    }
-}
-
-fn member() -> MemberId {
-    MemberId {
-        address: ([127, 0, 0, 1], 7_103).into(),
-        started_ms: 1,
-    }
-}
-
 async fn send(
     daemon: &FakeDaemon,
     method: Method,
@@ -343,8 +237,8 @@
 async fn the_form_makes_the_one_document() {
     let daemon = FakeDaemon::new();
     let kereru = include_str!("../examples/policy/kereru.jsonc");
-    let text = banyantrestle::jsonc::DocumentText::new("kereru", kereru.as_bytes()).unwrap();
-    let document = banyantrestle::policy::parse(&text).unwrap();
+    let source = DocumentText::new("kereru", kereru.as_bytes()).unwrap();
+    let document = parse(&source).unwrap();
     daemon.enforce(3, document.clone());
     let form = PolicyForm::of(&daemon.policy());
     assert_eq!(form.to_document().unwrap(), document);
--- /dev/null
+++ b/tests/support/fake_daemon.rs
@@ -0,0 +1,120 @@
+//! A daemon that a test plays behind the console.
+
+use {
+    banyantrestle::{
+        console::{AdminToken, ConsoleState, LoadView, ReadyView},
+        error::{ProcessStep, StepError},
+        events::{EventLog, EventPage},
+        membership::{MemberId, MemberRecord, MemberState},
+        policy::{
+            ActivePolicy, PolicyAccepted, PolicyConflict, PolicyDocument, SubmitError,
+            VersionedPolicy,
+        },
+        time::ProcessClock,
+    },
+    std::sync::{Arc, Mutex},
+};
+
+pub const TOKEN: &str = "the-admin-token-1";
+
+/// A daemon with a policy in memory and no table service.
+pub struct FakeDaemon {
+    token: AdminToken,
+    policy: Mutex<Arc<ActivePolicy>>,
+    pub events: EventLog,
+    pub ready: ReadyView,
+    pub is_table_down: bool,
+}
+
+impl FakeDaemon {
+    pub fn new() -> Self {
+        Self {
+            token: AdminToken::new(TOKEN),
+            policy: Mutex::new(Arc::new(ActivePolicy::initial())),
+            events: EventLog::new(member(), ProcessClock::start(), 10),
+            ready: ReadyView::Ready,
+            is_table_down: false,
+        }
+    }
+
+    pub fn enforce(&self, version: u64, document: PolicyDocument) -> PolicyAccepted {
+        let policy = VersionedPolicy { version, document };
+        let policy = ActivePolicy::compile(policy).unwrap();
+        let hash = policy.hash;
+        *self.policy.lock().unwrap() = Arc::new(policy);
+        PolicyAccepted { version, hash }
+    }
+}
+
+impl ConsoleState for FakeDaemon {
+    fn token(&self) -> &AdminToken {
+        &self.token
+    }
+
+    fn member(&self) -> MemberId {
+        member()
+    }
+
+    fn members(&self) -> Vec<MemberRecord> {
+        let record = |data_centre: &str, state| MemberRecord {
+            id: member(),
+            incarnation: 1,
+            state,
+            region: "nz-north".into(),
+            data_centre: data_centre.into(),
+            mesh: member().address,
+            admin: member().address,
+            target: None,
+            policy_version: 4,
+        };
+        vec![
+            record("akl-a", MemberState::Alive),
+            record("<b>ham</b>", MemberState::Dead),
+        ]
+    }
+
+    fn load(&self) -> Vec<LoadView> {
+        Vec::new()
+    }
+
+    fn policy(&self) -> Arc<ActivePolicy> {
+        Arc::clone(&self.policy.lock().unwrap())
+    }
+
+    fn events(&self, since: u64, limit: usize) -> EventPage {
+        self.events.since(since, limit)
+    }
+
+    fn metrics(&self) -> String {
+        "calls_total 7\n".into()
+    }
+
+    fn ready(&self) -> ReadyView {
+        self.ready.clone()
+    }
+
+    async fn submit(
+        &self,
+        document: PolicyDocument,
+        base_version: u64,
+    ) -> Result<PolicyAccepted, SubmitError> {
+        if self.is_table_down {
+            let step = ProcessStep::ReadTable;
+            return Err(StepError::new(step, "table policy", "down").into());
+        }
+        document.check().map_err(SubmitError::Invalid)?;
+        let current = self.policy().to_versioned();
+        if current.version != base_version {
+            let conflict = PolicyConflict::new(base_version, None, current, &document);
+            return Err(SubmitError::Conflict(Box::new(conflict)));
+        }
+        Ok(self.enforce(base_version + 1, document))
+    }
+}
+
+pub fn member() -> MemberId {
+    MemberId {
+        address: ([127, 0, 0, 1], 7_103).into(),
+        started_ms: 1,
+    }
+}
