--- /dev/null
+++ b/benches/policy.rs
@@ -0,0 +1,115 @@
+//! Time of the policy look-up and of an event, per call.
+
+use {
+    banyantrestle::{
+        context::{CallId, RequestId, ServiceName},
+        events::{EventKind, EventLog},
+        membership::MemberId,
+        policy::{
+            ActivePolicy, PeerReport, PolicyDocument, PolicyHash, RoutePolicy, VersionReport,
+            VersionTracker, VersionedPolicy,
+        },
+        time::{ProcessClock, TimePoint},
+    },
+    criterion::{Criterion, criterion_group, criterion_main},
+    std::hint::black_box,
+};
+
+/// Services of the deployment in two years.
+const SERVICES: usize = 71;
+/// Routes of each service.
+const ROUTES: usize = 20;
+/// Events that the log keeps.
+const EVENTS: usize = 8_192;
+
+fn service(number: usize) -> ServiceName {
+    ServiceName::new(&format!("service-{number}")).expect("a valid name")
+}
+
+fn document() -> PolicyDocument {
+    let mut document = PolicyDocument::initial();
+    let class = document.default_class.clone();
+    let routes = (0..SERVICES).flat_map(|service_number| {
+        let class = class.clone();
+        (0..ROUTES).map(move |number| RoutePolicy {
+            service: service(service_number),
+            method: Some("GET".into()),
+            path: format!("/resource-{number}/items"),
+            class: class.clone(),
+        })
+    });
+    document.routes = routes.collect();
+    document
+}
+
+fn versioned() -> VersionedPolicy {
+    VersionedPolicy {
+        version: 1,
+        document: document(),
+    }
+}
+
+fn classify(criterion: &mut Criterion) {
+    let policy = ActivePolicy::compile(versioned()).expect("a valid policy");
+    let name = service(40);
+    for (label, path) in [
+        ("first route", "/resource-0/items/7"),
+        ("last of 20 routes", "/resource-19/items/7"),
+        ("no route", "/nothing"),
+        ("path with upper case", "/resource-19/items/AbC"),
+        ("encoded path", "/resource-19/%69tems/../items/7"),
+    ] {
+        criterion.bench_function(&format!("classify, {label}"), |bencher| {
+            bencher.iter(|| policy.classify(&name, "GET", black_box(path)).rank);
+        });
+    }
+}
+
+fn compile(criterion: &mut Criterion) {
+    let policy = versioned();
+    criterion.bench_function("compile 1420 routes", |bencher| {
+        bencher.iter(|| ActivePolicy::compile(black_box(policy.clone())));
+    });
+    criterion.bench_function("hash 1420 routes", |bencher| {
+        bencher.iter(|| PolicyHash::of(black_box(&policy.document)));
+    });
+}
+
+fn hear(criterion: &mut Criterion) {
+    let mut tracker = VersionTracker::new();
+    tracker.offer(versioned());
+    let heard = PeerReport {
+        peer: ([127, 0, 0, 1], 7_102).into(),
+        report: VersionReport {
+            version: 1,
+            hash: tracker.current().hash,
+        },
+    };
+    criterion.bench_function("hear the version in force", |bencher| {
+        bencher.iter(|| tracker.hear(black_box(heard), TimePoint::ORIGIN));
+    });
+}
+
+fn record(criterion: &mut Criterion) {
+    let process = MemberId {
+        address: ([127, 0, 0, 1], 7_103).into(),
+        started_ms: 1,
+    };
+    let log = EventLog::new(process, ProcessClock::start(), EVENTS);
+    let name = service(1);
+    criterion.bench_function("record an event in a full log", |bencher| {
+        bencher.iter(|| {
+            log.record(EventKind::CallAdmitted {
+                request: RequestId::from_u128(7),
+                call: CallId::from_u64(7),
+                service: name.clone(),
+            });
+        });
+    });
+    criterion.bench_function("read 1000 events of the log", |bencher| {
+        bencher.iter(|| log.since(0, black_box(1_000)));
+    });
+}
+
+criterion_group!(benches, classify, compile, hear, record);
+criterion_main!(benches);
--- a/src/policy/policy_check.rs
+++ b/src/policy/policy_check.rs
@@ -164,10 +164,10 @@
 /// Whether each call that `route` matches is matched by `earlier`.
 fn covers(earlier: &RoutePolicy, route: &RoutePolicy) -> bool {
     let is_method = earlier.method.is_none() || earlier.method == route.method;
-    let prefix = earlier.path.trim_end_matches('/');
-    let is_path = route
-        .path
-        .strip_prefix(prefix)
-        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'));
-    earlier.service == route.service && is_method && is_path
+    earlier.service == route.service && is_method && is_below(&earlier.path, &route.path)
+}
+
+fn is_below(prefix: &str, path: &str) -> bool {
+    let rest = path.strip_prefix(prefix.trim_end_matches('/'));
+    rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
 }
