--- a/src/daemon/permit_client.rs
+++ b/src/daemon/permit_client.rs
@@ -1,11 +1,10 @@
 use {
-    super::{daemon_state::DaemonState, mesh_client::post_message},
+    super::{daemon_options::DaemonPart, daemon_state::DaemonState, mesh_client::post_message},
     crate::{
         context::{CallContext, RequestId, ServiceName},
         error::StepError,
         events::EventKind,
         net::PERMIT_PATH,
-        platform::TableStore,
         retry::PermitVerdict,
     },
     serde::{Deserialize, Serialize},
@@ -22,12 +21,12 @@
 }
 
 /// True if the call may be repeated.
-pub(crate) async fn ask_permit<S: TableStore>(
-    state: &Arc<DaemonState<S>>,
+pub(crate) async fn ask_permit(
+    state: &Arc<DaemonState>,
     context: &CallContext,
     service: &ServiceName,
 ) -> bool {
-    if !state.options.has_retry_budget {
+    if !state.options.is_on(DaemonPart::RetryBudget) {
         return true;
     }
     if !state.take_retry(service) {
@@ -48,8 +47,8 @@
     }
 }
 
-async fn ask_root<S: TableStore>(
-    state: &Arc<DaemonState<S>>,
+async fn ask_root(
+    state: &Arc<DaemonState>,
     context: &CallContext,
 ) -> Result<PermitVerdict, StepError> {
     if context.root == state.mesh_address {
@@ -60,14 +59,18 @@
     };
     let remaining = state.clock.now().until(context.deadline);
     let patience = remaining.min(PERMIT_TIMEOUT);
-    post_message(&state.mesh, &state.key, context.root, PERMIT_PATH, &message, patience).await
+    post_message(
+        &state.mesh,
+        &state.key,
+        context.root,
+        PERMIT_PATH,
+        &message,
+        patience,
+    )
+    .await
 }
 
-fn record_denial<S: TableStore>(
-    state: &Arc<DaemonState<S>>,
-    context: &CallContext,
-    reason: &'static str,
-) {
+fn record_denial(state: &Arc<DaemonState>, context: &CallContext, reason: &'static str) {
     state.events.record(EventKind::PermitDenied {
         request: context.request,
         call: context.call,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,7 +20,10 @@
 pub mod admission;
 pub mod auth;
 pub mod claims;
+pub mod cli;
+pub mod console;
 pub mod context;
+pub mod daemon;
 pub mod error;
 pub mod events;
 pub mod jsonc;
--- a/src/net/header_names.rs
+++ b/src/net/header_names.rs
@@ -1,6 +1,6 @@
 use http::{
-    HeaderMap,
-    header::{CONNECTION, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE},
+    HeaderMap, HeaderValue, Method, StatusCode,
+    header::{CONNECTION, CONTENT_LENGTH, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE},
 };
 
 /// Media type of RFC 9457.
@@ -12,8 +12,8 @@
 pub(crate) const TAG_HEADER: &str = "banyantrestle-tag";
 /// Why a call was refused.
 pub(crate) const REASON_HEADER: &str = "banyantrestle-reason";
-/// Key of a non-idempotent call.
-pub(crate) const KEY_HEADER: &str = "idempotency-key";
+/// The router holds the call for non-idempotent, whatever the policy of the guard says.
+pub(crate) const CLAIM_HEADER: &str = "banyantrestle-claim";
 
 const OWN_PREFIX: &str = "banyantrestle-";
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -56,3 +56,24 @@
         headers.remove(name);
     }
 }
+
+/// Removes from an answer what concerns one connection only or only daemons may set.
+pub(crate) fn clean_answer_headers(headers: &mut HeaderMap) {
+    remove_hop_headers(headers);
+    remove_own_headers(headers);
+}
+
+/// An answer's length is that of the body that is sent, unless the answer has no body by rule.
+pub(crate) fn remove_length(method: &Method, status: StatusCode, headers: &mut HeaderMap) {
+    let has_no_body = method == Method::HEAD || status == StatusCode::NOT_MODIFIED;
+    if !has_no_body {
+        headers.remove(CONTENT_LENGTH);
+    }
+}
+
+/// Sets a header; a value that no header can hold is left out.
+pub(crate) fn set_header(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
--- /dev/null
+++ b/standins/src/caller/recovery_time.rs
@@ -0,0 +1,95 @@
+use {
+    super::{CallerReport, ClassReport, SeriesBucket},
+    std::time::Duration,
+};
+
+/// Step of the time series.
+pub const SERIES_STEP: Duration = Duration::from_millis(100);
+
+const WINDOW_STEPS: usize = 5;
+const HEALTHY_PERCENT: u32 = 95;
+
+/// A span of a run; both ends count from the start of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunSpan {
+    pub from: Duration,
+    pub until: Duration,
+}
+
+impl RunSpan {
+    #[must_use]
+    pub fn length(&self) -> Duration {
+        self.until.saturating_sub(self.from)
+    }
+
+    fn steps(self) -> std::ops::Range<usize> {
+        step_of(self.from)..step_of(self.until)
+    }
+}
+
+impl ClassReport {
+    /// Sums of all steps of a span.
+    #[must_use]
+    pub fn during(&self, span: RunSpan) -> SeriesBucket {
+        let mut sum = SeriesBucket::default();
+        for step in span.steps() {
+            sum.add(self.series.get(step));
+        }
+        sum
+    }
+}
+
+impl SeriesBucket {
+    fn add(&mut self, other: Option<&Self>) {
+        let other = other.copied().unwrap_or_default();
+        self.offered += other.offered;
+        self.at_once += other.at_once;
+        self.whole += other.whole;
+        self.completed += other.completed;
+    }
+}
+
+impl CallerReport {
+    /// Time from the start of a span to its last window in which too few requests were whole at
+    /// once; `None` if that is the last window of all. Counts the classes that `select` keeps.
+    #[must_use]
+    pub fn recovery_time(
+        &self,
+        span: RunSpan,
+        select: impl Fn(&ClassReport) -> bool,
+    ) -> Option<Duration> {
+        let buckets = self.sum_of_classes(span, select);
+        let windows = buckets.windows(WINDOW_STEPS);
+        let count = windows.len();
+        let unhealthy = windows.into_iter().rposition(|window| !is_healthy(window));
+        match unhealthy {
+            None => Some(Duration::ZERO),
+            Some(last) if last + 1 == count => None,
+            Some(last) => Some(SERIES_STEP * u32::try_from(last + 1).unwrap_or(u32::MAX)),
+        }
+    }
+
+    fn sum_of_classes(
+        &self,
+        span: RunSpan,
+        select: impl Fn(&ClassReport) -> bool,
+    ) -> Vec<SeriesBucket> {
+        let mut buckets = vec![SeriesBucket::default(); span.steps().len()];
+        for class in self.classes.iter().filter(|class| select(class)) {
+            for (bucket, step) in buckets.iter_mut().zip(span.steps()) {
+                bucket.add(class.series.get(step));
+            }
+        }
+        buckets
+    }
+}
+
+fn step_of(time: Duration) -> usize {
+    usize::try_from(time.as_millis() / SERIES_STEP.as_millis()).unwrap_or(usize::MAX)
+}
+
+fn is_healthy(window: &[SeriesBucket]) -> bool {
+    let offered: u32 = window.iter().map(|bucket| bucket.offered).sum();
+    let at_once: u32 = window.iter().map(|bucket| bucket.at_once).sum();
+    at_once * 100 >= offered * HEALTHY_PERCENT
+}
