--- a/src/membership/member_table.rs
+++ b/src/membership/member_table.rs
@@ -226,6 +226,9 @@
 
     fn replace(&mut self, key: MemberKey, record: &MemberRecord, now: TimePoint) -> MergeOutcome {
         if self.order(key, record) != Ordering::Greater {
+            if self.entries[key].record.id == record.id {
+                self.note_policy(key, record.policy_version);
+            }
             return MergeOutcome::Unchanged;
         }
         self.put(key, record.clone(), now)
--- a/tests/membership_actor.rs
+++ b/tests/membership_actor.rs
@@ -19,7 +19,11 @@
         sync::{Arc, Mutex},
         time::Duration,
     },
-    tokio::{net::UdpSocket, time::timeout},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpStream, UdpSocket},
+        time::timeout,
+    },
 };
 
 /// Generous, so that a busy machine does not change the verdict.
@@ -223,3 +227,33 @@
     let stats = handle.stats().await;
     assert_eq!((stats.alive, stats.counters.datagrams_out), (1, 0));
 }
+
+#[tokio::test]
+async fn foreign_connections_are_refused_and_members_still_join() {
+    let table = MemoryTable::default();
+    let handle = start(&table, LOOPBACK, vec![]);
+    wait_view(&handle, |view| view.members.len() == 1).await;
+    let too_long = [[7; 16].as_slice(), &u32::MAX.to_le_bytes(), &[7; 64]].concat();
+    let wrong_tag = [[7; 16].as_slice(), &8_u32.to_le_bytes(), &[7; 24]].concat();
+    let unfinished = vec![7; 20];
+    let mut foreign = Vec::new();
+    for bytes in [too_long, wrong_tag, unfinished, vec![]] {
+        let mut stream = TcpStream::connect(handle.address()).await.unwrap();
+        stream.write_all(&bytes).await.unwrap();
+        foreign.push(stream);
+    }
+    let second = start(&table, LOOPBACK, vec![]);
+    wait_view(&second, |view| view.members.len() == 2).await;
+    for mut stream in foreign {
+        // The nonce comes back and nothing else; a reset is as good as an end.
+        let mut answer = Vec::new();
+        let ended = timeout(WAIT, stream.read_to_end(&mut answer)).await;
+        assert!(ended.is_ok() && answer.len() <= 16);
+    }
+    let count_failures = async {
+        while handle.stats().await.counters.exchange_failures < 4 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(WAIT, count_failures).await.unwrap();
+}
