--- /dev/null
+++ b/src/admission/demand_table.rs
@@ -0,0 +1,148 @@
+use {
+    super::rank_table::RankTable,
+    crate::{context::CallPriority, time::TimePoint},
+    std::time::Duration,
+};
+
+/// Time over which demand is remembered.
+const DEMAND_MEMORY: Duration = Duration::from_millis(500);
+/// Work of a call whose class is new.
+const MIN_WORK: Duration = Duration::from_millis(1);
+const BIN_BITS: u32 = 5;
+const BINS_PER_RANK: u32 = 1 << BIN_BITS;
+/// Priorities in one bin.
+const BIN_WIDTH: u32 = 1 << (16 - BIN_BITS);
+/// Share of the whole demand that a bin holds at least, since callers may hold its calls back.
+const MIN_BIN_SHARE: f64 = 1.0 / 128.0;
+
+/// Recent demand by priority, in time of the target.
+#[derive(Clone, Debug)]
+pub(super) struct DemandTable {
+    ranks: RankTable<RankDemand>,
+    ticked: TimePoint,
+}
+
+#[derive(Clone, Debug)]
+struct RankDemand {
+    bins: [f64; BINS_PER_RANK as usize],
+}
+
+impl Default for RankDemand {
+    fn default() -> Self {
+        Self {
+            bins: [0.0; BINS_PER_RANK as usize],
+        }
+    }
+}
+
+/// Demand of neighbouring priorities.
+#[derive(Clone, Copy, Debug)]
+struct DemandBin {
+    start: u32,
+    seconds: f64,
+}
+
+impl DemandBin {
+    fn end(&self) -> u32 {
+        self.start + BIN_WIDTH
+    }
+
+    /// Work at `threshold` and above it.
+    fn seconds_from(&self, threshold: u32) -> f64 {
+        let width = self.end().saturating_sub(threshold).min(BIN_WIDTH);
+        self.seconds * f64::from(width) / f64::from(BIN_WIDTH)
+    }
+
+    /// Priorities that so much of the bin's work take up.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn width_of(&self, seconds: f64) -> u32 {
+        let width =
+            (f64::from(BIN_WIDTH) * seconds / self.seconds).clamp(0.0, f64::from(BIN_WIDTH));
+        width as u32
+    }
+}
+
+impl DemandTable {
+    pub(super) fn new(now: TimePoint) -> Self {
+        Self {
+            ranks: RankTable::default(),
+            ticked: now,
+        }
+    }
+
+    /// `work` is the time that a call of the class takes.
+    pub(super) fn note(&mut self, priority: CallPriority, work: Duration) {
+        let index = bin_index(priority);
+        let seconds = work.max(MIN_WORK).as_secs_f64();
+        self.ranks.row_mut(priority.rank()).bins[index] += seconds;
+    }
+
+    pub(super) fn tick(&mut self, now: TimePoint) {
+        let elapsed = now.since(self.ticked).as_secs_f64();
+        let kept = (-elapsed / DEMAND_MEMORY.as_secs_f64()).exp();
+        for demand in self.ranks.values_mut() {
+            for bin in &mut demand.bins {
+                *bin *= kept;
+            }
+        }
+        self.ticked = now;
+    }
+
+    /// Calls at once that the demand at `threshold` and above it would need.
+    pub(super) fn work_from(&self, threshold: CallPriority) -> f64 {
+        let threshold = threshold.as_u32();
+        let seconds: f64 = self.bins().map(|bin| bin.seconds_from(threshold)).sum();
+        seconds / DEMAND_MEMORY.as_secs_f64()
+    }
+
+    /// Lowest threshold that sheds `share` of the demand which `threshold` admits.
+    pub(super) fn raised(&self, threshold: CallPriority, share: f64) -> CallPriority {
+        let threshold = threshold.as_u32();
+        let admitted: f64 = self.bins().map(|bin| bin.seconds_from(threshold)).sum();
+        let mut rest = share * admitted;
+        for bin in self.bins() {
+            let seconds = bin.seconds_from(threshold);
+            if seconds > 0.0 && seconds >= rest {
+                let start = bin.start.max(threshold);
+                return CallPriority::from_u32(start + bin.width_of(rest));
+            }
+            rest -= seconds;
+        }
+        CallPriority::from_u32(threshold)
+    }
+
+    /// Highest threshold that admits more than `threshold`, by `share` of all demand.
+    pub(super) fn lowered(&self, threshold: CallPriority, share: f64) -> CallPriority {
+        let threshold = threshold.as_u32();
+        let demand: f64 = self.bins().map(|bin| bin.seconds).sum();
+        let mut rest = share * demand;
+        for mut bin in self.bins().rev() {
+            bin.seconds = bin.seconds.max(MIN_BIN_SHARE * demand);
+            let seconds = bin.seconds - bin.seconds_from(threshold);
+            if seconds > rest {
+                let end = bin.end().min(threshold);
+                let width = bin.width_of(rest).max(1);
+                return CallPriority::from_u32(end.saturating_sub(width).max(bin.start));
+            }
+            rest -= seconds;
+        }
+        CallPriority::LOWEST
+    }
+
+    /// In the order of priority, the lowest first.
+    fn bins(&self) -> impl DoubleEndedIterator<Item = DemandBin> {
+        self.ranks.iter().flat_map(|(rank, demand)| {
+            let base = u32::from(rank) << 16;
+            let indices = 0..BINS_PER_RANK;
+            indices.zip(demand.bins).map(move |(index, seconds)| {
+                let start = base + index * BIN_WIDTH;
+                DemandBin { start, seconds }
+            })
+        })
+    }
+}
+
+fn bin_index(priority: CallPriority) -> usize {
+    let hash = priority.as_u32() & 0xffff;
+    (hash / BIN_WIDTH) as usize
+}
--- /dev/null
+++ b/src/daemon/in_flight_call.rs
@@ -0,0 +1,69 @@
+use {
+    super::{daemon_state::DaemonState, root_entry::RootEntry},
+    crate::{
+        net::{StreamEnd, StreamHold},
+        routing::{CallEnd, LoadNote, TargetKey},
+    },
+    std::sync::Arc,
+};
+
+/// Counts a call against its target until it has ended; abandoned on drop.
+#[derive(Debug)]
+pub(crate) struct InFlightCall {
+    state: Arc<DaemonState>,
+    key: Option<TargetKey>,
+    load: Option<LoadNote>,
+    root: Option<RootEntry>,
+}
+
+impl InFlightCall {
+    pub(crate) fn start(state: Arc<DaemonState>, key: TargetKey) -> Self {
+        state.routing().start(key);
+        Self {
+            state,
+            key: Some(key),
+            load: None,
+            root: None,
+        }
+    }
+
+    /// Keeps the load that the head of the answer brought.
+    pub(crate) fn with_load(mut self, load: Option<LoadNote>) -> Self {
+        self.load = load;
+        self
+    }
+
+    /// Keeps the retry budget of the request open until the call has ended.
+    pub(crate) fn with_root(mut self, root: Option<RootEntry>) -> Self {
+        self.root = root;
+        self
+    }
+
+    pub(crate) fn end(mut self, end: CallEnd) {
+        self.note(end);
+    }
+
+    fn note(&mut self, end: CallEnd) {
+        if let Some(key) = self.key.take() {
+            let now = self.state.clock.now();
+            self.state.routing().end(now, key, end);
+        }
+    }
+}
+
+impl StreamHold for InFlightCall {
+    fn end(mut self, end: StreamEnd) {
+        let end = match end {
+            StreamEnd::Whole => CallEnd::Answered(self.load),
+            StreamEnd::Broken => CallEnd::Broken,
+            StreamEnd::Abandoned => CallEnd::Abandoned,
+        };
+        self.note(end);
+    }
+}
+
+impl Drop for InFlightCall {
+    fn drop(&mut self) {
+        self.note(CallEnd::Abandoned);
+    }
+}
