--- /dev/null
+++ b/benches/routing.rs
@@ -0,0 +1,97 @@
+//! Cost of the router's and the root's decisions.
+
+use {
+    banyantrestle::{
+        context::{CallPriority, RequestId, ServiceName},
+        membership::{MemberId, MemberRecord, MemberState, TargetAnnouncement, TargetState},
+        retry::{RetryBudget, RootTable},
+        routing::{CallEnd, PickVerdict, RouterPlace, TargetTable},
+        time::TimePoint,
+    },
+    criterion::{Criterion, criterion_group, criterion_main},
+    rand::{SeedableRng, rngs::SmallRng},
+    std::{hint::black_box, net::SocketAddr},
+};
+
+const MEMBERS: u16 = 1_500;
+const SERVICES: u16 = 71;
+const DATA_CENTRES: [&str; 5] = ["a", "b", "c", "d", "e"];
+const NOW: TimePoint = TimePoint::from_millis(60_000);
+
+fn service(number: u16) -> ServiceName {
+    ServiceName::new(&format!("service-{}", number % SERVICES)).expect("a valid name")
+}
+
+fn record(number: u16) -> MemberRecord {
+    let address = |base: u16| SocketAddr::from(([127, 0, 0, 1], base + number));
+    MemberRecord {
+        id: MemberId {
+            address: address(10_000),
+            started_ms: 1,
+        },
+        incarnation: 1,
+        state: MemberState::Alive,
+        region: "north".into(),
+        data_centre: DATA_CENTRES[usize::from(number) % DATA_CENTRES.len()].into(),
+        mesh: address(20_000),
+        admin: address(30_000),
+        target: Some(TargetAnnouncement {
+            service: service(number),
+            address: address(40_000),
+            slots: 130,
+            connections: 860,
+            state: TargetState::Serving,
+            health_path: None,
+            load_path: None,
+        }),
+        policy_version: 1,
+    }
+}
+
+fn full_table(records: &[MemberRecord]) -> TargetTable {
+    let mut table = TargetTable::new(RouterPlace {
+        region: "north".into(),
+        data_centre: "a".into(),
+    });
+    table.update(TimePoint::ORIGIN, records);
+    table
+}
+
+fn routing(criterion: &mut Criterion) {
+    let records: Vec<MemberRecord> = (0..MEMBERS).map(record).collect();
+    let mut table = full_table(&records);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let priority = CallPriority::new(3, RequestId::from_u128(9));
+    let service = service(7);
+    criterion.bench_function("pick_start_end_of_1500_targets", |bencher| {
+        bencher.iter(|| {
+            let verdict = table.pick(NOW, &service, priority, &[], &mut rng);
+            if let PickVerdict::Target(key) = verdict {
+                table.start(key);
+                table.end(NOW, key, CallEnd::Answered(None));
+            }
+            black_box(verdict)
+        });
+    });
+    criterion.bench_function("update_of_1500_targets", |bencher| {
+        bencher.iter(|| table.update(NOW, black_box(&records)));
+    });
+}
+
+fn permits(criterion: &mut Criterion) {
+    let mut roots = RootTable::new();
+    for number in 0..10_000 {
+        roots.open(RequestId::from_u128(number), RetryBudget::new(3, NOW));
+    }
+    let request = RequestId::from_u128(77_777);
+    criterion.bench_function("open_take_close_among_10000_requests", |bencher| {
+        bencher.iter(|| {
+            roots.open(request, RetryBudget::new(3, NOW));
+            black_box(roots.take(TimePoint::ORIGIN, request));
+            roots.close(request)
+        });
+    });
+}
+
+criterion_group!(benches, routing, permits);
+criterion_main!(benches);
