Replay of recorded traces, and what the first traces showed

Purpose: traces of both deployments (surge, slow dependency, cold start, load reports that mislead) replayed against stated outcomes; expectations are the stated targets. Causes: the delay of a queue was judged before any departure was measured, the rate started from one tick, a healed target was taken for relief of a cut, the ramp never ended, arrivals of the model lagged its phases. Now one delay (queue over departures) moves threshold and drops, calls that higher classes keep overtaking are dropped after a part of their deadline, windows and tolerance follow the number of samples. Ruled out: windows of fewer samples for small targets (25 to 94 % busy in a surge).

--- a/examples/admission_weigh/adaptive_lifo.rs
+++ b/examples/admission_weigh/adaptive_lifo.rs
@@ -29,6 +29,14 @@
         self.tickets.pop_front()
     }
 
+    fn first(&self) -> Option<QueuedTicket> {
+        if self.tickets.len() >= PRESSURE_LENGTH {
+            self.tickets.back().copied()
+        } else {
+            self.tickets.front().copied()
+        }
+    }
+
     fn last(&self) -> Option<QueuedTicket> {
         self.tickets.front().copied()
     }
--- a/examples/admission_weigh/arrival_queue.rs
+++ b/examples/admission_weigh/arrival_queue.rs
@@ -22,6 +22,10 @@
         self.tickets.pop_back()
     }
 
+    fn first(&self) -> Option<QueuedTicket> {
+        self.tickets.front().copied()
+    }
+
     fn last(&self) -> Option<QueuedTicket> {
         self.tickets.back().copied()
     }
--- a/src/admission/admission_guard.rs
+++ b/src/admission/admission_guard.rs
@@ -20,6 +20,12 @@
 /// share of the calls in flight that leave in the meantime: 1 in so many.
 const TARGET_SHARE: u32 = 4;
 const MIN_TARGET_DEPARTURES: u32 = 2;
+/// Longest wait of any call, if the target is not so slow that it must be longer.
+const MAX_SOJOURN: Duration = Duration::from_secs(1);
+/// The same before a slow target, against the target delay.
+const MAX_SOJOURN_TARGETS: u32 = 10;
+/// The same as a share of its time until the deadline: 1 in so many.
+const MAX_SOJOURN_SHARE: u32 = 4;
 /// Interval of a standing queue at least, against its target delay.
 const INTERVAL_TARGETS: u32 = 4;
 
@@ -138,7 +144,7 @@
         self.drain.tick(now, self.is_saturated);
         self.is_saturated = self.in_flight >= self.limit.limit();
         self.demand.tick(now);
-        self.drop_hopeless(now, rng);
+        self.drop_overdue(now, rng);
         self.drop_standing(now, rng);
         self.start_queued(now, rng);
         self.move_threshold(now);
@@ -283,30 +289,49 @@
         now + self.service.service_time(now, ticket.order.rank()) > ticket.deadline
     }
 
-    fn drop_hopeless<R: Rng + ?Sized>(&mut self, now: TimePoint, rng: &mut R) {
-        let hopeless: Vec<TicketKey> = self
+    /// Drops what cannot finish in time, and what starves behind calls that go before it.
+    fn drop_overdue<R: Rng + ?Sized>(&mut self, now: TimePoint, rng: &mut R) {
+        let overdue: Vec<(TicketKey, RefusalReason)> = self
             .queue
             .iter()
-            .filter(|ticket| self.is_hopeless(now, ticket))
-            .map(|ticket| ticket.key)
+            .filter_map(|ticket| Some((ticket.key, self.overdue_reason(now, ticket)?)))
             .collect();
-        for key in hopeless {
+        for (key, reason) in overdue {
             self.queue.remove(key);
-            self.drop_ticket(key, RefusalReason::DeadlineTooNear, rng);
+            self.drop_ticket(key, reason, rng);
         }
     }
 
-    fn drop_standing<R: Rng + ?Sized>(&mut self, now: TimePoint, rng: &mut R) {
-        if self.settings.sojourn == SojournMode::Unbounded {
-            return;
+    fn overdue_reason(&self, now: TimePoint, ticket: &QueuedTicket) -> Option<RefusalReason> {
+        if self.is_hopeless(now, ticket) {
+            Some(RefusalReason::DeadlineTooNear)
+        } else if self.settings.sojourn == SojournMode::Controlled && self.is_starved(now, ticket) {
+            Some(RefusalReason::Sojourn)
+        } else {
+            None
         }
+    }
+
+    /// Whether a call has waited for long and calls of a higher class still go before it.
+    fn is_starved(&self, now: TimePoint, ticket: &QueuedTicket) -> bool {
+        let first = self.queue.first();
+        let is_overtaken = first.is_some_and(|first| first.order.rank() > ticket.order.rank());
+        let patience = ticket.queued.until(ticket.deadline) / MAX_SOJOURN_SHARE;
+        let longest = MAX_SOJOURN.max(self.target_delay() * MAX_SOJOURN_TARGETS);
+        is_overtaken && now.since(ticket.queued) > patience.min(longest)
+    }
+
+    fn drop_standing<R: Rng + ?Sized>(&mut self, now: TimePoint, rng: &mut R) {
         let target = self.target_delay();
         let interval = self.settings.queue_interval.max(target * INTERVAL_TARGETS);
         loop {
-            let delay = self.oldest_age(now);
+            let delay = self.drain.wait_for(self.queued());
             if !self.sojourn.is_drop_due(now, delay, target, interval) {
                 break;
             }
+            if self.settings.sojourn == SojournMode::Unbounded {
+                break;
+            }
             self.drop_last(RefusalReason::Sojourn, rng);
         }
     }
@@ -319,6 +344,7 @@
         let pressure = QueuePressure {
             delay: self.queue_delay,
             target: self.target_delay(),
+            is_standing: self.sojourn.is_standing(now),
             limit: self.limit.limit(),
         };
         self.threshold.tick(now, pressure, &self.demand);
@@ -330,12 +356,4 @@
         let wait = self.drain.wait_for(departures);
         self.settings.queue_target.max(wait)
     }
-
-    fn oldest_age(&self, now: TimePoint) -> Duration {
-        self.queue
-            .iter()
-            .map(|ticket| now.since(ticket.queued))
-            .max()
-            .unwrap_or_default()
-    }
 }
--- a/src/admission/admission_queue.rs
+++ b/src/admission/admission_queue.rs
@@ -34,6 +34,9 @@
     /// Takes the ticket that is dropped first.
     fn pop_last(&mut self) -> Option<QueuedTicket>;
 
+    /// The ticket that starts next.
+    fn first(&self) -> Option<QueuedTicket>;
+
     /// The ticket that is dropped first.
     fn last(&self) -> Option<QueuedTicket>;
 
--- a/src/admission/admission_threshold.rs
+++ b/src/admission/admission_threshold.rs
@@ -41,6 +41,8 @@
     pub(super) delay: Duration,
     /// Delay above which the queue counts as standing.
     pub(super) target: Duration,
+    /// The delay has been above its target for an interval.
+    pub(super) is_standing: bool,
     /// Calls that the target runs at once.
     pub(super) limit: u32,
 }
@@ -75,14 +77,15 @@
 
     pub(super) fn tick(&mut self, now: TimePoint, pressure: QueuePressure, demand: &DemandTable) {
         self.peak_delay = self.peak_delay.max(pressure.delay);
-        if now.since(self.moved) < MOVE_PERIOD.max(pressure.target) {
+        if now.since(self.moved) < MOVE_PERIOD {
             return;
         }
         if self.peak_delay < pressure.target / 2 {
             self.admit_more(demand);
-        } else {
-            self.admit_share = FIRST_ADMIT_SHARE;
+        } else if now.since(self.moved) >= pressure.target {
             self.trim(pressure, demand);
+        } else {
+            return;
         }
         self.moved = now;
         self.last_delay = pressure.delay;
@@ -95,6 +98,7 @@
     }
 
     fn trim(&mut self, pressure: QueuePressure, demand: &DemandTable) {
+        self.admit_share = FIRST_ADMIT_SHARE;
         let target = pressure.target.as_secs_f64();
         let delay = pressure.delay.as_secs_f64() / target;
         let growth = delay - self.last_delay.as_secs_f64() / target;
@@ -102,7 +106,7 @@
         let trim = trim.clamp(-MAX_TRIM, MAX_TRIM);
         if trim < 0.0 {
             self.lowest = demand.lowered(self.lowest, -trim);
-        } else {
+        } else if pressure.is_standing {
             let work = demand.work_from(self.lowest);
             let limit = f64::from(pressure.limit);
             let least = excess(work, limit * MOST_ADMITTED);
--- a/src/admission/drain_estimate.rs
+++ b/src/admission/drain_estimate.rs
@@ -17,10 +17,11 @@
     ticked: TimePoint,
     drained: u32,
     refused: u32,
-    /// Calls a second; `None` before the first pressure.
-    rate: Option<f64>,
-    /// When the rate was last measured.
-    measured: TimePoint,
+    /// Calls that left under pressure of late.
+    drained_recently: f64,
+    /// Time under pressure in which they left, in s.
+    pressed_seconds: f64,
+    pressed: TimePoint,
     /// Calls refused of late, who may all come back.
     refused_recently: f64,
 }
@@ -31,8 +32,9 @@
             ticked: now,
             drained: 0,
             refused: 0,
-            rate: None,
-            measured: now,
+            drained_recently: 0.0,
+            pressed_seconds: 0.0,
+            pressed: now,
             refused_recently: 0.0,
         }
     }
@@ -54,9 +56,12 @@
         let kept = (-elapsed / RATE_MEMORY.as_secs_f64()).exp();
         self.refused_recently = self.refused_recently * kept + f64::from(self.refused);
         if is_saturated {
-            self.measure(now, elapsed, kept);
-        } else if now.since(self.measured) > RATE_EXPIRY {
-            self.rate = None;
+            self.drained_recently = self.drained_recently * kept + f64::from(self.drained);
+            self.pressed_seconds = self.pressed_seconds * kept + elapsed;
+            self.pressed = now;
+        } else if now.since(self.pressed) > RATE_EXPIRY {
+            self.drained_recently = 0.0;
+            self.pressed_seconds = 0.0;
         }
         self.ticked = now;
         self.drained = 0;
@@ -65,28 +70,24 @@
 
     /// Time until `count` calls have left; zero if the rate is unknown.
     pub(super) fn wait_for(&self, count: u32) -> Duration {
-        match self.rate {
-            Some(rate) if count > 0 => as_duration(f64::from(count) / rate),
-            _ => Duration::ZERO,
+        match self.rate() {
+            Some(rate) => as_duration(f64::from(count) / rate),
+            None => Duration::ZERO,
         }
     }
 
     /// When a refused call has a chance: once the queue and those refused before it are served.
     pub(super) fn retry_after<R: Rng + ?Sized>(&self, queued: u32, rng: &mut R) -> Duration {
         let backlog = f64::from(queued) + self.refused_recently + f64::from(self.refused);
-        let seconds = self.rate.map_or(0.0, |rate| backlog / rate);
+        let seconds = self.rate().map_or(0.0, |rate| backlog / rate);
         let base = as_duration(seconds).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         base.mul_f64(rng.random_range(1.0..2.0))
     }
 
-    fn measure(&mut self, now: TimePoint, elapsed: f64, kept: f64) {
-        let newest = f64::from(self.drained) / elapsed;
-        let rate = match self.rate {
-            Some(rate) => rate * kept + newest * (1.0 - kept),
-            None => newest,
-        };
-        self.rate = (rate > 0.0).then_some(rate);
-        self.measured = now;
+    /// Calls a second; `None` before any has left under pressure.
+    fn rate(&self) -> Option<f64> {
+        let is_known = self.pressed_seconds > 0.0 && self.drained_recently > 0.0;
+        is_known.then(|| self.drained_recently / self.pressed_seconds)
     }
 }
 
--- a/src/admission/gradient_limit.rs
+++ b/src/admission/gradient_limit.rs
@@ -10,23 +10,28 @@
 
 /// Share of the slots that a target starts with: 1 in so many.
 const COLD_SHARE: f64 = 4.0;
-const WINDOW_SAMPLES: u32 = 64;
-/// Samples of a window for each call at once, while the limit ramps up.
-const RAMP_SAMPLES: u32 = 2;
+/// Calls at once that a target starts with at least.
+const COLD_LIMIT: f64 = 2.0;
+const MIN_WINDOW_SAMPLES: u32 = 16;
+const MAX_WINDOW_SAMPLES: u32 = 64;
+/// Samples of a window for each call at once.
+const SAMPLES_PER_CALL: u32 = 8;
+/// The same while the limit ramps up.
+const RAMP_SAMPLES_PER_CALL: u32 = 2;
 /// Part of the limit that was in use on average, without which its speed says little of it.
-const GROWTH_USE: f64 = 0.6;
+const GROWTH_USE: f64 = 0.5;
 /// Slowdown up to which the limit grows.
 const GROWTH_BOUND: f64 = 1.1;
 /// The same while the target itself reports overload.
 const CAREFUL_GROWTH_BOUND: f64 = 1.05;
-/// Slowdown that counts as too many calls.
-const TOLERANCE: f64 = 1.2;
+/// Deviations by chance beyond it that count as too many calls.
+const TOLERATED_DEVIATIONS: f64 = 2.0;
 const OVERLOAD_PERCENT: u32 = 100;
 /// Time for which a load report counts.
 const REPORT_EXPIRY: Duration = Duration::from_secs(1);
 /// Slow windows in a row before a cut.
 const SLOW_WINDOWS: u32 = 2;
-/// Slowdown that needs no second window.
+/// Slowdown against what crowding explains that comes from outside.
 const PLAIN_SLOWDOWN: f64 = 2.0;
 /// Smallest part of the limit that one cut leaves.
 const SMALLEST_REST: f64 = 0.7;
@@ -38,7 +43,9 @@
 const TRIAL_WINDOWS: u32 = 2;
 /// Part of the expected relief without which a cut has failed.
 const RELIEF_SHARE: f64 = 0.6;
-/// The same after the first window.
+/// Part beyond which the target has healed meanwhile.
+const HEALED_RELIEF: f64 = 1.5;
+/// Part without which a cut has failed after the first window.
 const PLAIN_FAILURE: f64 = 0.3;
 
 /// Limit by the gradient of in-service latency against its own floor.
@@ -63,9 +70,9 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LimitGrowth {
-    /// Doubles with each window until the first slowdown.
+    /// Doubles with each window until the first slowdown or all slots.
     Ramp,
-    /// Grows by half the square root.
+    /// Grows by half the square root, and by one at least.
     Probe,
 }
 
@@ -107,8 +114,11 @@
 impl GradientLimit {
     fn window_samples(&self) -> u32 {
         match self.growth {
-            LimitGrowth::Ramp => WINDOW_SAMPLES.min(self.limit() * RAMP_SAMPLES),
-            LimitGrowth::Probe => WINDOW_SAMPLES,
+            LimitGrowth::Ramp => MAX_WINDOW_SAMPLES.min(self.limit() * RAMP_SAMPLES_PER_CALL),
+            LimitGrowth::Probe => {
+                let samples = self.limit() * SAMPLES_PER_CALL;
+                samples.clamp(MIN_WINDOW_SAMPLES, MAX_WINDOW_SAMPLES)
+            }
         }
     }
 
@@ -116,8 +126,9 @@
         let slowdown = self.outside.correct(now, summary.slowdown);
         if let Some(trial) = self.trial.take() {
             self.judge(now, trial, summary);
-        } else if slowdown > TOLERANCE {
+        } else if slowdown > tolerance(&summary) {
             self.slow_windows += 1;
+            self.growth = LimitGrowth::Probe;
             self.answer_slowdown(now, summary, slowdown);
         } else {
             self.slow_windows = 0;
@@ -151,9 +162,8 @@
             return;
         }
         let is_settled = self.outside.is_settled(now) && slowdown < PLAIN_SLOWDOWN;
-        let is_lasting = self.slow_windows >= SLOW_WINDOWS || slowdown > PLAIN_SLOWDOWN;
         let is_measured = summary.in_flight >= self.limit * CUT_USE;
-        if is_lasting && is_measured && !is_settled {
+        if self.slow_windows >= SLOW_WINDOWS && is_measured && !is_settled {
             self.cut(now, summary, slowdown);
         }
     }
@@ -172,7 +182,6 @@
             in_flight: 0.0,
             slowdown: 0.0,
         });
-        self.growth = LimitGrowth::Probe;
         self.limit = (self.limit * rest).max(1.0);
         self.window.open(now);
     }
@@ -185,10 +194,12 @@
             return;
         };
         let is_last = trial.windows >= TRIAL_WINDOWS;
-        if relief < PLAIN_FAILURE || is_last && relief < RELIEF_SHARE {
+        if relief > HEALED_RELIEF {
+            self.limit = trial.limit.min(self.slots);
+        } else if relief < PLAIN_FAILURE || is_last && relief < RELIEF_SHARE {
             self.limit = trial.limit.min(self.slots);
             self.outside.note(now, trial.slowdown_after());
-        } else if !is_last && summary.slowdown > TOLERANCE {
+        } else if !is_last && summary.slowdown > tolerance(&summary) {
             self.trial = Some(trial);
         }
     }
@@ -196,18 +207,26 @@
     fn grow(&mut self) {
         let step = match self.growth {
             LimitGrowth::Ramp => self.limit,
-            LimitGrowth::Probe => self.limit.sqrt() / 2.0,
+            LimitGrowth::Probe => (self.limit.sqrt() / 2.0).max(1.0),
         };
         self.limit = (self.limit + step).min(self.slots);
+        if self.limit >= self.slots {
+            self.growth = LimitGrowth::Probe;
+        }
     }
 }
 
+/// Slowdown that counts as too many calls.
+fn tolerance(summary: &WindowSummary) -> f64 {
+    GROWTH_BOUND + TOLERATED_DEVIATIONS * summary.deviation()
+}
+
 impl ConcurrencyLimit for GradientLimit {
     fn new(now: TimePoint, slots: u32) -> Self {
         let slots = f64::from(slots.max(1));
         Self {
             slots,
-            limit: (slots / COLD_SHARE).max(1.0),
+            limit: (slots / COLD_SHARE).max(COLD_LIMIT).min(slots),
             growth: LimitGrowth::Ramp,
             window: LatencyWindow::new(now),
             slow_windows: 0,
--- a/src/admission/guard_settings.rs
+++ b/src/admission/guard_settings.rs
@@ -1,4 +1,8 @@
-use {crate::policy::OverloadPolicy, std::time::Duration};
+use {
+    crate::policy::OverloadPolicy,
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
 
 /// Queued calls for each slot.
 const QUEUE_PER_SLOT: u32 = 4;
@@ -58,7 +62,8 @@
 }
 
 /// Whether a guard takes new calls.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum DrainState {
     Serving,
     /// New calls are refused; queued and running ones go on.
--- a/src/admission/latency_window.rs
+++ b/src/admission/latency_window.rs
@@ -5,9 +5,9 @@
 };
 
 const MIN_WINDOW: Duration = Duration::from_millis(50);
-const MAX_WINDOW: Duration = Duration::from_secs(3);
+const MAX_WINDOW: Duration = Duration::from_secs(2);
 /// Samples without which a window stays open.
-const MIN_SAMPLES: u32 = 8;
+const MIN_SAMPLES: u32 = 16;
 /// Samples over which the first floor of a class is averaged.
 const FIRST_SAMPLES: f64 = 32.0;
 /// Weight of a new mean in a floor.
@@ -63,7 +63,8 @@
         }
         let count = f64::from(self.successes);
         let mean = self.seconds / count;
-        if self.learned < FIRST_SAMPLES {
+        let is_crowded = usage == WindowUse::Full && self.is_plainly_higher(mean, count);
+        if self.learned < FIRST_SAMPLES && !is_crowded {
             self.learned += count;
             self.floor += (mean - self.floor) * count / self.learned;
         } else if usage == WindowUse::Low || self.is_plainly_lower(mean, count) {
@@ -72,6 +73,11 @@
         }
     }
 
+    fn is_plainly_higher(&self, mean: f64, count: f64) -> bool {
+        let deviation = LATENCY_SPREAD / count.sqrt();
+        self.floor > 0.0 && mean > self.floor * (1.0 + 2.0 * deviation)
+    }
+
     fn is_plainly_lower(&self, mean: f64, count: f64) -> bool {
         let deviation = LATENCY_SPREAD / count.sqrt();
         mean < self.floor * (1.0 - 2.0 * deviation)
@@ -84,10 +90,18 @@
     /// Time in the target for each success, against the floor.
     pub(super) slowdown: f64,
     pub(super) usage: WindowUse,
+    pub(super) samples: u32,
     /// Calls in flight on average.
     pub(super) in_flight: f64,
 }
 
+impl WindowSummary {
+    /// Deviation of the slowdown that chance brings about.
+    pub(super) fn deviation(&self) -> f64 {
+        LATENCY_SPREAD / f64::from(self.samples.max(1)).sqrt()
+    }
+}
+
 impl LatencyWindow {
     pub(super) fn new(now: TimePoint) -> Self {
         Self {
@@ -144,10 +158,12 @@
         let in_flight = f64::from(self.in_flight) / f64::from(self.ticks.max(1));
         self.learn_floors(usage);
         let slowdown = self.slowdown();
+        let samples = self.samples;
         self.open(now);
         slowdown.map(|slowdown| WindowSummary {
             slowdown,
             usage,
+            samples,
             in_flight,
         })
     }
--- a/src/admission/priority_queue.rs
+++ b/src/admission/priority_queue.rs
@@ -35,6 +35,10 @@
         Some(self.tickets.remove(0))
     }
 
+    fn first(&self) -> Option<QueuedTicket> {
+        self.tickets.last().copied()
+    }
+
     fn last(&self) -> Option<QueuedTicket> {
         self.tickets.first().copied()
     }
--- a/src/admission/sojourn_control.rs
+++ b/src/admission/sojourn_control.rs
@@ -29,8 +29,8 @@
             *self = Self::default();
             return false;
         }
-        let standing_at = *self.standing_at.get_or_insert(now + interval);
-        if now < standing_at {
+        self.standing_at.get_or_insert(now + interval);
+        if !self.is_standing(now) {
             return false;
         }
         let schedule = self.dropping.get_or_insert(DropSchedule {
@@ -44,4 +44,10 @@
         schedule.next = schedule.next + interval.div_f64(f64::from(schedule.count).sqrt());
         true
     }
+
+    /// Whether the delay has stood above its target for an interval.
+    pub(super) fn is_standing(&self, now: TimePoint) -> bool {
+        self.standing_at
+            .is_some_and(|standing_at| now >= standing_at)
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod membership;
 pub mod platform;
 pub mod policy;
+pub mod replay;
 pub mod settings;
 pub mod time;
--- /dev/null
+++ b/src/replay/mod.rs
@@ -0,0 +1,34 @@
+//! Replay of recorded traces against stated outcomes.
+//!
+//! A trace is a file of JSON lines, one [`TraceLine`] each: the time, an event as it was met, and
+//! the outcome that the decision logic must come to. Lines without an outcome only feed the logic.
+//! An `expect` line states what must hold of all that went before it, such as the share of a class
+//! that was served.
+//!
+//! ```json
+//! {"at_us":0,"event":{"guard":{"name":"surge","slots":4,"queue_target_ms":20,"queue_interval_ms":100}}}
+//! {"at_us":900,"event":{"offer":{"call":1,"priority":262144,"depth":0,"deadline_us":2000900}},"outcome":[{"start":1}]}
+//! {"at_us":41200,"event":{"finish":{"call":1,"kind":"success"}},"outcome":[]}
+//! {"at_us":50000,"event":"tick","outcome":[]}
+//! {"at_us":50000,"event":{"expect":{"served":{"rank":4,"since_us":0,"least_percent":99}}}}
+//! ```
+//!
+//! Further roles add variants to [`TraceEvent`] and [`StatedOutcome`].
+
+mod call_history;
+mod guard_replay;
+mod replay_error;
+mod replay_report;
+mod replay_run;
+mod trace_line;
+mod trace_reader;
+
+pub use {
+    replay_error::ReplayError,
+    replay_report::{ReplayMismatch, ReplayReport},
+    replay_run::{replay, run},
+    trace_line::{
+        GuardHeader, OfferedCall, StatedExpectation, StatedOutcome, TraceEvent, TraceLine,
+    },
+    trace_reader::{MAX_LINE_BYTES, MAX_LINES},
+};
--- /dev/null
+++ b/src/replay/trace_reader.rs
@@ -0,0 +1,88 @@
+use {
+    super::{ReplayError, TraceLine},
+    std::io::{BufRead, Read},
+};
+
+/// Bytes of the longest line.
+pub const MAX_LINE_BYTES: usize = 16 * 1024;
+/// Lines of the longest trace.
+pub const MAX_LINES: usize = 2_000_000;
+
+/// Hands out the lines of a trace one by one.
+pub(super) struct TraceReader<R> {
+    reader: R,
+    buffer: Vec<u8>,
+    line: usize,
+}
+
+/// A line with its number.
+pub(super) struct NumberedLine<'a> {
+    pub(super) number: usize,
+    pub(super) line: TraceLine<'a>,
+}
+
+impl<R: BufRead> TraceReader<R> {
+    pub(super) fn new(reader: R) -> Self {
+        Self {
+            reader,
+            buffer: Vec::new(),
+            line: 0,
+        }
+    }
+
+    /// The next line; blank lines are passed over.
+    pub(super) fn next_line(&mut self) -> Result<Option<NumberedLine<'_>>, ReplayError> {
+        loop {
+            if !self.fill()? {
+                return Ok(None);
+            }
+            if !self.buffer.trim_ascii().is_empty() {
+                break;
+            }
+        }
+        let number = self.line;
+        let line = parse(number, &self.buffer)?;
+        Ok(Some(NumberedLine { number, line }))
+    }
+
+    /// Reads one line; false at the end.
+    fn fill(&mut self) -> Result<bool, ReplayError> {
+        self.buffer.clear();
+        self.line += 1;
+        let line = self.line;
+        let bound = MAX_LINE_BYTES as u64 + 1;
+        let length = self
+            .reader
+            .by_ref()
+            .take(bound)
+            .read_until(b'\n', &mut self.buffer)
+            .map_err(|source| ReplayError::Read { line, source })?;
+        if length > MAX_LINE_BYTES {
+            let bound = MAX_LINE_BYTES;
+            return Err(ReplayError::LongLine { line, bound });
+        }
+        if length > 0 && line > MAX_LINES {
+            return Err(ReplayError::ManyLines { bound: MAX_LINES });
+        }
+        Ok(length > 0)
+    }
+}
+
+fn parse(line: usize, bytes: &[u8]) -> Result<TraceLine<'_>, ReplayError> {
+    let mut decoder = serde_json::Deserializer::from_slice(bytes);
+    let parsed = serde_path_to_error::deserialize(&mut decoder).map_err(|error| {
+        let field = error.path().to_string();
+        let reason = error.inner().to_string();
+        ReplayError::Field {
+            line,
+            field,
+            reason,
+        }
+    })?;
+    decoder.end().map_err(|error| ReplayError::Field {
+        line,
+        field: ".".into(),
+        reason: error.to_string(),
+    })?;
+    Ok(parsed)
+}
--- a/standins/src/model/call_source.rs
+++ b/standins/src/model/call_source.rs
@@ -36,17 +36,17 @@
         Self { scenario }
     }
 
-    /// When `class` calls next after `now`.
-    pub fn next_arrival<R: Rng>(&self, now: TimePoint, class: usize, rng: &mut R) -> TimePoint {
-        let demand = self
-            .scenario
-            .phase_at(now)
-            .map_or(0.0, |phase| phase.0.demand);
+    /// When `class` calls next after `now`; `None` if not before the end.
+    pub fn next_arrival<R: Rng>(
+        &self,
+        now: TimePoint,
+        class: usize,
+        rng: &mut R,
+    ) -> Option<TimePoint> {
         let class = &self.scenario.classes[class];
         let capacity = f64::from(self.scenario.capacity);
-        let rate = demand * class.share * capacity / class.work.as_secs_f64();
-        let wait = Duration::try_from_secs_f64(exponential(rng) / rate);
-        now + wait.unwrap_or(Duration::MAX)
+        let rate = class.share * capacity / class.work.as_secs_f64();
+        self.scenario.next_call(now, rate, exponential(rng))
     }
 
     pub fn call<R: Rng>(&self, now: TimePoint, index: usize, rng: &mut R) -> ModelCall {
--- a/standins/src/model/load_scenario.rs
+++ b/standins/src/model/load_scenario.rs
@@ -64,6 +64,25 @@
         start..start + self.phases[self.pressure].length
     }
 
+    /// When a caller calls next after `now` that makes `rate` calls a second at demand 1, if
+    /// `calls` is an exponential variate of mean 1.
+    #[must_use]
+    pub fn next_call(&self, now: TimePoint, rate: f64, mut calls: f64) -> Option<TimePoint> {
+        let mut start = TimePoint::ORIGIN;
+        for phase in &self.phases {
+            let end = start + phase.length;
+            let from = start.max(now);
+            let possible = phase.demand * rate * from.until(end).as_secs_f64();
+            if calls < possible {
+                let wait = calls / (phase.demand * rate);
+                return Some(from + Duration::from_secs_f64(wait));
+            }
+            calls -= possible;
+            start = end;
+        }
+        None
+    }
+
     /// The phase at `now` and the part of it that has passed.
     #[must_use]
     pub fn phase_at(&self, now: TimePoint) -> Option<(&ScenarioPhase, f64)> {
--- a/standins/src/model/model_run.rs
+++ b/standins/src/model/model_run.rs
@@ -96,10 +96,7 @@
         let end = TimePoint::ORIGIN + self.scenario.length();
         self.plan(TimePoint::ORIGIN, AgendaEvent::Tick);
         for class in 0..self.scenario.classes.len() {
-            let at = self
-                .source
-                .next_arrival(TimePoint::ORIGIN, class, &mut self.rng);
-            self.plan(at, AgendaEvent::Arrival { class });
+            self.plan_arrival(TimePoint::ORIGIN, class);
         }
         while let Some(now) = self.next_time().filter(|&now| now < end) {
             self.step(now);
@@ -111,6 +108,12 @@
         self.agenda.push(Reverse(AgendaEntry { at, event }));
     }
 
+    fn plan_arrival(&mut self, now: TimePoint, class: usize) {
+        if let Some(at) = self.source.next_arrival(now, class, &mut self.rng) {
+            self.plan(at, AgendaEvent::Arrival { class });
+        }
+    }
+
     fn next_time(&self) -> Option<TimePoint> {
         let planned = self.agenda.peek().map(|entry| entry.0.at);
         let completion = self.service.next_completion();
@@ -137,8 +140,7 @@
             AgendaEvent::Arrival { class } => {
                 let call = self.source.call(now, class, &mut self.rng);
                 self.offer(now, call);
-                let at = self.source.next_arrival(now, class, &mut self.rng);
-                self.plan(at, AgendaEvent::Arrival { class });
+                self.plan_arrival(now, class);
             }
             AgendaEvent::Return { call } => {
                 let call = self.source.again(now, &self.calls[call].call);
