Capacity measurement and benches of the member role

Purpose: slopes of bytes, processor time and memory of control against the size, and what losing a data centre or a region costs. The lossy carrier moves to the stand-ins, since tests, benches and the measurement share it.

Ruled out: processor time of many members in one process; it falls with their number, as they share wake-ups. One member in a process of its own is measured within the crowd instead.

--- /dev/null
+++ b/benches/membership.rs
@@ -0,0 +1,134 @@
+//! Time of a tick, a merge and a datagram of the member role at 1,500 records.
+
+use {
+    banyantrestle::{
+        auth::SharedKey,
+        context::ServiceName,
+        membership::{
+            CoreEffect, ExchangePush, MemberId, MemberRecord, MemberState, MemberTable,
+            MembershipCore, TICK_PERIOD, TargetAnnouncement, TargetState,
+        },
+        time::TimePoint,
+    },
+    criterion::{BatchSize, Criterion, criterion_group, criterion_main},
+    rand::{SeedableRng, rngs::SmallRng},
+    std::{
+        hint::black_box,
+        net::{Ipv4Addr, SocketAddr},
+    },
+};
+
+const MEMBERS: u16 = 1_500;
+const START: TimePoint = TimePoint::from_millis(1_000);
+
+fn record(index: u16) -> MemberRecord {
+    let [high, low] = index.to_be_bytes();
+    let address = SocketAddr::new(Ipv4Addr::new(10, 1, high, low).into(), 7_000);
+    let service = ServiceName::new(&format!("service-{}", index % 71));
+    MemberRecord {
+        id: MemberId {
+            address,
+            started_ms: 1_760_000_000_000,
+        },
+        incarnation: 1,
+        state: MemberState::Alive,
+        region: "nz-north".into(),
+        data_centre: format!("data-centre-{}", index % 5).into(),
+        mesh: address,
+        admin: address,
+        target: Some(TargetAnnouncement {
+            service: service.expect("a valid name"),
+            address,
+            slots: 130,
+            connections: 860,
+            state: TargetState::Serving,
+            health_path: None,
+            load_path: None,
+        }),
+        policy_version: 1,
+    }
+}
+
+fn core(index: u16, rng: &mut SmallRng) -> MembershipCore {
+    let key = SharedKey::derive("bench");
+    let mut core = MembershipCore::new(record(index), &key, START, rng);
+    let push = ExchangePush {
+        records: (0..MEMBERS).map(record).collect(),
+        wanted: Vec::new(),
+    };
+    core.accept_exchange(push, START);
+    core.effects().for_each(drop);
+    core
+}
+
+fn tick(criterion: &mut Criterion) {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut core = core(0, &mut rng);
+    let mut now = START;
+    criterion.bench_function("membership tick, 1500 members", |bencher| {
+        bencher.iter(|| {
+            now = now + TICK_PERIOD;
+            core.tick(now, &mut rng);
+            black_box(core.take_view());
+            core.effects().for_each(drop);
+        });
+    });
+}
+
+fn merge(criterion: &mut Criterion) {
+    let records: Vec<_> = (0..MEMBERS).map(record).collect();
+    let mut table = MemberTable::new();
+    for record in &records {
+        table.merge_record(record, START);
+    }
+    let mut newer = records[700].clone();
+    criterion.bench_function("membership merge of a newer record", |bencher| {
+        bencher.iter(|| {
+            newer.incarnation += 1;
+            black_box(table.merge_record(&newer, START))
+        });
+    });
+    criterion.bench_function("membership merge of a known record", |bencher| {
+        bencher.iter(|| black_box(table.merge_record(&records[800], START)));
+    });
+    criterion.bench_function("membership merge of 1500 records", |bencher| {
+        bencher.iter_batched(
+            MemberTable::new,
+            |mut table| {
+                for record in &records {
+                    table.merge_record(record, START);
+                }
+                table
+            },
+            BatchSize::LargeInput,
+        );
+    });
+}
+
+fn receive(criterion: &mut Criterion) {
+    let mut rng = SmallRng::seed_from_u64(2);
+    let mut receiver = core(0, &mut rng);
+    let mut sender = core(1, &mut rng);
+    let mut now = START;
+    criterion.bench_function("membership datagram received", |bencher| {
+        bencher.iter_batched(
+            || loop {
+                now = now + TICK_PERIOD;
+                sender.policy_in_force(now.as_millis(), 0);
+                sender.tick(now, &mut rng);
+                let sent = sender.effects().find_map(|effect| match effect {
+                    CoreEffect::Send { datagram, .. } => Some(datagram),
+                    _ => None,
+                });
+                if let Some(datagram) = sent {
+                    break datagram;
+                }
+            },
+            |datagram| receiver.receive(&datagram, START, &mut SmallRng::seed_from_u64(3)),
+            BatchSize::SmallInput,
+        );
+    });
+}
+
+criterion_group!(benches, tick, merge, receive);
+criterion_main!(benches);
--- /dev/null
+++ b/examples/capacity/member_run.rs
@@ -0,0 +1,73 @@
+//! One member in a process of its own, within a crowd that runs in another process.
+
+use {
+    super::loopback_member::{LoopbackMember, start_member},
+    anyhow::Context,
+    serde::{Deserialize, Serialize},
+    standins::process::ProcessUsage,
+    std::{
+        fs,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::time::{sleep, timeout},
+};
+
+pub const JOIN_LIMIT: Duration = Duration::from_secs(60);
+pub const SETTLE_TIME: Duration = Duration::from_secs(3);
+pub const QUIET_TIME: Duration = Duration::from_secs(6);
+/// Time from a change of policy until nobody hands it on any more, and some.
+pub const POLICY_TIME: Duration = Duration::from_secs(3);
+
+/// What the process used in one phase.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct PhaseUsage {
+    pub seconds: f64,
+    pub processor_seconds: f64,
+    pub resident_kib: u64,
+}
+
+impl PhaseUsage {
+    pub fn processor_share(&self) -> f64 {
+        self.processor_seconds / self.seconds
+    }
+}
+
+/// Joins the crowd at `peer`; prints its usage after a quiet phase, and again after a change of
+/// policy.
+pub async fn run_member(peer: SocketAddr, members: usize) -> anyhow::Result<()> {
+    let LoopbackMember { handle, .. } = start_member(members - 1, vec![peer]).await?;
+    let mut view = handle.view();
+    let joined = view.wait_for(|view| view.members.len() == members);
+    timeout(JOIN_LIMIT, joined).await.context("not joined")??;
+    sleep(SETTLE_TIME).await;
+    print_usage(measure_phase(QUIET_TIME).await?)?;
+    let mut policy = handle.policy_seen();
+    let heard = policy.wait_for(|seen| seen.version == 1);
+    timeout(JOIN_LIMIT, heard).await.context("no policy")??;
+    print_usage(measure_phase(POLICY_TIME).await?)
+}
+
+async fn measure_phase(span: Duration) -> anyhow::Result<PhaseUsage> {
+    let start = Instant::now();
+    let before = thread_time()?;
+    sleep(span).await;
+    let processor = thread_time()?.saturating_sub(before);
+    Ok(PhaseUsage {
+        seconds: start.elapsed().as_secs_f64(),
+        processor_seconds: processor.as_secs_f64(),
+        resident_kib: ProcessUsage::of(std::process::id())?.resident_kib,
+    })
+}
+
+/// Processor time of the only thread, from `/proc/self/schedstat`.
+fn thread_time() -> anyhow::Result<Duration> {
+    let text = fs::read_to_string("/proc/self/schedstat")?;
+    let nanos = text.split_whitespace().next().context("schedstat")?;
+    Ok(Duration::from_nanos(nanos.parse()?))
+}
+
+fn print_usage(usage: PhaseUsage) -> anyhow::Result<()> {
+    println!("{}", serde_json::to_string(&usage)?);
+    Ok(())
+}
--- /dev/null
+++ b/examples/capacity/report.rs
@@ -0,0 +1,204 @@
+use {
+    super::{
+        TARGET_MEMBERS,
+        line_fit::{LineFit, SizePoint},
+        loopback_run::LoopbackFigures,
+        spread_run::{FaultFigures, SpreadFigures},
+        table_run::TableFigures,
+    },
+    serde::Serialize,
+};
+
+/// Budget of control for one daemon.
+const MAX_BYTES_PER_SECOND: f64 = 8_000.0;
+const MAX_PROCESSOR_PERCENT: f64 = 1.7;
+const MAX_RESIDENT_KIB: f64 = 32.0 * 1_024.0;
+const MAX_POLICY_MS: f64 = 4_000.0;
+const MAX_LEAVING_MS: f64 = 2_000.0;
+/// Changes of policy in a second: 5,600 a day.
+const POLICY_CHANGES_PER_SECOND: f64 = 5_600.0 / 86_400.0;
+
+/// One figure at the target size against its budget.
+#[derive(Clone, Debug, Serialize)]
+struct BudgetLine {
+    name: &'static str,
+    value: f64,
+    budget: f64,
+    unit: &'static str,
+}
+
+/// All figures of one run.
+#[derive(Debug, Default, Serialize)]
+pub struct CapacityReport {
+    pub loopback: Vec<LoopbackFigures>,
+    pub tables: Vec<TableFigures>,
+    pub spreads: Vec<SpreadFigures>,
+    pub lost_data_centre: Option<FaultFigures>,
+    pub cut_regions: Option<FaultFigures>,
+    fits: Vec<LineFit>,
+    budgets: Vec<BudgetLine>,
+}
+
+impl CapacityReport {
+    /// Fits the lines and works out the figures at the target size.
+    pub fn fit(&mut self) {
+        let bytes = self.fit_loopback("bytes a second", |run| run.bytes_per_second);
+        let datagrams = self.fit_loopback("datagrams a second", |run| run.datagrams_per_second);
+        let processor = self.fit_loopback("processor, % of a core", |run| run.processor_percent);
+        let resident = self.fit_loopback("memory, KiB", |run| run.resident_kib);
+        let policy_bytes = self.fit_loopback("bytes a policy change", |run| run.policy_bytes);
+        let policy_processor =
+            self.fit_loopback("us a policy change", |run| run.policy_processor_us);
+        let policy_rate = policy_bytes.at(TARGET_MEMBERS) * POLICY_CHANGES_PER_SECOND;
+        let policy_share =
+            policy_processor.at(TARGET_MEMBERS) / 1e6 * POLICY_CHANGES_PER_SECOND * 100.0;
+        let line = |name, value, budget, unit| BudgetLine {
+            name,
+            value,
+            budget,
+            unit,
+        };
+        self.budgets = vec![
+            line(
+                "membership and policy versions",
+                bytes.at(TARGET_MEMBERS) + policy_rate,
+                MAX_BYTES_PER_SECOND,
+                "bytes/s",
+            ),
+            line(
+                "membership and policy versions",
+                processor.at(TARGET_MEMBERS) + policy_share,
+                MAX_PROCESSOR_PERCENT,
+                "% of a core",
+            ),
+            line(
+                "membership",
+                resident.at(TARGET_MEMBERS),
+                MAX_RESIDENT_KIB,
+                "KiB",
+            ),
+        ];
+        if let Some(largest) = self.spreads.last() {
+            self.budgets.push(line(
+                "policy version to all, 5 % loss",
+                largest.policy_ms,
+                MAX_POLICY_MS,
+                "ms",
+            ));
+            self.budgets.push(line(
+                "leaving to all, 5 % loss",
+                largest.leaving_ms,
+                MAX_LEAVING_MS,
+                "ms",
+            ));
+        }
+        self.fits = vec![
+            bytes,
+            datagrams,
+            processor,
+            resident,
+            policy_bytes,
+            policy_processor,
+        ];
+    }
+
+    pub fn print(&self) {
+        self.print_fits();
+        self.print_tables();
+        self.print_spreads();
+        print_fault("data centre lost", self.lost_data_centre.as_ref());
+        print_fault("regions cut off", self.cut_regions.as_ref());
+        println!("\nAt {TARGET_MEMBERS} members, for each daemon:");
+        for line in &self.budgets {
+            let share = line.value / line.budget * 100.0;
+            println!(
+                "  {:<34} {:>10.1} {:<12} budget {:>8.1}  ({share:.0} %)",
+                line.name, line.value, line.unit, line.budget
+            );
+        }
+    }
+
+    fn fit_loopback(&self, name: &'static str, value: fn(&LoopbackFigures) -> f64) -> LineFit {
+        let points = self.loopback.iter().map(|run| SizePoint {
+            members: run.members,
+            value: value(run),
+        });
+        LineFit::of(name, points.collect())
+    }
+
+    fn print_fits(&self) {
+        println!("Member role over loopback, each member on average:");
+        for fit in &self.fits {
+            let points = fit.points.iter();
+            let points: Vec<_> = points
+                .map(|point| format!("{}: {:.2}", point.members, point.value))
+                .collect();
+            println!("  {:<24} {}", fit.name, points.join("  "));
+            println!(
+                "  {:<24} {:.3} + {:.6} a member (worst residual {:.2}); at {TARGET_MEMBERS}: {:.2}",
+                "",
+                fit.intercept,
+                fit.slope,
+                fit.worst_residual,
+                fit.at(TARGET_MEMBERS)
+            );
+        }
+    }
+
+    fn print_tables(&self) {
+        println!("\nPure table:");
+        for table in &self.tables {
+            println!(
+                "  {} records: {:.0} bytes a record, tick {:.1} us, tick after a change {:.1} us, \
+                 merge {:.2} us, equal exchange {:.1} us",
+                table.members,
+                table.bytes_per_record,
+                table.idle_tick_us,
+                table.changed_tick_us,
+                table.merge_us,
+                table.equal_exchange_us
+            );
+        }
+    }
+
+    fn print_spreads(&self) {
+        println!("\nPure core in logical time, 5 % of datagrams lost, slowest trial:");
+        for spread in &self.spreads {
+            println!(
+                "  {} members: leaving {:.0} ms, policy version {:.0} ms ({} trials); idle {:.0} \
+                 bytes/s, {:.2} false suspicions/s, {} false deaths",
+                spread.members,
+                spread.leaving_ms,
+                spread.policy_ms,
+                spread.trials,
+                spread.steady_bytes_per_second,
+                spread.false_suspicions_per_second,
+                spread.false_deaths
+            );
+        }
+    }
+}
+
+fn print_fault(name: &str, figures: Option<&FaultFigures>) {
+    let Some(figures) = figures else {
+        return;
+    };
+    println!(
+        "\n{name}, {} of {} members: noticed after {:.0} ms; datagrams {:.0} bytes/s, highest \
+         second {:.0}",
+        figures.affected,
+        figures.members,
+        figures.noticed_ms,
+        figures.mean_bytes_per_second,
+        figures.peak_bytes_per_second
+    );
+    if let (Some(healed), Some(peak), Some(exchanged)) = (
+        figures.healed_ms,
+        figures.healing_peak_bytes_per_second,
+        figures.healing_exchange_bytes,
+    ) {
+        println!(
+            "  healed after {healed:.0} ms; highest second {peak:.0} bytes, exchanges {exchanged:.0} bytes"
+        );
+    }
+}
--- a/src/membership/dissemination_queue.rs
+++ b/src/membership/dissemination_queue.rs
@@ -8,6 +8,8 @@
 
 /// Transmissions on top of those that the size asks for; each divides the misses by about e.
 const RETRANSMIT_MARGIN: u32 = 10;
+/// Transmissions that a status is spared: many come at once, and who misses one finds out itself.
+const STATUS_ALLOWANCE: u32 = 6;
 
 /// Times that a member hands on one update in a deployment of `members`.
 #[must_use]
@@ -60,12 +62,19 @@
         if self.updates.len() >= MAX_QUEUED_UPDATES {
             self.updates.pop();
         }
+        let transmissions = match update {
+            MemberUpdate::Record(_) => 0,
+            MemberUpdate::Status(_) => STATUS_ALLOWANCE,
+        };
         let queued = QueuedUpdate {
             id,
             bytes: encode_update(update).into(),
-            transmissions: 0,
+            transmissions,
         };
-        self.updates.insert(0, queued);
+        let place = self
+            .updates
+            .partition_point(|update| update.transmissions < transmissions);
+        self.updates.insert(place, queued);
     }
 
     /// Appends what fits into `room` bytes; each appended update counts one transmission.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod client;
 pub mod deployment;
+pub mod gossip;
 pub mod http;
 pub mod model;
 pub mod platform;
