Load run and benches of claims

15 transactions a second for each service (20 before) leave a quarter of the cap of 300 to others at 15 services.

--- /dev/null
+++ b/examples/claims_load.rs
@@ -0,0 +1,315 @@
+//! Claims of many guards against the rate cap of the table service: through one batcher a
+//! service, and with each guard committing for itself.
+//!
+//! The table service is the stand-in over loopback HTTP, capped at the rates of its default mode,
+//! with 2 ms for each request. Guards run in this process and reach each other by function calls.
+
+use {
+    anyhow::Context,
+    banyantrestle::{
+        claims::{
+            AnswerRequest, BodyFingerprint, ClaimIdentity, ClaimKey, ClaimLimits, ClaimRequest,
+            ClaimService, ClaimTransport, ClaimVerdict, CommitAnswer, CommitRequest, HolderAnswer,
+            IdempotencyKey, RecordedAnswer, RingMember, TransportError,
+        },
+        context::{RequestId, ServiceName},
+        membership::MemberId,
+        platform::HttpTable,
+        time::ProcessClock,
+    },
+    hdrhistogram::Histogram,
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    standins::platform::{PlatformMode, PlatformStandin},
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex, OnceLock, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        task::JoinSet,
+        time::{Instant, sleep, sleep_until},
+    },
+};
+
+const TABLE_DELAY_MS: u64 = 2;
+const TABLE_TIMEOUT: Duration = Duration::from_millis(500);
+const CALL_DEADLINE: Duration = Duration::from_secs(2);
+const KEY_WINDOW: Duration = Duration::from_secs(60);
+const MAX_LATENCY_US: u64 = 10_000_000;
+
+xflags::xflags! {
+    /// Measures claims against the rate cap of the table service.
+    cmd claims-load {
+        /// Length of each run, in s.
+        optional --seconds seconds: u64
+        /// Seed of the arrival times.
+        optional --seed seed: u64
+    }
+}
+
+type LoadService = ClaimService<HttpTable, LocalTransport>;
+
+/// Reaches the other guards of this process.
+#[derive(Clone, Default)]
+struct LocalTransport {
+    services: Arc<OnceLock<HashMap<SocketAddr, LoadService>>>,
+}
+
+impl LocalTransport {
+    fn peer(&self, mesh: SocketAddr) -> Result<&LoadService, TransportError> {
+        let services = self.services.get();
+        let service = services.and_then(|services| services.get(&mesh));
+        service.ok_or_else(|| TransportError::Unreached("no such guard".into()))
+    }
+}
+
+impl ClaimTransport for LocalTransport {
+    async fn commit_at(
+        &self,
+        peer_mesh: SocketAddr,
+        request: CommitRequest,
+    ) -> Result<CommitAnswer, TransportError> {
+        Ok(self.peer(peer_mesh)?.serve_commit(request).await)
+    }
+
+    async fn answer_at(
+        &self,
+        peer_mesh: SocketAddr,
+        request: AnswerRequest,
+    ) -> Result<HolderAnswer, TransportError> {
+        Ok(self.peer(peer_mesh)?.serve_answer(request).await)
+    }
+}
+
+/// One run of the measurement.
+#[derive(Clone, Copy, Debug)]
+struct LoadPlan {
+    services: u16,
+    guards_per_service: u16,
+    /// Calls of one guard.
+    calls_per_s: f64,
+    is_batched: bool,
+}
+
+/// What became of the calls of one run.
+#[derive(Debug)]
+struct LoadOutcome {
+    won: u64,
+    refused: u64,
+    latency_us: Histogram<u64>,
+}
+
+impl LoadOutcome {
+    fn new() -> anyhow::Result<Self> {
+        Ok(Self {
+            won: 0,
+            refused: 0,
+            latency_us: Histogram::new_with_bounds(1, MAX_LATENCY_US, 3)?,
+        })
+    }
+
+    fn note(&mut self, is_won: bool, latency: Duration) {
+        self.won += u64::from(is_won);
+        self.refused += u64::from(!is_won);
+        let micros = u64::try_from(latency.as_micros()).unwrap_or(MAX_LATENCY_US);
+        if is_won {
+            self.latency_us.saturating_record(micros);
+        }
+    }
+}
+
+/// One guard of the run.
+struct LoadGuard {
+    service: LoadService,
+    name: ServiceName,
+    clock: ProcessClock,
+    outcome: Arc<Mutex<LoadOutcome>>,
+}
+
+impl LoadGuard {
+    /// Sends calls at random times until `end`.
+    async fn send_calls(self: Arc<Self>, calls_per_s: f64, end: Instant, mut rng: StdRng) {
+        let mut next = Instant::now();
+        let mut calls = JoinSet::new();
+        loop {
+            // Exponential gaps make a Poisson process.
+            let gap = -(1.0 - rng.random::<f64>()).ln() / calls_per_s;
+            next += Duration::from_secs_f64(gap);
+            if next >= end {
+                break;
+            }
+            sleep_until(next).await;
+            calls.spawn(self.clone().call(rng.random()));
+        }
+        calls.join_all().await;
+    }
+
+    async fn call(self: Arc<Self>, number: u128) {
+        let Ok(key) = IdempotencyKey::new(&format!("{number:032x}")) else {
+            return;
+        };
+        let request = ClaimRequest {
+            key: ClaimKey {
+                service: self.name.clone(),
+                key,
+            },
+            fingerprint: BodyFingerprint::of("POST", "/purchases", b"body"),
+            request: RequestId::from_u128(number),
+            deadline: self.clock.now() + CALL_DEADLINE,
+            window: KEY_WINDOW,
+        };
+        let start = Instant::now();
+        let verdict = self.service.begin(request).await;
+        let latency = start.elapsed();
+        let is_won = match verdict {
+            ClaimVerdict::Won(token) => match token.dispatch(self.clock.now()) {
+                Ok(claim) => {
+                    self.service.complete(claim, answer());
+                    true
+                }
+                Err(_) => false,
+            },
+            _ => false,
+        };
+        let mut outcome = self.outcome.lock().unwrap_or_else(PoisonError::into_inner);
+        outcome.note(is_won, latency);
+    }
+}
+
+fn answer() -> RecordedAnswer {
+    RecordedAnswer {
+        status: 200,
+        headers: Arc::default(),
+        body: Arc::default(),
+    }
+}
+
+async fn measure(plan: LoadPlan, seconds: u64, seed: u64) -> anyhow::Result<()> {
+    let mode = PlatformMode {
+        delay_ms: TABLE_DELAY_MS,
+        ..PlatformMode::default()
+    };
+    let standin = PlatformStandin::start(([127, 0, 0, 1], 0).into(), mode).await?;
+    let outcome = Arc::new(Mutex::new(LoadOutcome::new()?));
+    let guards = start_guards(plan, standin.address(), seed, &outcome)?;
+    let end = Instant::now() + Duration::from_secs(seconds);
+    let mut senders = JoinSet::new();
+    for (index, guard) in guards.into_iter().enumerate() {
+        let rng = StdRng::seed_from_u64(seed ^ index as u64);
+        senders.spawn(guard.send_calls(plan.calls_per_s, end, rng));
+    }
+    senders.join_all().await;
+    sleep(Duration::from_millis(100)).await;
+    let outcome = outcome.lock().unwrap_or_else(PoisonError::into_inner);
+    print(plan, seconds, &outcome, &standin);
+    Ok(())
+}
+
+fn start_guards(
+    plan: LoadPlan,
+    table: SocketAddr,
+    seed: u64,
+    outcome: &Arc<Mutex<LoadOutcome>>,
+) -> anyhow::Result<Vec<Arc<LoadGuard>>> {
+    let transport = LocalTransport::default();
+    let clock = ProcessClock::start();
+    let mut guards = Vec::new();
+    let mut peers = HashMap::new();
+    for number in 0..plan.services {
+        let name = ServiceName::new(&format!("service-{number}"))?;
+        let members: Vec<RingMember> = (0..plan.guards_per_service)
+            .map(|index| ring_member(number * plan.guards_per_service + index))
+            .collect();
+        for member in &members {
+            let identity = ClaimIdentity {
+                member: member.id,
+                mesh: member.mesh,
+            };
+            let service = ClaimService::start(
+                HttpTable::new(table, TABLE_TIMEOUT),
+                transport.clone(),
+                identity,
+                ClaimLimits::default(),
+                clock,
+                StdRng::seed_from_u64(seed),
+            );
+            let ring = if plan.is_batched {
+                members.clone()
+            } else {
+                vec![*member]
+            };
+            service.set_members(name.clone(), ring);
+            peers.insert(member.mesh, service.clone());
+            guards.push(Arc::new(LoadGuard {
+                service,
+                name: name.clone(),
+                clock,
+                outcome: outcome.clone(),
+            }));
+        }
+    }
+    let is_set = transport.services.set(peers).is_ok();
+    is_set.then_some(guards).context("the guards are set once")
+}
+
+fn ring_member(number: u16) -> RingMember {
+    let address = SocketAddr::from(([127, 0, 0, 1], 10_000 + number));
+    let id = MemberId {
+        address,
+        started_ms: 1,
+    };
+    RingMember { id, mesh: address }
+}
+
+fn print(plan: LoadPlan, seconds: u64, outcome: &LoadOutcome, standin: &PlatformStandin) {
+    let counters = standin.counters();
+    let per_s = |count: u64| count / seconds;
+    let ms = |quantile| {
+        let micros = outcome.latency_us.value_at_quantile(quantile);
+        Duration::from_micros(micros).as_secs_f64() * 1_000.0
+    };
+    println!(
+        "| {} | {} | {} | {} | {} | {} | {:.1} | {:.1} | {} | {} | {} |",
+        plan.services,
+        plan.guards_per_service,
+        if plan.is_batched {
+            "batcher"
+        } else {
+            "each guard"
+        },
+        per_s(outcome.won + outcome.refused),
+        per_s(outcome.won),
+        per_s(outcome.refused),
+        ms(0.5),
+        ms(0.99),
+        per_s(counters.transactions),
+        counters.rows / counters.transactions.max(1),
+        per_s(counters.capped),
+    );
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let flags = ClaimsLoad::from_env_or_exit();
+    let seconds = flags.seconds.unwrap_or(10).max(1);
+    let seed = flags.seed.unwrap_or(1);
+    println!(
+        "| services | guards each | committed by | offered/s | won/s | refused/s | p50 ms | p99 ms \
+         | transactions/s | rows each | capped/s |"
+    );
+    println!("|--:|--:|--|--:|--:|--:|--:|--:|--:|--:|--:|");
+    let plans = [(1, 5, 2.0), (1, 5, 20.0), (1, 150, 10.0), (15, 10, 10.0)];
+    for (services, guards_per_service, calls_per_s) in plans {
+        for is_batched in [false, true] {
+            let plan = LoadPlan {
+                services,
+                guards_per_service,
+                calls_per_s,
+                is_batched,
+            };
+            measure(plan, seconds, seed).await?;
+        }
+    }
+    Ok(())
+}
--- a/src/claims/claim_limits.rs
+++ b/src/claims/claim_limits.rs
@@ -39,7 +39,7 @@
             waiting_repeats: 64,
             queued_rows: 2_048,
             batch_rows: 256,
-            commits_per_s: 20,
+            commits_per_s: 15,
             commit_burst: 10,
             commit_time: Duration::from_secs(1),
             batcher_patience: Duration::from_millis(1_300),
