--- a/examples/claims_load.rs
+++ b/examples/claims_load.rs
@@ -5,23 +5,25 @@
 //! with 2 ms for each request. Guards run in this process and reach each other by function calls.
 
 use {
-    anyhow::Context,
+    anyhow::{Context, bail},
     banyantrestle::{
         claims::{
-            AnswerRequest, BodyFingerprint, ClaimIdentity, ClaimKey, ClaimLimits, ClaimRequest,
-            ClaimService, ClaimTransport, ClaimVerdict, CommitAnswer, CommitRequest, HolderAnswer,
-            IdempotencyKey, RecordedAnswer, RingMember, TransportError,
+            AnswerRequest, BodyFingerprint, ClaimIdentity, ClaimKey, ClaimLedger, ClaimLimits,
+            ClaimOpening, ClaimRequest, ClaimService, ClaimTransport, ClaimVerdict, CommitAnswer,
+            CommitRequest, HolderAnswer, IdempotencyKey, LedgerVerdict, RecordedAnswer, RingMember,
+            TransportError, WriteId,
         },
         context::{RequestId, ServiceName},
         membership::MemberId,
         platform::HttpTable,
-        time::ProcessClock,
+        time::{ProcessClock, TimePoint},
     },
     hdrhistogram::Histogram,
     rand::{RngExt, SeedableRng, rngs::StdRng},
     standins::platform::{PlatformMode, PlatformStandin},
     std::{
         collections::HashMap,
+        fs,
         net::SocketAddr,
         sync::{Arc, Mutex, OnceLock, PoisonError},
         time::Duration,
@@ -36,6 +38,8 @@
 const TABLE_TIMEOUT: Duration = Duration::from_millis(500);
 const CALL_DEADLINE: Duration = Duration::from_secs(2);
 const KEY_WINDOW: Duration = Duration::from_secs(60);
+const LEDGER_CALLS: usize = 100_000;
+const ANSWER_BYTES: usize = 200;
 const MAX_LATENCY_US: u64 = 10_000_000;
 
 xflags::xflags! {
@@ -165,7 +169,7 @@
         let is_won = match verdict {
             ClaimVerdict::Won(token) => match token.dispatch(self.clock.now()) {
                 Ok(claim) => {
-                    self.service.complete(claim, answer());
+                    self.service.complete(claim, answer(ANSWER_BYTES));
                     true
                 }
                 Err(_) => false,
@@ -177,11 +181,11 @@
     }
 }
 
-fn answer() -> RecordedAnswer {
+fn answer(size: usize) -> RecordedAnswer {
     RecordedAnswer {
         status: 200,
         headers: Arc::default(),
-        body: Arc::default(),
+        body: vec![0; size].into(),
     }
 }
 
@@ -289,11 +293,55 @@
     );
 }
 
+/// Resident memory of this process, in bytes.
+fn resident_bytes() -> anyhow::Result<u64> {
+    let status = fs::read_to_string("/proc/self/status")?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().nth(1));
+    let kib: u64 = kib.context("no VmRSS")?.parse()?;
+    Ok(kib * 1_024)
+}
+
+/// Fills a ledger and prints what one ended call takes.
+fn measure_memory() -> anyhow::Result<()> {
+    let limits = ClaimLimits {
+        kept_calls: LEDGER_CALLS,
+        kept_bytes: usize::MAX,
+        ..ClaimLimits::default()
+    };
+    let name = ServiceName::new("service-0")?;
+    let before = resident_bytes()?;
+    let mut ledger = ClaimLedger::<()>::new(limits);
+    for number in 0..LEDGER_CALLS {
+        let key = ClaimKey {
+            service: name.clone(),
+            key: IdempotencyKey::new(&format!("{number:036}"))?,
+        };
+        let opening = ClaimOpening {
+            key,
+            fingerprint: BodyFingerprint::of("POST", "/purchases", b"body"),
+            write_id: WriteId::draw(ring_member(0).id, &mut StdRng::seed_from_u64(1)),
+            expires: TimePoint::ORIGIN + KEY_WINDOW,
+        };
+        let LedgerVerdict::Opened(entry) = ledger.open(opening) else {
+            bail!("the call is not opened");
+        };
+        ledger.win(entry);
+        ledger.dispatch(entry);
+        ledger.complete(entry, answer(ANSWER_BYTES));
+    }
+    let taken = resident_bytes()? - before;
+    let each = taken / ledger.len() as u64;
+    println!("ledger: {each} bytes for an ended call with an answer of {ANSWER_BYTES} bytes");
+    Ok(())
+}
+
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     let flags = ClaimsLoad::from_env_or_exit();
     let seconds = flags.seconds.unwrap_or(10).max(1);
     let seed = flags.seed.unwrap_or(1);
+    measure_memory()?;
     println!(
         "| services | guards each | committed by | offered/s | won/s | refused/s | p50 ms | p99 ms \
          | transactions/s | rows each | capped/s |"
--- a/src/claims/claim_limits.rs
+++ b/src/claims/claim_limits.rs
@@ -33,8 +33,8 @@
     fn default() -> Self {
         Self {
             open_calls: 4_096,
-            kept_calls: 16_384,
-            kept_bytes: 8 * 1024 * 1024,
+            kept_calls: 8_192,
+            kept_bytes: 4 * 1024 * 1024,
             answer_bytes: 64 * 1024,
             waiting_repeats: 64,
             queued_rows: 2_048,
--- a/src/claims/claim_transport.rs
+++ b/src/claims/claim_transport.rs
@@ -9,6 +9,9 @@
 /// Rows of one request to a batcher.
 pub const MAX_REQUEST_ROWS: usize = 256;
 
+/// Bytes of the largest message; a server reads no more.
+pub const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
+
 /// Rows that a guard sends to a batcher.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CommitRequest {
--- a/src/claims/commit_actor.rs
+++ b/src/claims/commit_actor.rs
@@ -13,6 +13,9 @@
     xtra::{Actor, Context, Handler, Mailbox, WeakAddress},
 };
 
+/// Services whose claims are committed here.
+const MAX_SERVICES: usize = 1_024;
+
 type ReplySender = oneshot::Sender<RowOutcome>;
 
 /// Commits claims, its own and those of other guards, one transaction at a time for a service.
@@ -48,19 +51,30 @@
     }
 
     fn push(&mut self, service: &ServiceName, row: QueuedRow<ReplySender>) {
-        let now = self.clock.now();
-        let limits = &self.limits;
-        let queue = self
-            .queues
-            .entry(service.clone())
-            .or_insert_with(|| CommitQueue::new(limits, now));
-        if let Err(row) = queue.push(row, limits) {
-            counter!("banyantrestle_claim_rows_total", "outcome" => "full").increment(1);
+        let limits = self.limits;
+        let pushed = match self.queue(service) {
+            Some(queue) => queue.push(row, &limits),
+            None => Err(row),
+        };
+        if let Err(row) = pushed {
+            counter!("banyantrestle_claim_rows_refused_total").increment(1);
             // The guard that no longer waits needs no answer.
             let _ = row.reply.send(RowOutcome::Full);
         }
     }
 
+    /// The queue of a service; none once as many services as allowed have one.
+    fn queue(&mut self, service: &ServiceName) -> Option<&mut CommitQueue<ReplySender>> {
+        if !self.queues.contains_key(service) {
+            if self.queues.len() >= MAX_SERVICES {
+                return None;
+            }
+            let queue = CommitQueue::new(&self.limits, self.clock.now());
+            self.queues.insert(service.clone(), queue);
+        }
+        self.queues.get_mut(service)
+    }
+
     fn flush(&mut self, service: ServiceName, address: WeakAddress<Self>) {
         let now = self.clock.now();
         let Some(queue) = self.queues.get_mut(&service) else {
--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -62,7 +62,8 @@
     claim_service::{ClaimIdentity, ClaimService},
     claim_token::{ClaimToken, RunningClaim},
     claim_transport::{
-        ClaimTransport, CommitAnswer, CommitRequest, MAX_REQUEST_ROWS, TransportError,
+        ClaimTransport, CommitAnswer, CommitRequest, MAX_MESSAGE_BYTES, MAX_REQUEST_ROWS,
+        TransportError,
     },
     claim_verdict::{ClaimVerdict, JoinedOutcome, UnknownReason},
     commit_queue::{CommitQueue, QueueStep, QueuedRow},
--- a/tests/claims/fleet.rs
+++ b/tests/claims/fleet.rs
@@ -12,7 +12,7 @@
         },
         context::{RequestId, ServiceName},
         membership::MemberId,
-        time::ProcessClock,
+        time::{ProcessClock, TimerService},
     },
     rand::{SeedableRng, rngs::StdRng},
     standins::platform::MemoryTable,
@@ -224,7 +224,10 @@
         let identity = ClaimIdentity { member, mesh };
         // The same seed everywhere: write ids differ by the member alone.
         let rng = StdRng::seed_from_u64(5);
-        let service = ClaimService::start(table, transport, identity, self.limits, self.clock, rng);
+        let limits = self.limits;
+        let clock = self.clock;
+        let service = ClaimService::start(table.clone(), transport, identity, limits, clock, rng);
+        service.start_sweep(table, &TimerService::new(clock));
         let mut network = self.network.lock().unwrap();
         network.listen(mesh, service.clone(), process.clone());
         drop(network);
--- a/tests/claims/main.rs
+++ b/tests/claims/main.rs
@@ -7,4 +7,5 @@
 mod interleavings;
 mod outages;
 mod process;
+mod sweep;
 mod tables;
