--- a/src/cli/event_line.rs
+++ b/src/cli/event_line.rs
@@ -12,6 +12,8 @@
 /// The last time of four-digit years, in ms of the Unix epoch.
 const MAX_SHOWN_MS: u64 = 253_402_300_799_999;
 const INDENT: &str = "  ";
+/// Identities of an event, shown after what it says.
+const IDENTITIES: [&str; 3] = ["call", "parent", "request"];
 
 /// An event as one line of JSON.
 #[derive(Serialize)]
@@ -50,8 +52,12 @@
         let Ok(Value::Object(fields)) = serde_json::to_value(&self.record.kind) else {
             return String::new();
         };
-        let shown = fields.iter().filter(|(name, _)| *name != "kind");
-        let shown = shown.map(|(name, value)| match value {
+        let is_identity = |name: &str| IDENTITIES.contains(&name);
+        let content = fields
+            .iter()
+            .filter(|(name, _)| *name != "kind" && !is_identity(name));
+        let identities = fields.iter().filter(|(name, _)| is_identity(name));
+        let shown = content.chain(identities).map(|(name, value)| match value {
             Value::String(text) if !text.contains(' ') => format!(" {name}={text}"),
             other => format!(" {name}={other}"),
         });
