A version that was heard once stays wanted, and a start asks members itself

Gossip tells a version once. Whoever failed to fetch it from its holder then waited for a poll of the table, up to minutes at 1,500 daemons; and a start without the table service heard one report at most, never the two that it waits for. A heard version now stays wanted: its holders are asked, then any member, with a doubling pause up to 4 s. A start asks two members for what they enforce.

A start also listens to peers for a second after the table has answered, and accepts no submission before it is ready, so that a table restored from a backup is neither enforced first nor built upon.

Seen failing first, one mechanism disabled at a time: - no time to listen: a_start_listens_to_peers_after_the_table_has_answered - submission of an unready daemon: a_start_on_a_restored_backup_hears_the_peers_first - the version forgotten when its holder fails: a_version_that_was_heard_once_is_asked_for_until_a_member_gives_it - members not asked: a_start_asks_members_that_told_nothing, a_start_without_the_table_takes_the_highest_of_two_peers - start without peers: the same, and a_start_without_the_table_waits_for_the_highest_of_two_peers

a_start_without_the_table_takes_the_highest_of_the_peers becomes ..._of_two_peers: it still asks for version 7 exactly, now without any gossip. Its first form would pass with reports that gossip never gives.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -11,6 +11,7 @@
 
 mod active_policy;
 mod class_rule;
+mod fetch_plan;
 mod field_change;
 mod path_form;
 mod policy_accepted;
@@ -26,6 +27,7 @@
 mod policy_table;
 mod poll_schedule;
 mod route_table;
+mod start_evidence;
 mod submit_error;
 mod version_tracker;
 mod versioned_policy;
@@ -33,6 +35,7 @@
 pub use {
     active_policy::ActivePolicy,
     class_rule::ClassRule,
+    fetch_plan::PolicyFetch,
     field_change::FieldChange,
     policy_accepted::PolicyAccepted,
     policy_check::{MAX_CLASSES, MAX_METHOD_LENGTH, MAX_ROUTE_PATH_LENGTH, MAX_ROUTES},
@@ -44,10 +47,9 @@
     policy_service::{PolicyParts, PolicyService},
     policy_source::PolicySource,
     poll_schedule::{MIN_POLL_PERIOD, POLL_READS_PER_SECOND, PollSchedule},
+    start_evidence::{START_LISTEN, START_PATIENCE, START_PEERS},
     submit_error::SubmitError,
-    version_tracker::{
-        OfferVerdict, PeerReport, START_PATIENCE, START_PEERS, VersionReport, VersionTracker,
-    },
+    version_tracker::{OfferVerdict, PeerReport, VersionReport, VersionTracker},
     versioned_policy::VersionedPolicy,
 };
 
--- a/src/policy/policy_actor.rs
+++ b/src/policy/policy_actor.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        ActivePolicy, OfferVerdict, PeerReport, PolicyDocument, PolicySource, PollSchedule,
-        VersionReport, VersionTracker, VersionedPolicy,
+        ActivePolicy, OfferVerdict, PeerReport, PolicyDocument, PolicyFetch, PolicySource,
+        PollSchedule, VersionReport, VersionTracker, VersionedPolicy,
         policy_row::PolicyRow,
         policy_table::{CommitAttempt, PolicyTable},
     },
@@ -12,9 +12,9 @@
         time::{ProcessClock, TimerTick},
     },
     metrics::{counter, gauge},
-    rand::{SeedableRng, rngs::StdRng},
+    rand::{SeedableRng, rngs::StdRng, seq::IteratorRandom},
     slog::{Logger, error, info, warn},
-    std::{collections::VecDeque, future::Future, sync::Arc, time::Duration},
+    std::{collections::VecDeque, future::Future, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         sync::watch,
         time::{error::Elapsed, timeout},
@@ -24,6 +24,8 @@
 
 /// Wait for a peer's policy.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Members that are kept to fetch from.
+const KEPT_PEERS: usize = 16;
 /// Earlier versions that are kept to tell what changed.
 const KEPT_VERSIONS: usize = 16;
 
@@ -75,13 +77,16 @@
 /// The number of members changed.
 pub(super) struct MembersChanged(pub u32);
 
+/// Mesh addresses of the other members.
+pub(super) struct PeersChanged(pub Vec<SocketAddr>);
+
 /// Asks for the document of a version that was in force here.
 pub(super) struct FindVersion(pub u64);
 
 struct PollEnded(Result<Option<PolicyRow>, StepError>);
 
 struct FetchEnded {
-    asked: PeerReport,
+    asked: PolicyFetch,
     fetched: Result<Result<VersionedPolicy, StepError>, Elapsed>,
 }
 
@@ -96,7 +101,8 @@
     }
 
     fn fetch(&mut self, context: &Context<Self>) {
-        let Some(asked) = self.state.tracker.begin_fetch() else {
+        let now = self.clock.now();
+        let Some(asked) = self.state.tracker.begin_fetch(now) else {
             return;
         };
         let source = self.source.clone();
@@ -244,9 +250,19 @@
     type Return = ();
 
     async fn handle(&mut self, changed: MembersChanged, _context: &mut Context<Self>) {
-        let members = usize::try_from(changed.0).unwrap_or(usize::MAX);
         self.state.schedule.set_members(changed.0);
-        self.state.tracker.set_members(members);
+    }
+}
+
+impl<T: TableStore, S: PolicySource> Handler<PeersChanged> for PolicyActor<T, S> {
+    type Return = ();
+
+    async fn handle(&mut self, changed: PeersChanged, context: &mut Context<Self>) {
+        let others = changed.0.len();
+        let state = &mut self.state;
+        let peers = changed.0.into_iter().sample(&mut state.rng, KEPT_PEERS);
+        state.tracker.set_peers(peers, others);
+        self.fetch(context);
     }
 }
 
@@ -270,7 +286,7 @@
         match ended.0 {
             Ok(row) => {
                 state.schedule.succeeded(now, &mut state.rng);
-                state.tracker.note_table_answer();
+                state.tracker.note_table_answer(now);
                 if let Some(row) = &row {
                     self.offer(row.policy.clone(), "table policy");
                 }
@@ -299,8 +315,9 @@
             warn!(self.logger, "policy not fetched"; "step" => %error.step,
                 "peer" => &error.peer, "error" => %error);
         });
-        let version = ended.asked.report.version;
-        if let Some(verdict) = self.state.tracker.end_fetch(fetched.ok()) {
+        let fetched = fetched.ok();
+        let version = fetched.as_ref().map_or(0, |policy| policy.version);
+        if let Some(verdict) = self.state.tracker.end_fetch(fetched) {
             self.carry_out(verdict, version, &origin);
         }
         self.fetch(context);
--- a/src/policy/policy_service.rs
+++ b/src/policy/policy_service.rs
@@ -1,22 +1,23 @@
 use {
     super::{
-        ActivePolicy, PeerReport, PolicyAccepted, PolicyDocument, PolicyHash, PolicySource,
-        PollSchedule, SubmitError, VersionReport, VersionTracker, VersionedPolicy,
+        ActivePolicy, COMMIT_TIMEOUT, PeerReport, PolicyAccepted, PolicyDocument, PolicyHash,
+        PolicySource, PollSchedule, SubmitError, VersionReport, VersionTracker, VersionedPolicy,
         policy_actor::{
-            self, FindVersion, MembersChanged, PolicyActor, PolicyCommitted, PolicyHeard,
-            PolicyState, process_rng,
+            self, FindVersion, MembersChanged, PeersChanged, PolicyActor, PolicyCommitted,
+            PolicyHeard, PolicyState, process_rng,
         },
         policy_commit::PolicyCommit,
         policy_table::PolicyTable,
     },
     crate::{
+        error::{ProcessStep, StepError},
         events::EventLog,
         platform::TableStore,
         time::{ProcessClock, TimerService},
     },
     slog::Logger,
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::sync::watch,
+    tokio::{sync::watch, time::timeout},
     xtra::Address,
 };
 
@@ -112,9 +113,15 @@
         let _ = self.actor.send(MembersChanged(members)).await;
     }
 
+    /// Mesh addresses of all other members, to fetch from.
+    pub async fn set_peers(&self, peers: Vec<SocketAddr>) {
+        // A stopped actor fetches no more.
+        let _ = self.actor.send(PeersChanged(peers)).await;
+    }
+
     /// Commits a document that was made from version `base_version` and enforces it here.
     ///
-    /// It goes on to its end even if the caller stops waiting.
+    /// It waits until the daemon is ready, and goes on to its end even if the caller stops waiting.
     ///
     /// # Errors
     /// The document is invalid, another version was accepted since, or the table service does not
@@ -134,6 +141,7 @@
         document: PolicyDocument,
         base_version: u64,
     ) -> Result<PolicyAccepted, SubmitError> {
+        self.wait_ready().await?;
         let find = self.actor.send(FindVersion(base_version)).await;
         let base = find.map_err(|_| SubmitError::Stopped)?;
         let enforced = self.current.borrow().to_versioned();
@@ -148,6 +156,20 @@
         self.enforce(committed).await
     }
 
+    /// A daemon that may not know the version in force accepts none on top of it.
+    async fn wait_ready(&self) -> Result<(), SubmitError> {
+        let mut ready = self.ready.clone();
+        let waited = timeout(COMMIT_TIMEOUT, ready.wait_for(|is_ready| *is_ready)).await;
+        match waited {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(_)) => Err(SubmitError::Stopped),
+            Err(_) => {
+                let reason = "the daemon does not know the version in force yet";
+                Err(StepError::new(ProcessStep::LoadPolicy, "table policy", reason).into())
+            }
+        }
+    }
+
     async fn enforce(&self, committed: VersionedPolicy) -> Result<PolicyAccepted, SubmitError> {
         let accepted = PolicyAccepted {
             version: committed.version,
--- a/src/policy/version_tracker.rs
+++ b/src/policy/version_tracker.rs
@@ -1,25 +1,20 @@
 use {
-    super::{ActivePolicy, PolicyHash, VersionedPolicy},
+    super::{
+        ActivePolicy, PolicyFetch, PolicyHash, START_PATIENCE, VersionedPolicy,
+        fetch_plan::FetchPlan, start_evidence::StartEvidence,
+    },
     crate::{jsonc::FieldError, time::TimePoint},
-    std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc},
 };
 
-/// Peers that must have told their version before a daemon starts without the table service.
-pub const START_PEERS: usize = 2;
-/// Time for which a start waits for a version that it has heard of and cannot fetch.
-pub const START_PATIENCE: Duration = Duration::from_secs(10);
-
-/// Peers with a higher version that are kept to fetch from.
-const MAX_REPORTS: usize = 16;
-
 /// Decides which version of the policy is in force: only ever a higher one.
 #[derive(Clone, Debug)]
 pub struct VersionTracker {
     current: Arc<ActivePolicy>,
-    reports: VecDeque<PeerReport>,
-    fetch: Option<PeerReport>,
+    plan: FetchPlan,
     clash: Option<VersionReport>,
     start: StartEvidence,
+    is_ready: bool,
 }
 
 /// A version and its hash, as another place tells it.
@@ -52,26 +47,16 @@
     Invalid(Vec<FieldError>),
 }
 
-#[derive(Clone, Debug, Default)]
-struct StartEvidence {
-    has_table_answer: bool,
-    peers: Vec<SocketAddr>,
-    members: usize,
-    highest: u64,
-    highest_since: TimePoint,
-    is_ready: bool,
-}
-
 impl VersionTracker {
     /// Starts from the built-in policy.
     #[must_use]
     pub fn new() -> Self {
         Self {
             current: Arc::new(ActivePolicy::initial()),
-            reports: VecDeque::new(),
-            fetch: None,
+            plan: FetchPlan::new(),
             clash: None,
             start: StartEvidence::default(),
+            is_ready: false,
         }
     }
 
@@ -88,12 +73,8 @@
             return OfferVerdict::Older;
         }
         if policy.version == current.version {
-            let hash = policy.hash();
-            let report = VersionReport {
-                version: policy.version,
-                hash,
-            };
-            return if hash == current.hash {
+            let report = VersionReport::of(&policy);
+            return if report.hash == current.hash {
                 OfferVerdict::Same
             } else {
                 OfferVerdict::HashClash(report)
@@ -106,18 +87,17 @@
     }
 
     fn enforce(&mut self, policy: ActivePolicy) -> OfferVerdict {
-        let version = policy.version;
+        self.plan.enforced(policy.version);
         self.current = Arc::new(policy);
-        self.reports.retain(|known| known.report.version > version);
         OfferVerdict::Enforced(Arc::clone(&self.current))
     }
 
     /// Takes in the version that a peer has; returns a clash the first time that it is seen.
     pub fn hear(&mut self, heard: PeerReport, now: TimePoint) -> Option<VersionReport> {
-        self.start.hear(heard, now);
         let report = heard.report;
+        self.start.note_peer(heard.peer, report.version);
         if report.version > self.current.version {
-            self.remember(heard);
+            self.plan.want(heard, now);
         }
         let is_same = report.version == self.current.version && report.hash == self.current.hash;
         if report.version != self.current.version || is_same || self.clash == Some(report) {
@@ -127,36 +107,25 @@
         self.clash
     }
 
-    fn remember(&mut self, heard: PeerReport) {
-        self.reports.retain(|known| known.peer != heard.peer);
-        if self.reports.len() == MAX_REPORTS {
-            self.reports.pop_front();
-        }
-        self.reports.push_back(heard);
+    /// Begins a fetch from a peer if there is cause; `None` while one runs.
+    pub fn begin_fetch(&mut self, now: TimePoint) -> Option<PolicyFetch> {
+        let is_curious = !self.is_ready && self.start.needs_peers();
+        self.plan.begin(now, is_curious)
     }
 
-    /// The peer to fetch from next, of those with the highest version; `None` while a fetch runs.
-    pub fn begin_fetch(&mut self) -> Option<PeerReport> {
-        if self.fetch.is_some() {
-            return None;
-        }
-        let best = self.reports.iter().max_by_key(|known| known.report.version);
-        self.fetch = best.copied();
-        self.fetch
-    }
-
-    /// Ends the fetch that runs; a failed peer is asked again once it is heard again.
+    /// Ends the fetch that runs.
     ///
-    /// A document that does not have the hash that its peer told is not applied.
+    /// A document that does not have the hash that was told for its version is not applied.
     pub fn end_fetch(&mut self, fetched: Option<VersionedPolicy>) -> Option<OfferVerdict> {
-        let asked = self.fetch.take()?;
-        self.reports.retain(|known| known.peer != asked.peer);
+        let fetch = self.plan.end()?;
         let policy = fetched?;
-        let report = VersionReport {
-            version: policy.version,
-            hash: policy.hash(),
-        };
-        let is_clash = report.version == asked.report.version && report.hash != asked.report.hash;
+        self.start.note_peer(fetch.peer, policy.version);
+        let wanted = self.plan.wanted().map(|(wanted, _)| wanted);
+        let report = VersionReport::of(&policy);
+        let is_clash = [fetch.expected, wanted]
+            .iter()
+            .flatten()
+            .any(|told| told.version == report.version && told.hash != report.hash);
         if is_clash {
             return Some(OfferVerdict::HashClash(report));
         }
@@ -164,50 +133,38 @@
     }
 
     /// The table service answered, with a policy or without one.
-    pub fn note_table_answer(&mut self) {
-        self.start.has_table_answer = true;
+    pub fn note_table_answer(&mut self, now: TimePoint) {
+        self.start.note_table_answer(now);
     }
 
-    /// Members of the deployment, this one included.
-    pub fn set_members(&mut self, members: usize) {
-        self.start.members = members;
+    /// Mesh addresses of some other members, `others` in all.
+    pub fn set_peers(&mut self, peers: Vec<SocketAddr>, others: usize) {
+        self.plan.set_peers(peers);
+        self.start.set_others(others);
     }
 
     /// Whether the daemon knows enough to take work; once true it stays so.
-    ///
-    /// Without the table service it needs a policy that was accepted at some time, and the
-    /// versions of [`START_PEERS`] peers, or of all others if they are fewer.
     pub fn is_ready(&mut self, now: TimePoint) -> bool {
-        let start = &self.start;
-        let is_current = self.current.version >= start.highest
-            || now.since(start.highest_since) >= START_PATIENCE;
-        let others = start.members.saturating_sub(1);
-        let needed = START_PEERS.min(others).max(1);
-        let has_peers = self.current.version > 0 && start.peers.len() >= needed;
-        let is_known = start.has_table_answer || has_peers;
-        self.start.is_ready |= is_current && is_known;
-        self.start.is_ready
+        let is_patient = self
+            .plan
+            .wanted()
+            .is_some_and(|(_, since)| now.since(since) < START_PATIENCE);
+        self.is_ready |= !is_patient && self.start.is_enough(self.current.version, now);
+        self.is_ready
     }
 }
 
-impl Default for VersionTracker {
-    fn default() -> Self {
-        Self::new()
+impl VersionReport {
+    fn of(policy: &VersionedPolicy) -> Self {
+        Self {
+            version: policy.version,
+            hash: policy.hash(),
+        }
     }
 }
 
-impl StartEvidence {
-    /// A peer that has only the built-in policy is no evidence.
-    fn hear(&mut self, heard: PeerReport, now: TimePoint) {
-        if self.is_ready || heard.report.version == 0 {
-            return;
-        }
-        if self.peers.len() < START_PEERS && !self.peers.contains(&heard.peer) {
-            self.peers.push(heard.peer);
-        }
-        if heard.report.version > self.highest {
-            self.highest = heard.report.version;
-            self.highest_since = now;
-        }
+impl Default for VersionTracker {
+    fn default() -> Self {
+        Self::new()
     }
 }
--- a/tests/policy_service.rs
+++ b/tests/policy_service.rs
@@ -21,11 +21,16 @@
         sync::{Arc, Mutex},
         time::Duration,
     },
-    tokio::{sync::watch, time::timeout},
+    tokio::{
+        sync::watch,
+        time::{sleep, timeout},
+    },
 };
 
 /// Wait for a condition; far longer than it takes.
 const PATIENCE: Duration = Duration::from_secs(30);
+/// Time that a peer takes to answer.
+const FETCH_DELAY: Duration = Duration::from_millis(20);
 
 type Service = PolicyService<MemoryTable, PeerPolicies>;
 
@@ -35,6 +40,7 @@
 
 impl PolicySource for PeerPolicies {
     async fn fetch(&self, peer: SocketAddr) -> Result<VersionedPolicy, StepError> {
+        sleep(FETCH_DELAY).await;
         let policy = self.0.lock().unwrap().get(&peer).cloned();
         policy.ok_or_else(|| StepError::new(ProcessStep::LoadPolicy, peer, "cut off"))
     }
@@ -95,11 +101,16 @@
         self.service.current().borrow().version
     }
 
+    /// A peer gives a document out and tells nothing.
+    fn give(&self, number: u16, policy: VersionedPolicy) {
+        self.peers.0.lock().unwrap().insert(peer(number), policy);
+    }
+
     /// A peer tells its version; it gives the document out.
     async fn hear(&self, number: u16, policy: VersionedPolicy) {
         let hash = policy.hash();
         let version = policy.version;
-        self.peers.0.lock().unwrap().insert(peer(number), policy);
+        self.give(number, policy);
         self.service.heard(version, hash, peer(number)).await;
     }
 
@@ -142,7 +153,7 @@
     // The daemon puts the higher version into the table.
     let waited = timeout(PATIENCE, async {
         while stored_version(table).await != Some(policy.version) {
-            tokio::time::sleep(Duration::from_millis(20)).await;
+            sleep(Duration::from_millis(20)).await;
         }
     });
     waited.await.unwrap();
@@ -204,7 +215,7 @@
     table.script_writes(&[TableFault::LateEffect(late)]);
     daemon.service.submit(document(2), 0).await.unwrap();
     daemon.service.submit(document(3), 1).await.unwrap();
-    tokio::time::sleep(late * 2).await;
+    sleep(late * 2).await;
     assert_eq!(stored_version(&table).await, Some(2));
     assert_eq!(daemon.version(), 2);
 }
@@ -267,20 +278,33 @@
 }
 
 #[tokio::test]
-async fn a_start_without_the_table_takes_the_highest_of_the_peers() {
+async fn a_start_without_the_table_takes_the_highest_of_two_peers() {
     let table = MemoryTable::new();
     table.set_fault(TableFault::Refuse, TableFault::Refuse);
     let daemon = Daemon::start(&table);
-    daemon.service.set_member_count(4).await;
-    daemon.hear(1, versioned(3, 2)).await;
+    daemon.service.set_peers(vec![peer(1), peer(2)]).await;
+    daemon.give(1, versioned(3, 2));
     daemon.wait_version(3).await;
     assert!(!daemon.service.is_ready(), "one peer is too few");
-    daemon.hear(2, versioned(7, 3)).await;
-    daemon.hear(3, versioned(5, 4)).await;
+    daemon.give(2, versioned(7, 3));
     daemon.wait_ready().await;
     assert_eq!(daemon.version(), 7);
 }
 
+#[tokio::test]
+async fn a_start_on_a_restored_backup_hears_the_peers_first() {
+    let table = MemoryTable::new();
+    store(&table, versioned(3, 2)).await;
+    let daemon = Daemon::start(&table);
+    daemon.give(1, versioned(9, 3));
+    daemon.service.set_peers(vec![peer(1)]).await;
+    let early = daemon.service.submit(document(4), 3).await.unwrap_err();
+    assert!(matches!(early, SubmitError::Conflict(_)), "{early}");
+    let accepted = daemon.service.submit(document(4), 9).await.unwrap();
+    assert_eq!(accepted.version, 10);
+    assert_eq!(stored_version(&table).await, Some(10));
+}
+
 #[tokio::test]
 async fn a_table_with_an_older_policy_reverts_nothing_and_is_put_right() {
     let table = MemoryTable::new();
@@ -291,7 +315,7 @@
     let policy = daemon.wait_version(9).await;
     let waited = timeout(PATIENCE, async {
         while stored_version(&table).await != Some(9) {
-            tokio::time::sleep(Duration::from_millis(20)).await;
+            sleep(Duration::from_millis(20)).await;
         }
     });
     waited.await.unwrap();
--- a/tests/policy_versions.rs
+++ b/tests/policy_versions.rs
@@ -4,7 +4,8 @@
     banyantrestle::{
         policy::{
             MIN_POLL_PERIOD, OfferVerdict, POLL_READS_PER_SECOND, PeerReport, PolicyDocument,
-            PollSchedule, START_PATIENCE, VersionReport, VersionTracker, VersionedPolicy,
+            PollSchedule, START_LISTEN, START_PATIENCE, VersionReport, VersionTracker,
+            VersionedPolicy,
         },
         time::TimePoint,
     },
@@ -62,7 +63,7 @@
 fn a_fetched_document_must_have_the_hash_that_was_told() {
     let mut tracker = VersionTracker::new();
     assert_eq!(tracker.hear(report(1, &versioned(5, 0)), NOW), None);
-    assert_eq!(tracker.begin_fetch().unwrap().peer, peer(1));
+    assert_eq!(tracker.begin_fetch(NOW).unwrap().peer, peer(1));
     let verdict = tracker.end_fetch(Some(versioned(5, 1)));
     assert!(matches!(verdict, Some(OfferVerdict::HashClash(_))));
     assert_eq!(tracker.current().version, 0);
@@ -84,8 +85,8 @@
         tracker.hear(report(number, &versioned(4, 0)), NOW);
     }
     let mut asked = Vec::new();
-    while let Some(fetch) = tracker.begin_fetch() {
-        assert_eq!(tracker.begin_fetch(), None, "one fetch at a time");
+    while let Some(fetch) = tracker.begin_fetch(NOW) {
+        assert_eq!(tracker.begin_fetch(NOW), None, "one fetch at a time");
         asked.push(fetch.peer);
         let answer = (asked.len() == 3).then(|| versioned(4, 0));
         tracker.end_fetch(answer);
@@ -95,33 +96,100 @@
     assert_eq!(tracker.current().version, 4);
 }
 
+#[test]
+fn a_version_that_was_heard_once_is_asked_for_until_a_member_gives_it() {
+    let mut tracker = VersionTracker::new();
+    tracker.note_table_answer(NOW);
+    assert!(tracker.is_ready(NOW + START_LISTEN));
+    tracker.hear(report(1, &versioned(4, 0)), NOW);
+    tracker.set_peers(vec![peer(2), peer(3)], 2);
+    let (mut now, mut asked) = (NOW, Vec::new());
+    for _ in 0..100 {
+        if let Some(fetch) = tracker.begin_fetch(now) {
+            asked.push(fetch.peer);
+            // A member may have it only the second time that it is asked.
+            let answer = (asked.len() == 5).then(|| versioned(4, 0));
+            tracker.end_fetch(answer);
+        }
+        now = now + Duration::from_millis(100);
+    }
+    assert_eq!(asked, [1, 2, 3, 2, 3].map(peer));
+    assert_eq!(tracker.current().version, 4);
+    assert_eq!(
+        tracker
+            .begin_fetch(now + START_PATIENCE)
+            .map(|fetch| fetch.expected),
+        None
+    );
+}
+
 #[test]
 fn a_start_without_the_table_waits_for_the_highest_of_two_peers() {
     let mut tracker = VersionTracker::new();
-    tracker.set_members(5);
+    tracker.set_peers(vec![peer(1)], 4);
     for number in 1..=2 {
         tracker.hear(report(number, &versioned(0, 0)), NOW);
     }
-    assert!(!tracker.is_ready(NOW), "the built-in policy is no evidence");
+    assert!(
+        !tracker.is_ready(NOW + START_PATIENCE),
+        "the built-in policy is no evidence"
+    );
     tracker.hear(report(3, &versioned(6, 0)), NOW);
-    tracker.begin_fetch();
+    tracker.begin_fetch(NOW);
     tracker.end_fetch(Some(versioned(6, 0)));
-    assert!(!tracker.is_ready(NOW), "one peer is too few");
+    assert!(
+        !tracker.is_ready(NOW + START_PATIENCE),
+        "one peer is too few"
+    );
     tracker.hear(report(4, &versioned(8, 0)), NOW);
     assert!(!tracker.is_ready(NOW), "a higher version is known");
-    tracker.begin_fetch();
+    tracker.begin_fetch(NOW);
     tracker.end_fetch(Some(versioned(8, 0)));
     assert!(tracker.is_ready(NOW));
 }
 
+#[test]
+fn a_start_asks_members_that_told_nothing() {
+    let mut tracker = VersionTracker::new();
+    tracker.set_peers(vec![peer(1), peer(2), peer(3)], 3);
+    let first = tracker.begin_fetch(NOW).unwrap();
+    tracker.end_fetch(Some(versioned(5, 0)));
+    let later = NOW + Duration::from_secs(1);
+    let second = tracker.begin_fetch(later).unwrap();
+    assert_ne!(first.peer, second.peer);
+    assert!(!tracker.is_ready(later));
+    tracker.end_fetch(Some(versioned(4, 0)));
+    assert!(tracker.is_ready(later));
+    assert_eq!(tracker.current().version, 5);
+    assert_eq!(
+        tracker.begin_fetch(later + START_PATIENCE),
+        None,
+        "nothing more to learn"
+    );
+}
+
+#[test]
+fn a_start_listens_to_peers_after_the_table_has_answered() {
+    let mut tracker = VersionTracker::new();
+    tracker.note_table_answer(NOW);
+    tracker.offer(versioned(3, 0));
+    assert!(!tracker.is_ready(NOW));
+    assert!(tracker.clone().is_ready(NOW + START_LISTEN));
+    tracker.set_peers(vec![peer(1)], 1);
+    tracker.begin_fetch(NOW);
+    tracker.end_fetch(Some(versioned(9, 0)));
+    assert!(tracker.is_ready(NOW));
+    assert_eq!(tracker.current().version, 9);
+}
+
 #[test]
 fn a_start_does_not_wait_for_ever_for_a_version_that_nobody_gives() {
     let mut tracker = VersionTracker::new();
-    tracker.note_table_answer();
+    tracker.note_table_answer(NOW);
     tracker.hear(report(1, &versioned(6, 0)), NOW);
-    tracker.begin_fetch();
+    tracker.begin_fetch(NOW);
     tracker.end_fetch(None);
-    assert!(!tracker.is_ready(NOW));
+    assert!(!tracker.is_ready(NOW + START_LISTEN));
     assert!(tracker.is_ready(NOW + START_PATIENCE));
 }
 
@@ -195,7 +263,7 @@
             tracker.hear(report(peer, &versioned(version, variant)), NOW);
         }
         Arrival::BeginFetch => {
-            tracker.begin_fetch();
+            tracker.begin_fetch(NOW);
         }
         Arrival::EndFetch { version, variant } => {
             tracker.end_fetch(Some(versioned(version, variant)));
@@ -203,7 +271,7 @@
         Arrival::LoseFetch => {
             tracker.end_fetch(None);
         }
-        Arrival::TableAnswer => tracker.note_table_answer(),
+        Arrival::TableAnswer => tracker.note_table_answer(NOW),
     }
 }
 
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -25,106 +25,108 @@
     assert_eq!(read(KITA).unwrap().limits.shutdown_s, 60);
 }
 
+/// A text of the example, what takes its place, and the error.
+const FAULTS: [(&str, &str, &str); 19] = [
+    (
+        r#""region": "nz-north""#,
+        r#""region": "NZ""#,
+        "s.jsonc:3: region: is not 1 to 64",
+    ),
+    (
+        r#""region""#,
+        r#""zone""#,
+        "s.jsonc:3: zone: unknown field `zone`",
+    ),
+    (
+        "0.0.0.0:8080",
+        "akl:8080",
+        "s.jsonc:6: listen.edge: invalid socket address syntax",
+    ),
+    (
+        "127.0.0.1:7101",
+        "10.20.1.11:7101",
+        "s.jsonc:7: listen.local: is not a loopback",
+    ),
+    (
+        "10.20.1.11:7102",
+        "0.0.0.0:7102",
+        "s.jsonc:8: listen.mesh: other daemons need",
+    ),
+    (
+        "11:7103\",",
+        "11:7102\",",
+        "s.jsonc:9: listen.gossip: port 7102 is that of listen.mesh",
+    ),
+    (
+        "11:7104",
+        "11:8080",
+        "s.jsonc:10: listen.admin: port 8080 is that of listen.edge",
+    ),
+    (
+        r#""timeout_ms": 500"#,
+        r#""timeout_ms": 0"#,
+        "s.jsonc:14: platform.timeout_ms: 0 is not",
+    ),
+    (
+        r#""timeout_ms": 500"#,
+        r#""timeout_ms": "x""#,
+        "s.jsonc:14: platform.timeout_ms: invalid",
+    ),
+    (
+        "10.21.1.11:7103",
+        "10.21.1.11:0",
+        "s.jsonc:17: peers[1]: 10.21.1.11:0 cannot",
+    ),
+    (
+        "replace-with-32-random-characters",
+        "",
+        "s.jsonc:19: shared_secret: is not 16 to",
+    ),
+    (
+        "replace-with-32-random-characters",
+        "short",
+        "s.jsonc:19: shared_secret: is not 16 to",
+    ),
+    (
+        "replace-with-32-random-characters",
+        "aaaaaaaaaaaaaaaaaaaaaaaa",
+        "s.jsonc:19: shared_secret: has fewer than 6 characters",
+    ),
+    (
+        "replace-with-another-random-token",
+        "replace-with-32-random-characters",
+        "s.jsonc:20: admin_token: is the same",
+    ),
+    (
+        r#""info""#,
+        r#""loud""#,
+        "s.jsonc:21: log.level: is not one of error, warning",
+    ),
+    (
+        "1024",
+        "0",
+        "s.jsonc:24: limits.connections: 0 is not 1 to 65536",
+    ),
+    (
+        r#""shutdown_s""#,
+        r#""shutdown""#,
+        "s.jsonc:26: limits.shutdown: unknown field",
+    ),
+    (
+        r#""admin": "10.20.1.11:7104""#,
+        r#""edge": "1.1.1.1:1""#,
+        "s.jsonc:10: listen: duplicate field `edge`",
+    ),
+    (
+        ",\n    \"admin\": \"10.20.1.11:7104\"",
+        "",
+        "s.jsonc:10: listen: missing field `admin`",
+    ),
+];
+
 #[test]
 fn each_fault_is_told_with_line_and_field() {
-    let cases = [
-        (
-            r#""region": "nz-north""#,
-            r#""region": "NZ""#,
-            "s.jsonc:3: region: is not 1 to 64",
-        ),
-        (
-            r#""region""#,
-            r#""zone""#,
-            "s.jsonc:3: zone: unknown field `zone`",
-        ),
-        (
-            "0.0.0.0:8080",
-            "akl:8080",
-            "s.jsonc:6: listen.edge: invalid socket address syntax",
-        ),
-        (
-            "127.0.0.1:7101",
-            "10.20.1.11:7101",
-            "s.jsonc:7: listen.local: is not a loopback",
-        ),
-        (
-            "10.20.1.11:7102",
-            "0.0.0.0:7102",
-            "s.jsonc:8: listen.mesh: other daemons need",
-        ),
-        (
-            "11:7103\",",
-            "11:7102\",",
-            "s.jsonc:9: listen.gossip: port 7102 is that of listen.mesh",
-        ),
-        (
-            "11:7104",
-            "11:8080",
-            "s.jsonc:10: listen.admin: port 8080 is that of listen.edge",
-        ),
-        (
-            r#""timeout_ms": 500"#,
-            r#""timeout_ms": 0"#,
-            "s.jsonc:14: platform.timeout_ms: 0 is not",
-        ),
-        (
-            r#""timeout_ms": 500"#,
-            r#""timeout_ms": "x""#,
-            "s.jsonc:14: platform.timeout_ms: invalid",
-        ),
-        (
-            "10.21.1.11:7103",
-            "10.21.1.11:0",
-            "s.jsonc:17: peers[1]: 10.21.1.11:0 cannot",
-        ),
-        (
-            "replace-with-32-random-characters",
-            "",
-            "s.jsonc:19: shared_secret: is not 16 to",
-        ),
-        (
-            "replace-with-32-random-characters",
-            "short",
-            "s.jsonc:19: shared_secret: is not 16 to",
-        ),
-        (
-            "replace-with-32-random-characters",
-            "aaaaaaaaaaaaaaaaaaaaaaaa",
-            "s.jsonc:19: shared_secret: has fewer than 6 characters",
-        ),
-        (
-            "replace-with-another-random-token",
-            "replace-with-32-random-characters",
-            "s.jsonc:20: admin_token: is the same",
-        ),
-        (
-            r#""info""#,
-            r#""loud""#,
-            "s.jsonc:21: log.level: is not one of error, warning",
-        ),
-        (
-            "1024",
-            "0",
-            "s.jsonc:24: limits.connections: 0 is not 1 to 65536",
-        ),
-        (
-            r#""shutdown_s""#,
-            r#""shutdown""#,
-            "s.jsonc:26: limits.shutdown: unknown field",
-        ),
-        (
-            r#""admin": "10.20.1.11:7104""#,
-            r#""edge": "1.1.1.1:1""#,
-            "s.jsonc:10: listen: duplicate field `edge`",
-        ),
-        (
-            ",\n    \"admin\": \"10.20.1.11:7104\"",
-            "",
-            "s.jsonc:10: listen: missing field `admin`",
-        ),
-    ];
-    for (from, to, message) in cases {
+    for (from, to, message) in FAULTS {
         assert!(KERERU.contains(from), "{from}");
         let error = read(&KERERU.replacen(from, to, 1)).unwrap_err();
         let is_told = error.lines().any(|line| line.starts_with(message));
