--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -25,7 +25,7 @@
     assert_eq!(read(KITA).unwrap().limits.shutdown_s, 60);
 }
 
-/// A text of the example, what takes its place, and the error.
+/// Text of the example, what takes its place, and how the fault is told.
 const FAULTS: [(&str, &str, &str); 19] = [
     (
         r#""region": "nz-north""#,
