The daemon names the other members to the policy service

One edit in the watch of the membership, so that a start asks two members and a heard version can be fetched from any.

--- a/src/daemon/member_watch.rs
+++ b/src/daemon/member_watch.rs
@@ -17,6 +17,12 @@
         state.mesh.retain(|peer| meshes.contains(peer));
         let count = u32::try_from(view.members.len()).unwrap_or(u32::MAX);
         state.policies.set_member_count(count.max(1)).await;
+        let others = view
+            .members
+            .iter()
+            .filter(|record| record.id != state.member);
+        let peers = others.map(|record| record.mesh).collect();
+        state.policies.set_peers(peers).await;
         if views.changed().await.is_err() {
             return;
         }
