Tests of a planned stop, split by what they prove; a red test of slow readers

Each claim now has a test of its own, none weaker: nothing is refused in a stop under load, streams end whole, and slow readers hold up nobody else.

A stream holds its place in the guard until its reader is done, and the limit starts at an eighth of the slots, so that four readers take it all until the first window has passed.

--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -22,6 +22,8 @@
 
 /// Time after which a leaving target must get no new work.
 const LEAVE_TIME: Duration = Duration::from_secs(5);
+/// Far fewer than the slots of a target.
+const SLOW_READERS: usize = 4;
 const LONG_ANSWER_BYTES: u64 = 100 << 20;
 
 fn load(service: &str, client: CallClient, seed: u64) -> CallerFleet {
@@ -200,41 +202,66 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn planned_stop_cuts_nothing_off() {
+async fn planned_stop_under_load_refuses_and_cuts_nothing() {
     let mut fleet = ProcessFleet::with_services(&["a", "a", "b"]).await;
     fleet.wait_until_reached(2, 0).await;
     fleet.wait_until_reached(2, 1).await;
     let load = load("a", fleet.client(2), 11);
-    wait_for_load(&load, 20).await;
-    // A stream through each daemon: whichever target it chose, one of them is told to stop.
-    let edge = fleet.daemons[2].listen.edge;
-    let mut streams = Vec::new();
-    for number in 0..4 {
-        let attempt = format!("stream-{number}");
-        streams.push(SlowReader::open(edge, "a", LONG_ANSWER_BYTES, &attempt).await);
-    }
+    wait_for_load(&load, 50).await;
     let stopping = &fleet.daemons[0].process;
     stopping.signal(ProcessSignal::Terminate).expect("it runs");
-    let before = fleet.targets[0].arrived();
-    wait_for_load(&load, 100).await;
     sleep(LEAVE_TIME).await;
     let after_leave = fleet.targets[0].arrived();
-    wait_for_load(&load, 50).await;
-    assert_eq!(
-        fleet.targets[0].arrived(),
-        after_leave,
-        "{before} when told to stop"
-    );
-    for stream in streams {
+    wait_for_load(&load, 100).await;
+    assert_eq!(fleet.targets[0].arrived(), after_leave);
+    let status = fleet.daemons[0].process.wait_for_exit(PATIENCE);
+    let status = status.expect("a child").expect("it ends by itself");
+    assert!(status.success(), "{}", fleet.daemons[0].process.log());
+    let report = load.stop().await;
+    let class = &report.classes[0];
+    assert_eq!(class.whole, class.offered, "{class:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_lets_long_streams_end() {
+    let mut fleet = ProcessFleet::with_services(&["a", "b"]).await;
+    fleet.wait_until_reached(1, 0).await;
+    let edge = fleet.daemons[1].listen.edge;
+    let stream = SlowReader::open(edge, "a", LONG_ANSWER_BYTES, "stream").await;
+    // The call enters at the daemon that stops, too.
+    let own_edge = fleet.daemons[0].listen.edge;
+    let own_stream = SlowReader::open(own_edge, "a", LONG_ANSWER_BYTES, "own").await;
+    let stopping = &fleet.daemons[0].process;
+    stopping.signal(ProcessSignal::Terminate).expect("it runs");
+    sleep(LEAVE_TIME).await;
+    for stream in [stream, own_stream] {
         let verdict = stream.finish().await;
         assert_eq!(verdict.expect("not cut off"), AnswerVerdict::Whole);
     }
     let status = fleet.daemons[0].process.wait_for_exit(PATIENCE);
     let status = status.expect("a child").expect("it ends by itself");
     assert!(status.success(), "{}", fleet.daemons[0].process.log());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_readers_of_long_answers_hold_up_nobody_else() {
+    let fleet = ProcessFleet::with_services(&["a", "b"]).await;
+    fleet.wait_until_reached(1, 0).await;
+    let edge = fleet.daemons[1].listen.edge;
+    let mut streams = Vec::new();
+    for number in 0..SLOW_READERS {
+        let attempt = format!("stream-{number}");
+        streams.push(SlowReader::open(edge, "a", LONG_ANSWER_BYTES, &attempt).await);
+    }
+    let load = load("a", fleet.client(1), 13);
+    wait_for_load(&load, 100).await;
     let report = load.stop().await;
     let class = &report.classes[0];
     assert_eq!(class.whole, class.offered, "{class:?}");
+    for stream in streams {
+        let verdict = stream.finish().await;
+        assert_eq!(verdict.expect("not cut off"), AnswerVerdict::Whole);
+    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
