Keep the state of a call apart from its connection

Cause: a connection reserves room for the future of a call, 4.5 KB, while it is idle. Ruled out: the read buffers, which are bounded by the header limit.

--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -93,7 +93,8 @@
         let handler = handler.clone();
         async move {
             let service = service_fn(move |request| {
-                let answer = handler(request);
+                // Kept apart from the connection, which is idle for most of its life.
+                let answer = Box::pin(handler(request));
                 async move { Ok::<_, Infallible>(answer.await) }
             });
             let connection = builder.serve_connection(TokioIo::new(stream), service);
@@ -129,7 +130,8 @@
         let handler = handler.clone();
         async move {
             let service = service_fn(move |request| {
-                let answer = handler(request);
+                // Kept apart from the connection, which is idle for most of its life.
+                let answer = Box::pin(handler(request));
                 async move { Ok::<_, Infallible>(answer.await) }
             });
             let connection = builder.serve_connection(TokioIo::new(stream), service);
