--- /dev/null
+++ b/src/daemon/daemon_process.rs
@@ -0,0 +1,269 @@
+use {
+    super::{
+        active_calls::ActiveCalls,
+        admin_service::serve_admin,
+        announce_service::{note_withdrawn, serve_target},
+        call_entry::serve_edge,
+        daemon_options::DaemonOptions,
+        daemon_phase::DaemonPhase,
+        daemon_sockets::DaemonSockets,
+        daemon_state::{DaemonState, RoutingTables},
+        local_target::TargetSlot,
+        member_watch::{follow_members, follow_policy, follow_sightings},
+        mesh_service::serve_mesh_call,
+        mesh_transport::MeshTransport,
+        metrics_recorder::{process_recorder, show_load},
+        target_probe::probe_target,
+    },
+    crate::{
+        admission::FrontGate,
+        auth::SharedKey,
+        claims::{ClaimIdentity, ClaimLimits, ClaimService},
+        console::AdminToken,
+        error::StepError,
+        events::EventLog,
+        membership::{MemberId, MembershipHandle, MembershipSettings},
+        net::{ConnectionGate, ListenerLimits, MeshPool, serve_http, serve_mesh},
+        platform::HttpTable,
+        policy::{PolicyParts, PolicyService},
+        retry::RootTable,
+        routing::{RouterPlace, TargetTable},
+        settings::{DaemonSettings, LimitSettings, ListenSettings},
+        time::{ProcessClock, TimerService},
+    },
+    std::{
+        collections::HashMap,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{sync::watch, time::interval},
+    tokio_util::{sync::CancellationToken, task::TaskTracker},
+};
+
+/// Time between two rounds of the guard.
+const GUARD_TICK: Duration = Duration::from_millis(10);
+/// Time between two looks at what has expired.
+const EXPIRY_TICK: Duration = Duration::from_millis(500);
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    pub(super) state: Arc<DaemonState>,
+    /// Connections of callers from outside.
+    pub(super) entry_gate: ConnectionGate,
+    /// Connections of the target, of other daemons and of operators.
+    pub(super) service_gate: ConnectionGate,
+    listen: ListenSettings,
+}
+
+impl Daemon {
+    /// Binds the listeners and starts all parts.
+    ///
+    /// # Errors
+    /// A listener cannot be bound.
+    pub async fn start(
+        settings: DaemonSettings,
+        options: DaemonOptions,
+        log: slog::Logger,
+    ) -> Result<Self, StepError> {
+        let clock = ProcessClock::start();
+        let timers = TimerService::new(clock);
+        let sockets = DaemonSockets::bind(&settings.listen).await?;
+        let bound = sockets.addresses(settings.listen.gossip)?;
+        let key = SharedKey::derive(&settings.shared_secret);
+        let table = HttpTable::from_settings(&settings.platform);
+        let membership = MembershipHandle::start(
+            membership_settings(&settings, &bound, &key, clock),
+            table.clone(),
+            timers,
+            clock,
+            log.clone(),
+        )?;
+        let listen = ListenSettings {
+            gossip: membership.address(),
+            ..bound
+        };
+        let member = MemberId {
+            address: listen.gossip,
+            started_ms: clock.wall_ms(),
+        };
+        let events = EventLog::new(member, clock, settings.limits.events);
+        let silence = Duration::from_millis(settings.limits.silence_ms);
+        let mesh = Arc::new(MeshPool::new(silence));
+        let transport = MeshTransport::new(mesh.clone(), key.clone());
+        let identity = ClaimIdentity {
+            member,
+            mesh: listen.mesh,
+        };
+        let claims = ClaimService::start(
+            table.clone(),
+            transport.clone(),
+            identity,
+            ClaimLimits::default(),
+            clock,
+            rand::make_rng(),
+        );
+        let policies = PolicyService::start(PolicyParts {
+            table,
+            source: transport,
+            events: events.clone(),
+            logger: log.clone(),
+            clock,
+        });
+        let place = RouterPlace {
+            region: settings.region.as_str().into(),
+            data_centre: settings.data_centre.as_str().into(),
+        };
+        let state = Arc::new(DaemonState {
+            clock,
+            options,
+            log,
+            key,
+            member,
+            membership,
+            mesh_address: listen.mesh,
+            mesh,
+            events,
+            recorder: process_recorder(),
+            admin_token: AdminToken::new(&settings.admin_token),
+            active: ActiveCalls::default(),
+            target: TargetSlot::new(clock),
+            work: TaskTracker::new(),
+            stopped: CancellationToken::new(),
+            phase: watch::Sender::new(DaemonPhase::Starting),
+            policy: policies.current(),
+            policies,
+            claims,
+            tables: RoutingTables {
+                targets: Mutex::new(TargetTable::new(place)),
+                roots: Mutex::new(RootTable::new()),
+                ratios: Mutex::new(HashMap::new()),
+                gate: Mutex::new(FrontGate::default()),
+            },
+            settings,
+        });
+        let daemon = Self {
+            state,
+            entry_gate: ConnectionGate::default(),
+            service_gate: ConnectionGate::default(),
+            listen,
+        };
+        daemon.spawn_systems(timers);
+        daemon.spawn_listeners(sockets);
+        Ok(daemon)
+    }
+
+    /// Where the daemon listens.
+    #[must_use]
+    pub fn listen(&self) -> ListenSettings {
+        self.listen
+    }
+
+    /// Where the daemon stands between start and exit, and each change of that.
+    #[must_use]
+    pub fn phase(&self) -> watch::Receiver<DaemonPhase> {
+        self.state.phase.subscribe()
+    }
+
+    /// Waits until the daemon has a policy in force and takes work.
+    pub async fn ready(&self) {
+        let mut ready = self.state.policies.ready();
+        // The policy service lives as long as the daemon.
+        ready.wait_for(|is_ready| *is_ready).await.ok();
+    }
+
+    fn spawn_systems(&self, timers: TimerService) {
+        self.state.spawn(follow_members(self.state.clone()));
+        self.state.spawn(follow_policy(self.state.clone()));
+        self.state.spawn(follow_sightings(self.state.clone()));
+        self.state.spawn(probe_target(self.state.clone()));
+        self.state.spawn(expire(self.state.clone()));
+        let state = Arc::downgrade(&self.state);
+        timers.run(GUARD_TICK, move |now| {
+            let Some(state) = state.upgrade() else {
+                return false;
+            };
+            if state.stopped.is_cancelled() {
+                return false;
+            }
+            if let Some(target) = state.target.get() {
+                target.desk.tick(now);
+                show_load(&target.desk.load());
+            }
+            state.gate().tick(now);
+            true
+        });
+    }
+
+    fn spawn_listeners(&self, sockets: DaemonSockets) {
+        let limits = listener_limits(&self.state.settings.limits);
+        let gate = || self.service_gate.clone();
+        let state = self.state.clone();
+        let edge = move |request| serve_edge(state.clone(), request);
+        tokio::spawn(serve_http(
+            sockets.edge,
+            limits,
+            self.entry_gate.clone(),
+            edge,
+        ));
+        let state = self.state.clone();
+        let local = move |request| serve_target(state.clone(), request);
+        tokio::spawn(serve_http(sockets.local, limits, gate(), local));
+        let state = self.state.clone();
+        let mesh = move |request| serve_mesh_call(state.clone(), request);
+        tokio::spawn(serve_mesh(sockets.mesh, limits, gate(), mesh));
+        let state = self.state.clone();
+        let admin = move |request| serve_admin(state.clone(), request);
+        tokio::spawn(serve_http(sockets.admin, limits, gate(), admin));
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.entry_gate.close();
+        self.service_gate.close();
+        self.state.stopped.cancel();
+    }
+}
+
+/// Withdraws a target that does not announce itself any more.
+async fn expire(state: Arc<DaemonState>) {
+    let mut ticks = interval(EXPIRY_TICK);
+    loop {
+        ticks.tick().await;
+        let now = state.clock.now();
+        if let Some(target) = state.target.expire(now) {
+            note_withdrawn(&state, &target.announcement, "no announcement").await;
+        }
+    }
+}
+
+fn membership_settings(
+    settings: &DaemonSettings,
+    bound: &ListenSettings,
+    key: &SharedKey,
+    clock: ProcessClock,
+) -> MembershipSettings {
+    MembershipSettings {
+        id: MemberId {
+            address: settings.listen.gossip,
+            started_ms: clock.wall_ms(),
+        },
+        region: settings.region.clone(),
+        data_centre: settings.data_centre.clone(),
+        mesh: bound.mesh,
+        admin: bound.admin,
+        gossip: settings.listen.gossip,
+        peers: settings.peers.clone(),
+        key: key.clone(),
+    }
+}
+
+fn listener_limits(limits: &LimitSettings) -> ListenerLimits {
+    ListenerLimits {
+        header_bytes: limits.header_bytes,
+        header_timeout: Duration::from_millis(limits.header_timeout_ms),
+        connections: limits.connections,
+        silence: Duration::from_millis(limits.silence_ms),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,11 +19,20 @@
 
 pub mod admission;
 pub mod auth;
+pub mod claims;
+pub mod cli;
+pub mod console;
 pub mod context;
+pub mod daemon;
 pub mod error;
+pub mod events;
+pub mod jsonc;
 pub mod membership;
+pub mod net;
 pub mod platform;
 pub mod policy;
 pub mod replay;
+pub mod retry;
+pub mod routing;
 pub mod settings;
 pub mod time;
