Bound the bytes of mass events, refute by status, and retry sooner while alone

Upper half of the incarnation: content; lower half: refutations. - Own changes go first, at full fan-out.

Seen failing first: with 30 % loss a member that knew one contact was not in after 60 s, since the wait between two tries had doubled to a minute. It is 2 s at most while no member is known.

Ruled out: a byte budget a second for all gossip. It would hold back a leaving or a policy version while a data centre is being lost.

--- a/src/membership/contact_list.rs
+++ b/src/membership/contact_list.rs
@@ -11,6 +11,8 @@
 
 const FIRST_RETRY: Duration = Duration::from_millis(500);
 const LAST_RETRY: Duration = Duration::from_secs(60);
+/// Longest time between two tries while no member is known.
+const LAST_LONELY_RETRY: Duration = Duration::from_secs(2);
 
 /// Where a contact was learned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,6 +54,7 @@
         &mut self,
         now: TimePoint,
         rng: &mut R,
+        is_alone: bool,
         is_member: impl Fn(SocketAddr) -> bool,
     ) -> Vec<SocketAddr> {
         if now < self.next_try || self.contacts.is_empty() {
@@ -66,7 +69,12 @@
         }
         unknown.truncate(count);
         self.next_try = now + self.retry.mul_f64(rng.random_range(0.75..1.25));
-        self.retry = (self.retry * 2).clamp(FIRST_RETRY, LAST_RETRY);
+        let last = if is_alone {
+            LAST_LONELY_RETRY
+        } else {
+            LAST_RETRY
+        };
+        self.retry = (self.retry * 2).clamp(FIRST_RETRY, last);
         unknown
     }
 }
--- a/src/membership/dissemination_queue.rs
+++ b/src/membership/dissemination_queue.rs
@@ -1,7 +1,4 @@
-use {
-    super::{MAX_UPDATES, MemberId, MemberUpdate, packet_codec::encode_update},
-    std::net::SocketAddr,
-};
+use super::{MAX_UPDATES, MemberId, MemberUpdate, PacketCodec, packet_codec::encode_update};
 
 /// Updates that wait at most; past it the one sent most often goes.
 pub const MAX_QUEUED_UPDATES: usize = 4_096;
@@ -17,17 +14,53 @@
     RETRANSMIT_MARGIN + members.max(1).ilog2()
 }
 
+/// Bytes of updates that one datagram may carry; one update always may.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UpdateAllowance {
+    pub bytes: usize,
+    /// Of these, for statuses.
+    pub status_bytes: usize,
+}
+
+impl UpdateAllowance {
+    fn take(&mut self, update: &QueuedUpdate) -> bool {
+        let length = update.bytes.len();
+        let has_room = length <= self.bytes && (update.is_record || length <= self.status_bytes);
+        if has_room {
+            self.bytes -= length;
+            self.status_bytes -= if update.is_record { 0 } else { length };
+        }
+        has_room
+    }
+}
+
+/// Whose change an update is; the own ones go first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum UpdateSource {
+    Own,
+    Other,
+}
+
 #[derive(Clone, Debug)]
 struct QueuedUpdate {
     id: MemberId,
+    source: UpdateSource,
+    is_record: bool,
     bytes: Box<[u8]>,
     transmissions: u32,
 }
 
-/// Updates to hand on, one for each address; the least sent goes first.
+impl QueuedUpdate {
+    const fn order(&self) -> (UpdateSource, u32) {
+        (self.source, self.transmissions)
+    }
+}
+
+/// Updates to hand on, one for each address; own ones go first, then the least sent.
 #[derive(Clone, Debug, Default)]
 pub struct DisseminationQueue {
     updates: Vec<QueuedUpdate>,
+    records: usize,
 }
 
 impl DisseminationQueue {
@@ -46,45 +79,54 @@
         self.updates.len()
     }
 
-    /// Whether an update of `address` still waits.
+    /// Records among the updates.
     #[must_use]
-    pub fn holds(&self, address: SocketAddr) -> bool {
-        self.updates
-            .iter()
-            .any(|update| update.id.address == address)
+    pub const fn records(&self) -> usize {
+        self.records
+    }
+
+    /// Whether a change of the own record still waits.
+    #[must_use]
+    pub fn holds_own(&self) -> bool {
+        let first = self.updates.first();
+        first.is_some_and(|update| update.source == UpdateSource::Own)
     }
 
     /// Queues an update in place of any other of its address.
-    pub fn push(&mut self, update: &MemberUpdate) {
+    pub fn push(&mut self, update: &MemberUpdate, source: UpdateSource) {
         let id = update.id();
         self.updates
             .retain(|queued| queued.id.address != id.address);
         if self.updates.len() >= MAX_QUEUED_UPDATES {
             self.updates.pop();
         }
-        let transmissions = match update {
-            MemberUpdate::Record(_) => 0,
-            MemberUpdate::Status(_) => STATUS_ALLOWANCE,
-        };
+        let is_record = matches!(update, MemberUpdate::Record(_));
+        let transmissions = if is_record { 0 } else { STATUS_ALLOWANCE };
         let queued = QueuedUpdate {
             id,
+            source,
+            is_record,
             bytes: encode_update(update).into(),
             transmissions,
         };
+        let order = queued.order();
         let place = self
             .updates
-            .partition_point(|update| update.transmissions < transmissions);
+            .partition_point(|update| update.order() < order);
         self.updates.insert(place, queued);
+        self.count_records();
     }
 
-    /// Appends what fits into `room` bytes; each appended update counts one transmission.
-    pub fn fill(&mut self, buffer: &mut Vec<u8>, mut room: usize, limit: u32) {
+    /// Appends the least sent updates that fit; each counts one transmission.
+    pub fn fill(&mut self, buffer: &mut Vec<u8>, mut allowance: UpdateAllowance, limit: u32) {
+        let mut room = PacketCodec::room(buffer);
         let mut count = 0;
         for update in &mut self.updates {
             if count == MAX_UPDATES - 1 {
                 break;
             }
-            if update.bytes.len() > room {
+            let is_first = count == 0;
+            if update.bytes.len() > room || !(allowance.take(update) || is_first) {
                 continue;
             }
             buffer.extend_from_slice(&update.bytes);
@@ -93,6 +135,12 @@
             count += 1;
         }
         self.updates.retain(|update| update.transmissions < limit);
-        self.updates.sort_by_key(|update| update.transmissions);
+        self.updates.sort_by_key(QueuedUpdate::order);
+        self.count_records();
+    }
+
+    fn count_records(&mut self) {
+        let updates = self.updates.iter();
+        self.records = updates.filter(|update| update.is_record).count();
     }
 }
--- a/src/membership/gossip_channel.rs
+++ b/src/membership/gossip_channel.rs
@@ -1,10 +1,17 @@
 use {
     super::{
         CoreEffect, MemberId, MemberRegister, PacketBody, PacketCodec, PacketOutbox, PolicySpread,
+        dissemination_queue::UpdateAllowance,
     },
     std::net::SocketAddr,
 };
 
+/// Updates that a probe or its answer carries.
+const PIGGYBACK: UpdateAllowance = UpdateAllowance {
+    bytes: 200,
+    status_bytes: 100,
+};
+
 /// What a member knows, and its way out to the others.
 #[derive(Clone, Debug)]
 pub struct GossipChannel {
@@ -23,10 +30,21 @@
         }
     }
 
-    /// Sends to a member, with what there is to hand on.
+    /// Sends to a member, with a little of what there is to hand on.
     pub fn send(&mut self, recipient: MemberId, body: PacketBody) {
+        self.send_updates(recipient, body, PIGGYBACK);
+    }
+
+    /// Sends to a member, with as much to hand on as is allowed.
+    pub fn send_updates(
+        &mut self,
+        recipient: MemberId,
+        body: PacketBody,
+        allowance: UpdateAllowance,
+    ) {
+        let (register, policy) = (&mut self.register, &mut self.policy);
         self.outbox
-            .send(&mut self.register, &mut self.policy, recipient, body);
+            .send(register, policy, recipient, body, allowance);
     }
 
     /// Sends to an address whose process is not known.
--- a/src/membership/member_record.rs
+++ b/src/membership/member_record.rs
@@ -35,7 +35,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
     pub id: MemberId,
-    /// Grows with each change that the member itself makes.
+    /// Grows with each change that the member itself makes; see [`revision_of`].
     pub incarnation: u64,
     pub state: MemberState,
     pub region: Arc<str>,
@@ -48,6 +48,23 @@
     pub policy_version: u64,
 }
 
+/// Bits of an incarnation that count refutations; those above count changes of the content.
+const REFUTATION_BITS: u32 = 32;
+
+/// The part of an incarnation that stands for the content of the record.
+///
+/// A refutation leaves it as it is, so that a status without the content can carry it.
+#[must_use]
+pub const fn revision_of(incarnation: u64) -> u64 {
+    incarnation >> REFUTATION_BITS
+}
+
+/// The first incarnation after a change of the content.
+#[must_use]
+pub const fn next_revision(incarnation: u64) -> u64 {
+    revision_of(incarnation).saturating_add(1) << REFUTATION_BITS
+}
+
 /// Bytes of the longest region or data centre name.
 pub const MAX_PLACE_BYTES: usize = 64;
 /// Bytes of the longest health or load path.
--- a/src/membership/member_register.rs
+++ b/src/membership/member_register.rs
@@ -2,7 +2,8 @@
     super::{
         CoreEffect, DisseminationQueue, MemberId, MemberKey, MemberRecord, MemberState,
         MemberStatus, MemberTable, MemberUpdate, MemberView, MergeOutcome, PeerIndex,
-        SuspicionRule, TargetAnnouncement,
+        SuspicionRule, TargetAnnouncement, dissemination_queue::UpdateSource,
+        member_record::next_revision,
     },
     crate::time::TimePoint,
     std::{collections::VecDeque, time::Duration},
@@ -114,7 +115,7 @@
     pub fn set_target(&mut self, target: Option<TargetAnnouncement>, now: TimePoint) {
         if self.own.target != target {
             self.own.target = target;
-            self.own.incarnation += 1;
+            self.own.incarnation = next_revision(self.own.incarnation);
             self.publish_own(now);
         }
     }
@@ -122,7 +123,7 @@
     pub fn set_leaving(&mut self, now: TimePoint) {
         if self.own.state != MemberState::Leaving {
             self.own.state = MemberState::Leaving;
-            self.own.incarnation += 1;
+            self.own.incarnation = next_revision(self.own.incarnation);
             self.publish_own(now);
         }
     }
@@ -151,7 +152,7 @@
     pub fn apply(&mut self, update: &MemberUpdate, now: TimePoint) -> bool {
         let is_new = self.learn(update, now);
         if is_new {
-            self.queue.push(update);
+            self.queue.push(update, UpdateSource::Other);
         }
         is_new
     }
@@ -171,7 +172,7 @@
         }
         if learned.len() <= MAX_EXCHANGE_RUMOURS {
             for update in &learned {
-                self.queue.push(update);
+                self.queue.push(update, UpdateSource::Other);
             }
         }
         learned.len()
@@ -301,30 +302,43 @@
             MemberUpdate::Record(record) => record.status(),
             MemberUpdate::Status(status) => *status,
         };
-        let own = &mut self.own;
+        let own = self.own.status();
         if claim.id.started_ms > own.id.started_ms {
-            // The wall clock stepped back between two processes on this address.
-            if self.restamps == MAX_RESTAMPS {
-                return;
-            }
+            self.restamp(claim.id.started_ms, now);
+        } else if claim.id == own.id && claim.incarnation > own.incarnation {
+            // Nothing that this process ever said; its content may differ.
+            self.own.incarnation = next_revision(claim.incarnation);
+            self.refutations += 1;
+            self.publish_own(now);
+        } else if claim.id == own.id
+            && claim.incarnation == own.incarnation
+            && claim.state > own.state
+        {
+            self.own.incarnation += 1;
+            self.refutations += 1;
+            self.table.merge_record(&self.own, now);
+            let status = self.own.status();
+            let update = MemberUpdate::Status(status);
+            self.queue.push(&update, UpdateSource::Own);
+            self.is_view_stale = true;
+        }
+    }
+
+    /// Takes a later start time: the wall clock stepped back between two processes on this address.
+    fn restamp(&mut self, known_ms: u64, now: TimePoint) {
+        if self.restamps < MAX_RESTAMPS {
             self.restamps += 1;
-            own.id.started_ms = claim.id.started_ms.saturating_add(1);
-        } else if claim.id.started_ms < own.id.started_ms {
-            return;
-        } else if (claim.incarnation, claim.state) > (own.incarnation, own.state) {
-            own.incarnation = claim.incarnation.saturating_add(1);
-        } else {
-            return;
+            self.own.id.started_ms = known_ms.saturating_add(1);
+            self.refutations += 1;
+            self.publish_own(now);
         }
-        self.refutations += 1;
-        self.publish_own(now);
     }
 
     fn publish_own(&mut self, now: TimePoint) {
         let own = self.own.clone();
         self.table.merge_record(&own, now);
         let update = MemberUpdate::Record(Box::new(own));
-        self.queue.push(&update);
+        self.queue.push(&update, UpdateSource::Own);
         self.is_view_stale = true;
     }
 }
--- a/src/membership/member_status.rs
+++ b/src/membership/member_status.rs
@@ -3,11 +3,11 @@
     serde::{Deserialize, Serialize},
 };
 
-/// What another member says of the liveness of one member.
+/// What is said of the liveness of one member, by others or in its own refutation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberStatus {
     pub id: MemberId,
-    /// Incarnation that the state was observed of.
+    /// Incarnation that the state belongs to.
     pub incarnation: u64,
     pub state: MemberState,
 }
--- a/src/membership/member_table.rs
+++ b/src/membership/member_table.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         MemberId, MemberRecord, MemberState, MemberStatus, MemberSummary, PlaceKey, PlaceTable,
-        ReplayWindow, TableDigest,
+        ReplayWindow, TableDigest, member_record::revision_of,
     },
     crate::time::TimePoint,
     slotmap::{SlotMap, new_key_type},
@@ -160,17 +160,20 @@
         }
     }
 
-    /// Applies what another member says; it needs the record of the same incarnation.
+    /// Applies a status; it needs a record of the same process and content.
     pub fn merge_status(&mut self, status: &MemberStatus, now: TimePoint) -> MergeOutcome {
         let Some(key) = self.find(status.id.address) else {
             return MergeOutcome::Unchanged;
         };
         let record = &self.entries[key].record;
-        let is_same = record.id == status.id && record.incarnation == status.incarnation;
-        if !is_same || record.state >= status.state {
+        let is_same_content = record.id == status.id
+            && revision_of(record.incarnation) == revision_of(status.incarnation);
+        let is_newer = (status.incarnation, status.state) > (record.incarnation, record.state);
+        if !is_same_content || !is_newer {
             return MergeOutcome::Unchanged;
         }
         let record = MemberRecord {
+            incarnation: status.incarnation,
             state: status.state,
             ..MemberRecord::clone(record)
         };
--- a/src/membership/membership_core.rs
+++ b/src/membership/membership_core.rs
@@ -1,13 +1,11 @@
 use {
     super::{
         ContactList, ContactSource, CookieMint, CoreEffect, DropReason, ExchangeAnswer,
-        ExchangeOpen, ExchangePush, ExchangeReply, GossipChannel, GossipCounters, MemberId,
-        MemberKey, MemberRecord, MemberRegister, MemberState, MemberUpdate, MemberView, PacketBody,
-        PacketCodec, PacketHeader, PeriodicStep, PolicyBeacon, ProbeSystem, TargetAnnouncement,
-        UpdateReader,
-        dissemination_queue::retransmit_limit,
-        peer_index::{pick_one, pick_some},
-        table_exchange,
+        ExchangeOpen, ExchangePush, ExchangeReply, ExchangeSystem, GossipChannel, GossipCounters,
+        MemberId, MemberKey, MemberRecord, MemberRegister, MemberState, MemberUpdate, MemberView,
+        PacketBody, PacketCodec, PacketHeader, PeriodicStep, PolicyBeacon, ProbeSystem,
+        TargetAnnouncement, UpdateReader, gossip_system::spread_updates,
+        member_register::MAX_EXCHANGE_RUMOURS, table_exchange,
     },
     crate::{auth::SharedKey, time::TimePoint},
     rand::{Rng, RngExt},
@@ -16,22 +14,12 @@
 
 /// Time between two ticks of the core.
 pub const TICK_PERIOD: Duration = Duration::from_millis(100);
-/// Members of the own region that a tick sends updates to.
-pub const REGION_FANOUT: usize = 2;
-/// Members of any region that a tick sends updates to.
-pub const GLOBAL_FANOUT: usize = 1;
-/// Time between two exchanges that a member opens.
-pub const EXCHANGE_PERIOD: Duration = Duration::from_secs(30);
-/// Time between two exchanges while the table is known to be behind.
-pub const CATCH_UP_PERIOD: Duration = Duration::from_secs(1);
 /// Time for which the dead are remembered.
 pub const TOMBSTONE_RETENTION: Duration = Duration::from_secs(3_600);
 /// Gap between two ticks that means that this process was paused.
 pub const PAUSE_GAP: Duration = Duration::from_secs(2);
 
 const SWEEP_PERIOD: Duration = Duration::from_secs(10);
-/// One in so many periodic exchanges goes to any region.
-const GLOBAL_EXCHANGE_SHARE: u32 = 4;
 
 /// The member role of one process, without clock and sockets.
 ///
@@ -42,11 +30,9 @@
     probes: ProbeSystem,
     contacts: ContactList,
     cookies: CookieMint,
-    exchange: PeriodicStep,
-    catch_up: PeriodicStep,
+    exchanges: ExchangeSystem,
     sweep: PeriodicStep,
     last_tick: Option<TimePoint>,
-    is_behind: bool,
     is_beacon_new: bool,
     counters: GossipCounters,
 }
@@ -59,11 +45,9 @@
             probes: ProbeSystem::new(now, rng),
             contacts: ContactList::default(),
             cookies: CookieMint::new(key.clone(), rng),
-            exchange: PeriodicStep::start(EXCHANGE_PERIOD, now, rng),
-            catch_up: PeriodicStep::start(CATCH_UP_PERIOD, now, rng),
+            exchanges: ExchangeSystem::new(now, rng),
             sweep: PeriodicStep::start(SWEEP_PERIOD, now, rng),
             last_tick: None,
-            is_behind: true,
             is_beacon_new: false,
             counters: GossipCounters::default(),
         }
@@ -143,7 +127,7 @@
     pub fn is_leave_spread(&self) -> bool {
         let register = &self.channel.register;
         let is_alone = register.peers().live.is_empty();
-        let is_sent = !register.queue().holds(register.own().id.address);
+        let is_sent = !register.queue().holds_own();
         register.own().state == MemberState::Leaving && (is_sent || is_alone)
     }
 
@@ -170,8 +154,8 @@
         self.probes.tick(&mut self.channel, now, rng);
         self.channel.register.expire_suspects(now);
         self.try_contacts(now, rng);
-        self.spread_updates(rng);
-        self.start_exchange(now, rng);
+        spread_updates(&mut self.channel, rng);
+        self.exchanges.tick(&mut self.channel, now, rng);
         if self.sweep.is_due(now, rng) {
             let register = &mut self.channel.register;
             register.drop_dead(now, TOMBSTONE_RETENTION);
@@ -206,7 +190,7 @@
 
     /// Ends an exchange that this process opened.
     pub fn finish_exchange(&mut self, reply: ExchangeReply, now: TimePoint) {
-        self.is_behind = false;
+        self.exchanges.set_behind(false);
         let learned = self.channel.register.absorb(reply.records, now);
         self.note_learned(learned);
     }
@@ -316,7 +300,7 @@
         let key = self.check_sender(header)?;
         self.hear(key, header, now);
         self.channel.send(sender, PacketBody::Gossip);
-        self.exchange_while_behind(sender);
+        self.exchanges.meet(&mut self.channel, sender);
         Ok(())
     }
 
@@ -339,7 +323,9 @@
         let was_dead = state_of(register) == Some(MemberState::Dead);
         register.apply(update, now);
         let is_dead = state_of(register) == Some(MemberState::Dead);
-        self.is_behind |= was_dead && !is_dead;
+        if was_dead && !is_dead {
+            self.exchanges.set_behind(true);
+        }
     }
 
     fn answer<R: Rng>(&mut self, header: &PacketHeader, now: TimePoint, rng: &mut R) {
@@ -370,7 +356,7 @@
         if gap >= PAUSE_GAP {
             self.probes.forget();
             self.channel.register.extend_suspicions(gap);
-            self.is_behind = true;
+            self.exchanges.set_behind(true);
         }
         self.last_tick = Some(now);
     }
@@ -378,65 +364,21 @@
     fn try_contacts<R: Rng>(&mut self, now: TimePoint, rng: &mut R) {
         let own = self.own().id.address;
         let table = self.channel.register.table();
+        let is_alone = self.channel.register.peers().live.is_empty();
         let is_member = |address| {
             let entry = table.find(address).and_then(|key| table.get(key));
             address == own || entry.is_some_and(|entry| !entry.is_dead())
         };
-        for address in self.contacts.due(now, rng, is_member) {
+        for address in self.contacts.due(now, rng, is_alone, is_member) {
             let probe = rng.random();
             self.channel.send_first(address, PacketBody::Ping { probe });
         }
     }
 
-    /// Hands on updates and the policy beacon while any are left.
-    fn spread_updates<R: Rng>(&mut self, rng: &mut R) {
-        let register = &self.channel.register;
-        let limit = retransmit_limit(register.peers().live_count());
-        if register.queue().is_empty() && !self.channel.policy.is_due(limit) {
-            return;
-        }
-        let peers = register.peers();
-        let mut keys = pick_some(&peers.region, REGION_FANOUT, rng, |_| true);
-        let wanted = REGION_FANOUT + GLOBAL_FANOUT - keys.len();
-        let others = pick_some(peers.reachable(), wanted, rng, |key| !keys.contains(&key));
-        keys.extend(others);
-        for key in keys {
-            if let Some(entry) = self.channel.register.table().get(key) {
-                let recipient = entry.record.id;
-                self.channel.send(recipient, PacketBody::Gossip);
-            }
-        }
-    }
-
-    fn start_exchange<R: Rng>(&mut self, now: TimePoint, rng: &mut R) {
-        let is_due = self.exchange.is_due(now, rng);
-        let is_behind = self.catch_up.is_due(now, rng) && self.is_behind;
-        if !is_due && !is_behind {
-            return;
-        }
-        let peers = self.channel.register.peers();
-        let is_global =
-            is_behind || peers.region.is_empty() || rng.random_ratio(1, GLOBAL_EXCHANGE_SHARE);
-        let keys = if is_global {
-            &peers.live
-        } else {
-            &peers.region
-        };
-        let table = self.channel.register.table();
-        let entry = pick_one(keys, rng).and_then(|key| table.get(key));
-        if let Some(peer) = entry.map(|entry| entry.record.id) {
-            self.channel.outbox.push(CoreEffect::Exchange { peer });
-        }
-    }
-
-    fn exchange_while_behind(&mut self, peer: MemberId) {
-        if self.is_behind {
-            self.channel.outbox.push(CoreEffect::Exchange { peer });
-        }
-    }
-
     /// Much that was new means that others are behind as well.
     fn note_learned(&mut self, learned: usize) {
-        self.is_behind |= learned > super::member_register::MAX_EXCHANGE_RUMOURS;
+        if learned > MAX_EXCHANGE_RUMOURS {
+            self.exchanges.set_behind(true);
+        }
     }
 }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -16,11 +16,13 @@
 mod dissemination_queue;
 mod exchange_channel;
 mod exchange_message;
+mod exchange_system;
 mod exchange_task;
 mod gossip_channel;
 mod gossip_counters;
 mod gossip_packet;
 mod gossip_socket;
+mod gossip_system;
 mod member_id;
 mod member_record;
 mod member_register;
@@ -58,6 +60,7 @@
     exchange_message::{
         ExchangeAnswer, ExchangeOpen, ExchangePush, ExchangeReply, MAX_EXCHANGE_RECORDS,
     },
+    exchange_system::EXCHANGE_PERIOD,
     gossip_counters::GossipCounters,
     gossip_packet::{PacketBody, PacketHeader},
     member_id::MemberId,
@@ -67,9 +70,7 @@
     member_table::{MAX_MEMBERS, MemberEntry, MemberKey, MemberTable, MergeOutcome},
     member_update::MemberUpdate,
     member_view::MemberView,
-    membership_core::{
-        EXCHANGE_PERIOD, MembershipCore, PAUSE_GAP, TICK_PERIOD, TOMBSTONE_RETENTION,
-    },
+    membership_core::{MembershipCore, PAUSE_GAP, TICK_PERIOD, TOMBSTONE_RETENTION},
     membership_handle::{LEAVE_TIMEOUT, MembershipHandle},
     membership_settings::MembershipSettings,
     membership_stats::MembershipStats,
@@ -88,6 +89,7 @@
 
 use {
     cookie_mint::CookieMint,
+    exchange_system::ExchangeSystem,
     gossip_channel::GossipChannel,
     membership_actor::MembershipActor,
     packet_outbox::PacketOutbox,
--- a/src/membership/packet_outbox.rs
+++ b/src/membership/packet_outbox.rs
@@ -1,7 +1,8 @@
 use {
     super::{
         CoreEffect, MemberEntry, MemberId, MemberRegister, MemberState, MemberUpdate, PacketBody,
-        PacketCodec, PacketHeader, PolicySpread, dissemination_queue::retransmit_limit,
+        PacketCodec, PacketHeader, PolicySpread,
+        dissemination_queue::{UpdateAllowance, retransmit_limit},
         packet_codec::encode_update,
     },
     std::{collections::VecDeque, net::SocketAddr},
@@ -55,6 +56,7 @@
         policy: &mut PolicySpread,
         recipient: MemberId,
         body: PacketBody,
+        allowance: UpdateAllowance,
     ) {
         let mut datagram = self.open(register, policy, recipient, body);
         let entry = register.table().find_process(recipient);
@@ -62,8 +64,7 @@
             datagram.extend_from_slice(&encode_update(&status));
         }
         let limit = retransmit_limit(register.peers().live_count());
-        let room = PacketCodec::room(&datagram);
-        register.queue_mut().fill(&mut datagram, room, limit);
+        register.queue_mut().fill(&mut datagram, allowance, limit);
         policy.count_transmission();
         self.close(recipient.address, datagram);
     }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -72,6 +72,17 @@
     assert_eq!(carrier.core(49).register().table().len(), 50);
 }
 
+#[test]
+fn members_join_through_one_contact_under_heavy_loss() {
+    let mut carrier = LossyCarrier::new(14, 0.3);
+    carrier.add_many(60, &PLACES);
+    let joined = carrier.run_until(SETTLE, |carrier| {
+        let mut observers = carrier.observers();
+        observers.all(|observer| carrier.core(observer).register().table().len() == 60)
+    });
+    assert!(joined.is_some());
+}
+
 #[test]
 fn leaving_and_announcement_are_known_everywhere_in_time() {
     let mut carrier = whole(2, 100);
