--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod net;
 pub mod platform;
 pub mod policy;
+pub mod replay;
 pub mod retry;
 pub mod routing;
 pub mod settings;
