Policies travel and are kept packed

Packing takes 0.45 ms, once a version; opening 0.55 ms.

The versions kept to explain a conflict were whole compiled policies; they are packed now as well. Weighed: sending changed fields only, which needs the receiver's version to be known and kept, for 0.3 KB/s at most. flate2 with its Rust back end, as the common library for it.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -6,8 +6,8 @@
         events::{EventKind, EventLog},
         membership::MemberId,
         policy::{
-            ActivePolicy, PeerReport, PolicyDocument, PolicyHash, RoutePolicy, VersionReport,
-            VersionTracker, VersionedPolicy,
+            ActivePolicy, PeerReport, PolicyDocument, PolicyHash, PolicyPack, RoutePolicy,
+            VersionReport, VersionTracker, VersionedPolicy,
         },
         time::{ProcessClock, TimePoint},
     },
@@ -73,6 +73,16 @@
     criterion.bench_function("hash 1420 routes", |bencher| {
         bencher.iter(|| PolicyHash::of(black_box(&policy.document)));
     });
+    let pack = PolicyPack::new(&policy).expect("a policy with a JSON form");
+    let text = serde_json::to_vec(&policy).expect("a policy with a JSON form");
+    let (packed, plain) = (pack.as_bytes().len(), text.len());
+    println!("policy of 1420 routes: {plain} bytes of JSON, {packed} packed");
+    criterion.bench_function("pack 1420 routes", |bencher| {
+        bencher.iter(|| PolicyPack::new(black_box(&policy)));
+    });
+    criterion.bench_function("open 1420 routes", |bencher| {
+        bencher.iter(|| black_box(&pack).open());
+    });
 }
 
 fn hear(criterion: &mut Criterion) {
--- a/src/policy/active_policy.rs
+++ b/src/policy/active_policy.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        ClassRule, PolicyDocument, PolicyHash, VersionedPolicy,
+        ClassRule, PolicyDocument, PolicyHash, PolicyPack, VersionedPolicy,
         path_form::without_query,
         route_table::{ClassIndex, DefaultVerdicts, RouteTable, RouteVerdict},
     },
@@ -16,6 +16,7 @@
     pub version: u64,
     pub hash: PolicyHash,
     pub document: PolicyDocument,
+    pack: PolicyPack,
     rules: Vec<ClassRule>,
     routes: RouteTable,
 }
@@ -38,6 +39,7 @@
 
     fn compile_checked(policy: VersionedPolicy) -> Self {
         let hash = policy.hash();
+        let pack = PolicyPack::new(&policy).unwrap_or_default();
         let document = policy.document;
         let verdict = |name: &ClassName| {
             let position = document.class_position(name).unwrap_or_default();
@@ -58,6 +60,7 @@
         Self {
             version: policy.version,
             hash,
+            pack,
             rules: rules
                 .map(|(class, rank)| ClassRule::new(class, rank))
                 .collect(),
@@ -97,6 +100,12 @@
 
     /// The policy as it travels between daemons.
     #[must_use]
+    pub const fn pack(&self) -> &PolicyPack {
+        &self.pack
+    }
+
+    /// Version and document.
+    #[must_use]
     pub fn to_versioned(&self) -> VersionedPolicy {
         VersionedPolicy {
             version: self.version,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,6 +13,7 @@
 mod class_rule;
 mod fetch_plan;
 mod field_change;
+mod kept_versions;
 mod path_form;
 mod policy_accepted;
 mod policy_actor;
@@ -21,6 +22,7 @@
 mod policy_conflict;
 mod policy_document;
 mod policy_hash;
+mod policy_pack;
 mod policy_row;
 mod policy_service;
 mod policy_source;
@@ -43,6 +45,7 @@
     policy_conflict::PolicyConflict,
     policy_document::{ClassPolicy, OverloadPolicy, PolicyDocument, RetryPolicy, RoutePolicy},
     policy_hash::PolicyHash,
+    policy_pack::{MAX_PACK_BYTES, PackError, PolicyPack},
     policy_row::{MAX_ROW_BYTES, POLICY_KEY, POLICY_TABLE},
     policy_service::{PolicyParts, PolicyService},
     policy_source::PolicySource,
--- a/src/policy/policy_actor.rs
+++ b/src/policy/policy_actor.rs
@@ -2,6 +2,7 @@
     super::{
         ActivePolicy, OfferVerdict, PeerReport, PolicyDocument, PolicyFetch, PolicySource,
         PollSchedule, VersionReport, VersionTracker, VersionedPolicy,
+        kept_versions::KeptVersions,
         policy_row::PolicyRow,
         policy_table::{CommitAttempt, PolicyTable},
     },
@@ -14,7 +15,7 @@
     metrics::{counter, gauge},
     rand::{SeedableRng, rngs::StdRng, seq::IteratorRandom},
     slog::{Logger, error, info, warn},
-    std::{collections::VecDeque, future::Future, net::SocketAddr, sync::Arc, time::Duration},
+    std::{future::Future, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         sync::watch,
         time::{error::Elapsed, timeout},
@@ -26,8 +27,6 @@
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// Members that are kept to fetch from.
 const KEPT_PEERS: usize = 16;
-/// Earlier versions that are kept to tell what changed.
-const KEPT_VERSIONS: usize = 16;
 
 /// Runs the version decisions: polls the table service, fetches from peers, enforces.
 pub(super) struct PolicyActor<T: TableStore, S: PolicySource> {
@@ -53,13 +52,15 @@
     schedule: PollSchedule,
     rng: StdRng,
     is_polling: bool,
-    kept: VecDeque<Arc<ActivePolicy>>,
+    kept: KeptVersions,
 }
 
 impl PolicyState {
     pub(super) fn new(tracker: VersionTracker, schedule: PollSchedule, rng: StdRng) -> Self {
+        let mut kept = KeptVersions::default();
+        kept.keep(tracker.current());
         Self {
-            kept: VecDeque::from([Arc::clone(tracker.current())]),
+            kept,
             tracker,
             schedule,
             rng,
@@ -155,10 +156,7 @@
         gauge!("banyantrestle_policy_version").set(shown);
         self.events
             .record(EventKind::PolicyEnforced { version, hash });
-        if self.state.kept.len() == KEPT_VERSIONS {
-            self.state.kept.pop_front();
-        }
-        self.state.kept.push_back(Arc::clone(&policy));
+        self.state.kept.keep(&policy);
         self.current.send_replace(policy);
     }
 
@@ -267,12 +265,10 @@
 }
 
 impl<T: TableStore, S: PolicySource> Handler<FindVersion> for PolicyActor<T, S> {
-    type Return = Option<Arc<PolicyDocument>>;
+    type Return = Option<PolicyDocument>;
 
     async fn handle(&mut self, find: FindVersion, _context: &mut Context<Self>) -> Self::Return {
-        let mut kept = self.state.kept.iter();
-        let policy = kept.find(|policy| policy.version == find.0)?;
-        Some(Arc::new(policy.document.clone()))
+        self.state.kept.find(find.0)
     }
 }
 
--- a/src/policy/policy_commit.rs
+++ b/src/policy/policy_commit.rs
@@ -10,7 +10,7 @@
         platform::{TableStore, TableWrite},
     },
     rand::Rng,
-    std::{sync::Arc, time::Duration},
+    std::time::Duration,
     tokio::time::{Instant, sleep},
 };
 
@@ -27,7 +27,7 @@
     pub document: PolicyDocument,
     pub base_version: u64,
     /// The document of the base version, if it is still known.
-    pub base: Option<Arc<PolicyDocument>>,
+    pub base: Option<PolicyDocument>,
     /// The policy in force here.
     pub enforced: VersionedPolicy,
 }
@@ -122,7 +122,7 @@
     }
 
     fn conflict(&self, current: VersionedPolicy) -> SubmitError {
-        let base = self.base.as_deref();
+        let base = self.base.as_ref();
         let conflict = PolicyConflict::new(self.base_version, base, current, &self.document);
         SubmitError::Conflict(Box::new(conflict))
     }
--- a/tests/policy_rules.rs
+++ b/tests/policy_rules.rs
@@ -4,10 +4,15 @@
     banyantrestle::{
         context::ServiceName,
         jsonc::DocumentText,
-        policy::{ActivePolicy, PolicyDocument, VersionedPolicy, parse},
+        policy::{
+            ActivePolicy, MAX_PACK_BYTES, MAX_ROW_BYTES, PackError, PolicyDocument, PolicyPack,
+            VersionedPolicy, parse,
+        },
     },
+    flate2::{Compression, write::DeflateEncoder},
     proptest::{collection::vec, prelude::*, test_runner::RngSeed},
     serde_json::{Value, json},
+    std::io::Write,
 };
 
 const KERERU: &str = include_str!("../examples/policy/kereru.jsonc");
@@ -260,6 +265,31 @@
     assert!(fields.contains(&"classes") && fields.contains(&"routes"));
 }
 
+#[test]
+fn packed_policies_are_read_back_within_bounds() {
+    let policy = VersionedPolicy {
+        version: 4,
+        document: document(KERERU),
+    };
+    let pack = PolicyPack::new(&policy).unwrap();
+    assert_eq!(pack.open().unwrap(), policy);
+    let cut = PolicyPack::from_bytes(pack.as_bytes()[..9].to_vec());
+    assert!(cut.open().is_err());
+    let long = PolicyPack::from_bytes(vec![0; MAX_PACK_BYTES + 1]);
+    assert!(matches!(
+        long.open(),
+        Err(PackError::TooLong(MAX_PACK_BYTES))
+    ));
+    let mut bomb = DeflateEncoder::new(Vec::new(), Compression::best());
+    bomb.write_all(&vec![b' '; 64 * MAX_ROW_BYTES]).unwrap();
+    let bomb = PolicyPack::from_bytes(bomb.finish().unwrap());
+    assert!(bomb.as_bytes().len() < MAX_PACK_BYTES);
+    assert!(matches!(
+        bomb.open(),
+        Err(PackError::TooLong(MAX_ROW_BYTES))
+    ));
+}
+
 /// One harmless change of the spelling of a path.
 fn respell(path: &str, kind: u8, place: usize) -> String {
     let slashes: Vec<_> = path.match_indices('/').map(|(at, _)| at).collect();
@@ -314,6 +344,7 @@
         let at = cut % bytes.len();
         bytes[at] = byte;
         for source in [text.as_bytes(), &bytes, &bytes[..at]] {
+            let _ = PolicyPack::from_bytes(source.to_vec()).open();
             if let Ok(source) = DocumentText::new("any", source) {
                 let _ = parse(&source);
             }
