The mesh answers with the packed policy

With three daemons on loopback, a fourth without the table service and a fifth after it came back empty, all took the policy as before.

--- a/src/daemon/mesh_service.rs
+++ b/src/daemon/mesh_service.rs
@@ -151,7 +151,7 @@
             state.take_permit(message.request)
         }),
         POLICY_PATH => answer_message(&body, |_: PolicyRequest| PolicyAnswer {
-            json: serde_json::to_string(&state.policy().to_versioned()).unwrap_or_default(),
+            pack: state.policy().pack().clone(),
         }),
         CLAIMS_PATH => match postcard::from_bytes(&body) {
             Ok(message) => encode_answer(&state.claims.serve_commit(message).await),
--- a/src/daemon/mesh_transport.rs
+++ b/src/daemon/mesh_transport.rs
@@ -8,7 +8,7 @@
         },
         error::{ProcessStep, StepError},
         net::{ANSWER_PATH, CLAIMS_PATH, MeshPool, POLICY_PATH},
-        policy::{PolicySource, VersionedPolicy},
+        policy::{PolicyPack, PolicySource, VersionedPolicy},
     },
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -26,10 +26,10 @@
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(crate) struct PolicyRequest {}
 
-/// The policy in force, as JSON: the document has fields that may be absent.
+/// The policy in force.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct PolicyAnswer {
-    pub(crate) json: String,
+    pub(crate) pack: PolicyPack,
 }
 
 /// Messages to other daemons over the mesh.
@@ -57,7 +57,9 @@
             POLICY_TIMEOUT,
         )
         .await?;
-        serde_json::from_str(&answer.json)
+        answer
+            .pack
+            .open()
             .map_err(|error| StepError::new(ProcessStep::LoadPolicy, peer, error))
     }
 }
