--- a/src/cli/admin_client.rs
+++ b/src/cli/admin_client.rs
@@ -12,8 +12,8 @@
 
 /// Wait for a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
-/// Wait for a whole answer; longer than a commit takes to settle.
-pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(15);
+/// Wait for a whole answer; longer than a daemon takes to get ready and to settle a commit.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Bytes of the longest answer.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
