--- a/src/cli/command_flags.rs
+++ b/src/cli/command_flags.rs
@@ -81,6 +81,11 @@
             /// Prints one JSON object a line.
             optional --json
         }
+        /// Replays recorded traces and compares with the outcomes that they state.
+        cmd replay {
+            /// Traces, one JSON object a line.
+            repeated files: PathBuf
+        }
         /// Checks the settings of a daemon: `settings check FILE`.
         cmd settings {
             /// Only `check`.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -11,6 +11,7 @@
 mod event_line;
 mod member_command;
 mod policy_command;
+mod replay_command;
 mod settings_command;
 mod timeline_command;
 
@@ -65,6 +66,7 @@
         BanyantrestleCmd::Policy(policy) => policy_command::run(policy.subcommand, output).await,
         BanyantrestleCmd::Members(members) => member_command::run(&members, output).await,
         BanyantrestleCmd::Timeline(timeline) => timeline_command::run(&timeline, output).await,
+        BanyantrestleCmd::Replay(replay) => replay_command::run(&replay, output),
         BanyantrestleCmd::Settings(settings) => settings_command::run(&settings, output),
         BanyantrestleCmd::Version(_) => {
             output.line(concat!("banyantrestle ", env!("CARGO_PKG_VERSION")));
--- /dev/null
+++ b/src/cli/replay_command.rs
@@ -0,0 +1,26 @@
+use {
+    super::{CliError, CliOutput, command_flags::Replay},
+    crate::replay,
+    std::io::Write,
+};
+
+pub(super) fn run<O, E>(flags: &Replay, output: &mut CliOutput<O, E>) -> Result<(), CliError>
+where
+    O: Write,
+    E: Write,
+{
+    if flags.files.is_empty() {
+        return Err(CliError::Usage("replay needs a trace".into()));
+    }
+    let report =
+        replay::run(&flags.files).map_err(|error| CliError::Usage(format!("{error:#}")))?;
+    output.line(&report);
+    if report.is_match() {
+        Ok(())
+    } else {
+        let mismatched = report.mismatched;
+        Err(CliError::Refused(format!(
+            "{mismatched} outcomes are not as stated"
+        )))
+    }
+}
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -117,6 +117,9 @@
         ),
         ("members", "flag is required: `address`"),
         ("timeline", "timeline needs an admin address"),
+        ("replay", "replay needs a trace"),
+        ("replay no-such-file", "opening no-such-file: No such file"),
+        ("replay Cargo.toml", "Cargo.toml: line 1: "),
         (
             "timeline 127.0.0.1:1 --kind frob",
             "`--kind`, not one of request-minted, ",
@@ -268,3 +271,23 @@
     assert_eq!(partial.output.lines().count(), 2, "{partial:?}");
     assert!(partial.errors.contains("1 of 2 daemons did not answer"));
 }
+
+#[tokio::test]
+async fn traces_are_replayed_and_mismatches_told() {
+    let good = run_line("replay traces/kereru-surge.jsonl traces/kita-surge.jsonl").await;
+    assert_eq!(good.status, 0, "{good:?}");
+    assert!(good.output.starts_with("2 traces, "), "{good:?}");
+    let trace = fs::read_to_string("traces/kereru-surge.jsonl").unwrap();
+    let line = trace.lines().position(|line| line.contains("\"start\":"));
+    let line = line.unwrap() + 1;
+    let wrong = trace.replacen("\"start\":", "\"start\":9", 1);
+    let wrong = file("replay", "wrong.jsonl", &wrong);
+    let bad = run_line(&format!("replay {}", wrong.display())).await;
+    assert_eq!(bad.status, 1, "{bad:?}");
+    let told = format!("{}:{line}: expected", wrong.display());
+    assert!(bad.output.starts_with(&told), "{told}: {bad:?}");
+    assert!(
+        bad.errors.contains("1 outcomes are not as stated"),
+        "{bad:?}"
+    );
+}
