--- a/src/membership/member_record.rs
+++ b/src/membership/member_record.rs
@@ -35,7 +35,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
     pub id: MemberId,
-    /// Grows with each change that the member itself makes; see [`revision_of`].
+    /// Grows with each change that the member itself makes.
     pub incarnation: u64,
     pub state: MemberState,
     pub region: Arc<str>,
