What is known of all attempts at a call is one pure record

The router kept it in its own fields between sockets; now it is a type with a property test: not-run is told only if no attempt may have run, and a non-idempotent call starts at most once.

--- a/src/daemon/call_entry.rs
+++ b/src/daemon/call_entry.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         active_calls::{ActiveCall, ChildCall},
-        call_router::{CallRouter, RoutedAnswer, RoutedRefusal, RunSafety},
+        call_router::{CallRouter, RoutedAnswer, RoutedRefusal},
         daemon_options::DaemonPart,
         daemon_phase::DaemonPhase,
         daemon_state::{DaemonState, mint_call, mint_request},
@@ -21,7 +21,7 @@
             read_request, remove_hop_headers, remove_own_headers, set_header,
         },
         policy::{ActivePolicy, ClassRule},
-        retry::RetryBudget,
+        retry::{RetryBudget, RunSafety},
         time::TimePoint,
     },
     http::{HeaderValue, Request, Response, header::CONTENT_LENGTH},
--- a/src/daemon/call_router.rs
+++ b/src/daemon/call_router.rs
@@ -14,6 +14,7 @@
             MeshFailure, RefusalKind, TAG_HEADER, call_tag, clean_answer_headers, encode_tag,
             read_answer, remove_length, set_header,
         },
+        retry::{AttemptRecord, RunSafety},
         routing::{CallEnd, LoadNote, PickVerdict, TargetKey},
     },
     bytes::Bytes,
@@ -40,13 +41,6 @@
     pub(crate) load: Option<LoadNote>,
 }
 
-/// Whether a second run of a call would do harm.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum RunSafety {
-    Idempotent,
-    NonIdempotent,
-}
-
 /// One call on its way to a target of its service.
 #[derive(Debug)]
 pub(crate) struct CallRouter<'a> {
@@ -54,10 +48,8 @@
     request: &'a CallRequest,
     /// Context of the call that is made; each attempt gets a call id of its own below it.
     context: &'a CallContext,
-    safety: RunSafety,
     tried: Vec<TargetKey>,
-    /// What is known of all attempts together.
-    outcome: RunOutcome,
+    record: AttemptRecord,
     /// The connection of the latest attempt broke off.
     is_broken: bool,
     /// Kept open as long as the answer is streamed.
@@ -75,9 +67,8 @@
             state,
             request,
             context,
-            safety,
             tried: Vec::new(),
-            outcome: RunOutcome::NotRun,
+            record: AttemptRecord::new(safety),
             is_broken: false,
             root: None,
         }
@@ -106,8 +97,7 @@
             match self.attempt(key, peer).await {
                 Ok(answer) => return Ok(answer),
                 Err(refusal) => {
-                    self.note_outcome(refusal.refusal.outcome);
-                    if !self.is_retryable(&refusal.refusal) {
+                    if !self.is_retry_of_use(&refusal.refusal) {
                         return Err(self.settle(refusal));
                     }
                     self.tried.push(key);
@@ -261,36 +251,21 @@
         headers.remove(HOST);
         set_header(headers, CONTEXT_HEADER, &context);
         set_header(headers, TAG_HEADER, &tag);
-        if self.safety == RunSafety::NonIdempotent {
+        if self.record.safety() == RunSafety::NonIdempotent {
             set_header(headers, CLAIM_HEADER, "1");
         }
         self.state.stamp_clock(headers);
         request
     }
 
-    fn is_retryable(&self, refusal: &CallRefusal) -> bool {
-        let is_safe = self.safety == RunSafety::Idempotent || refusal.outcome == RunOutcome::NotRun;
-        let is_passing = matches!(
-            refusal.kind,
-            RefusalKind::Overload
-                | RefusalKind::NoTarget
-                | RefusalKind::Draining
-                | RefusalKind::AnswerBroken
-        );
-        is_safe && is_passing
-    }
-
-    fn note_outcome(&mut self, outcome: RunOutcome) {
-        if outcome != RunOutcome::NotRun {
-            self.outcome = RunOutcome::Unknown;
-        }
+    fn is_retry_of_use(&mut self, refusal: &CallRefusal) -> bool {
+        self.record
+            .note_failure(refusal.outcome, refusal.kind.scope())
     }
 
     /// The final refusal, with what is known of all attempts.
     fn settle(&self, mut last: RoutedRefusal) -> RoutedRefusal {
-        if self.outcome != RunOutcome::NotRun {
-            last.refusal.outcome = RunOutcome::Unknown;
-        }
+        last.refusal.outcome = self.record.outcome();
         last
     }
 
--- a/src/net/call_refusal.rs
+++ b/src/net/call_refusal.rs
@@ -1,6 +1,9 @@
 use {
     super::header_names::{PROBLEM_TYPE, REASON_HEADER},
-    crate::context::{OUTCOME_HEADER, RunOutcome},
+    crate::{
+        context::{OUTCOME_HEADER, RunOutcome},
+        retry::FailureScope,
+    },
     bytes::Bytes,
     http::{
         HeaderMap, HeaderValue, Response, StatusCode,
@@ -56,6 +59,19 @@
     Forbidden,
 }
 
+impl RefusalKind {
+    /// Whether another target may do better.
+    #[must_use]
+    pub const fn scope(self) -> FailureScope {
+        match self {
+            Self::Overload | Self::NoTarget | Self::Draining | Self::AnswerBroken => {
+                FailureScope::Target
+            }
+            _ => FailureScope::Call,
+        }
+    }
+}
+
 /// The final answer to a call that the system has given up on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallRefusal {
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -2,8 +2,11 @@
 
 use {
     banyantrestle::{
-        context::RequestId,
-        retry::{MAX_ROOT_REQUESTS, PermitVerdict, RetryBudget, RetryRatio, RootTable},
+        context::{RequestId, RunOutcome},
+        retry::{
+            AttemptRecord, FailureScope, MAX_ROOT_REQUESTS, PermitVerdict, RetryBudget, RetryRatio,
+            RootTable, RunSafety,
+        },
         time::TimePoint,
     },
     proptest::{
@@ -144,9 +147,37 @@
     retries
 }
 
+fn failed_attempt() -> impl Strategy<Value = (RunOutcome, FailureScope)> {
+    let outcome = prop_oneof![
+        Just(RunOutcome::NotRun),
+        Just(RunOutcome::Unknown),
+        Just(RunOutcome::Run)
+    ];
+    let scope = prop_oneof![Just(FailureScope::Target), Just(FailureScope::Call)];
+    (outcome, scope)
+}
+
 proptest! {
     #![proptest_config(fixed_seed())]
 
+    #[test]
+    fn not_run_is_told_only_if_no_attempt_may_have_run(
+        attempts in prop::collection::vec(failed_attempt(), 1..8),
+        is_idempotent in any::<bool>(),
+    ) {
+        let safety = if is_idempotent { RunSafety::Idempotent } else { RunSafety::NonIdempotent };
+        let mut record = AttemptRecord::new(safety);
+        let mut started = 0;
+        for (outcome, scope) in attempts {
+            started += u32::from(outcome != RunOutcome::NotRun);
+            if !record.note_failure(outcome, scope) {
+                break;
+            }
+        }
+        prop_assert_eq!(record.outcome() == RunOutcome::NotRun, started == 0);
+        prop_assert!(is_idempotent || started <= 1);
+    }
+
     #[test]
     fn retries_are_bounded_at_any_depth_and_fan_out(call in chain_call(), limit in 0_u32..6) {
         let mut roots = RootTable::new();
