Short answers are kept in the rows of their claims

A repeat after the holder had ended, also by a planned restart, was told unknown though the call had run and been answered. Now the holder adds an answer of up to 1,024 bytes of text to its own row, in the background and in the transactions of later claims (half a second at most), under the same write id: the row stays the same claim, and a lost or refused addition changes nothing but that. drain() lets a graceful shutdown wait for what is under way.

The test that an evicted answer is unknown now switches the row answers off; beside it stands that a short answer is found in the row. Seen failing first: answers not recorded; a row's answer replayed for another body; recorded answers that do not wait for claims; claims that wait for them; a drain that does not wait.

--- a/src/claims/claim_attempt.rs
+++ b/src/claims/claim_attempt.rs
@@ -202,6 +202,9 @@
         if record.fingerprint != self.fingerprint {
             return self.end(AttemptOutcome::Mismatch);
         }
+        if let Some(answer) = &record.answer {
+            return self.end(AttemptOutcome::Replay(answer.to_answer()));
+        }
         self.held = Some(held);
         self.stage = AttemptStage::AskHolder;
     }
--- a/src/claims/claim_driver.rs
+++ b/src/claims/claim_driver.rs
@@ -3,7 +3,7 @@
         AnswerRequest, AttemptOutcome, AttemptStep, ClaimAttempt, ClaimRecord, ClaimRequest,
         ClaimToken, ClaimTransport, ClaimVerdict, EntryKey, HeldClaim, HolderAnswer, JoinedOutcome,
         TransportError, UnknownReason, WriteId, claim_service::ServiceShared,
-        claim_token::OpenClaim, ledger_cell::ReleasedClaim,
+        claim_token::OpenClaim, row_upkeep::RowUpkeep,
     },
     crate::platform::TableStore,
     std::{sync::Arc, time::Duration},
@@ -22,6 +22,7 @@
     entry: EntryKey,
     write_id: WriteId,
     request: ClaimRequest,
+    record: ClaimRecord,
 }
 
 impl<S: TableStore, T: ClaimTransport> ClaimDriver<S, T> {
@@ -31,11 +32,22 @@
         write_id: WriteId,
         request: ClaimRequest,
     ) -> Self {
+        let identity = shared.identity;
+        let record = ClaimRecord {
+            holder: identity.member,
+            holder_mesh: identity.mesh,
+            fingerprint: request.fingerprint,
+            request: request.request,
+            created_ms: shared.path.clock.wall_ms(),
+            window_s: request.window.as_secs(),
+            answer: None,
+        };
         Self {
             shared,
             entry,
             write_id,
             request,
+            record,
         }
     }
 
@@ -64,20 +76,11 @@
     }
 
     fn attempt(&self) -> ClaimAttempt {
-        let identity = self.shared.identity;
         let request = &self.request;
-        let record = ClaimRecord {
-            holder: identity.member,
-            holder_mesh: identity.mesh,
-            fingerprint: request.fingerprint,
-            request: request.request,
-            created_ms: self.shared.path.clock.wall_ms(),
-            window_s: request.window.as_secs(),
-        };
         ClaimAttempt::new(
             request.key.row_key(),
             self.write_id.clone(),
-            record.to_text(),
+            self.record.to_text(),
             request.fingerprint,
             request.deadline,
             self.shared.path.batchers(&request.key.service),
@@ -186,6 +189,7 @@
             key: self.request.key.clone(),
             write_id: self.write_id.clone(),
             deadline: self.request.deadline,
+            record: self.record.clone(),
         }))
     }
 
@@ -202,7 +206,7 @@
     }
 
     fn abandon(&self, is_maybe_applied: bool, outcome: &JoinedOutcome) {
-        let released = is_maybe_applied.then(|| ReleasedClaim {
+        let released = is_maybe_applied.then(|| RowUpkeep::Release {
             key: self.request.key.clone(),
             write_id: self.write_id.clone(),
         });
--- a/src/claims/claim_limits.rs
+++ b/src/claims/claim_limits.rs
@@ -11,6 +11,8 @@
     pub kept_bytes: usize,
     /// Bytes of the largest answer that is recorded.
     pub answer_bytes: usize,
+    /// Bytes of the largest answer that is also kept in the claim's row; 0 for none.
+    pub row_answer_bytes: usize,
     /// Repeats that wait for one call.
     pub waiting_repeats: usize,
     /// Rows that wait for a transaction, for each service.
@@ -36,6 +38,7 @@
             kept_calls: 8_192,
             kept_bytes: 4 * 1024 * 1024,
             answer_bytes: 64 * 1024,
+            row_answer_bytes: 1_024,
             waiting_repeats: 64,
             queued_rows: 2_048,
             batch_rows: 256,
--- a/src/claims/claim_record.rs
+++ b/src/claims/claim_record.rs
@@ -1,5 +1,5 @@
 use {
-    super::{BodyFingerprint, WriteId},
+    super::{AnswerText, BodyFingerprint, WriteId},
     crate::{context::RequestId, membership::MemberId, platform::TableRow},
     serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error},
     std::net::SocketAddr,
@@ -18,6 +18,9 @@
     pub created_ms: u64,
     /// Time for which the key may be repeated, in s.
     pub window_s: u64,
+    /// The answer of the call, once it has run, if it is short.
+    #[serde(default)]
+    pub answer: Option<AnswerText>,
 }
 
 impl ClaimRecord {
@@ -33,7 +36,7 @@
 pub struct HeldClaim {
     pub write_id: WriteId,
     /// Absent if the row cannot be read.
-    pub record: Option<ClaimRecord>,
+    pub record: Option<Box<ClaimRecord>>,
 }
 
 impl From<&TableRow> for HeldClaim {
--- a/src/claims/claim_row.rs
+++ b/src/claims/claim_row.rs
@@ -10,7 +10,7 @@
 /// Table of all claims.
 pub const CLAIMS_TABLE: &str = "claims";
 /// Bytes of the longest text of a row that a batcher takes.
-pub const MAX_ROW_TEXT_BYTES: usize = 1_024;
+pub const MAX_ROW_TEXT_BYTES: usize = 3 * 1_024;
 
 /// One row that a guard asks a batcher to commit.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,7 +25,8 @@
 pub enum RowChange {
     /// Claims a key that nobody has claimed.
     Insert { value: String },
-    /// Claims a key from an attempt whose holder has given it up.
+    /// Claims a key from an attempt whose holder has given it up, or adds the recorded answer
+    /// to the writer's own claim.
     Replace { old: WriteId, value: String },
     /// Gives up a claim that was not dispatched.
     Delete { old: WriteId },
@@ -70,6 +71,12 @@
             && texts.into_iter().all(is_bounded)
     }
 
+    /// Whether it adds the recorded answer to a claim that stands.
+    #[must_use]
+    pub fn is_recording(&self) -> bool {
+        matches!(&self.change, RowChange::Replace { old, .. } if *old == self.write_id)
+    }
+
     #[must_use]
     pub fn to_write(&self) -> TableWrite {
         let (value, condition) = match &self.change {
--- a/src/claims/claim_service.rs
+++ b/src/claims/claim_service.rs
@@ -9,7 +9,7 @@
         commit_actor::{self, CommitActor},
         commit_path::CommitPath,
         ledger_cell::LedgerCell,
-        release_task,
+        row_upkeep,
         sweep_actor::{SWEEP_PERIOD, SweepActor},
     },
     crate::{
@@ -68,8 +68,8 @@
         let committer = commit_actor::spawn(CommitActor::new(store, limits, clock));
         let path = CommitPath::new(identity.member, clock, limits, transport, committer, rng);
         let path = Arc::new(path);
-        tokio::spawn(release_task::run(path.clone(), receiver));
         let ledger = Arc::new(LedgerCell::new(limits, sender));
+        tokio::spawn(row_upkeep::run(path.clone(), receiver));
         let shared = ServiceShared {
             identity,
             ledger,
@@ -98,7 +98,8 @@
     /// Records the whole answer of a dispatched call.
     pub fn complete(&self, claim: RunningClaim, answer: RecordedAnswer) {
         if let Some(claim) = claim.take() {
-            claim.ledger.complete(claim.entry, answer);
+            let limit = self.shared.path.limits.row_answer_bytes;
+            claim.complete(answer, limit);
         }
     }
 
@@ -161,6 +162,13 @@
             .await
     }
 
+    /// Waits until the rows of ended calls are written, `limit` at most; true if all are.
+    ///
+    /// To be called in a graceful shutdown, after the last call.
+    pub async fn drain(&self, limit: Duration) -> bool {
+        timeout(limit, self.shared.ledger.kept_up()).await.is_ok()
+    }
+
     /// Deletes expired rows and forgets expired calls in the background.
     pub fn start_sweep(&self, store: S, timers: &TimerService) {
         let sweep = SweepActor::new(store, Arc::downgrade(&self.shared));
--- a/src/claims/claim_token.rs
+++ b/src/claims/claim_token.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        ClaimKey, EntryKey, WriteId,
-        ledger_cell::{LedgerCell, ReleasedClaim},
+        AnswerText, ClaimKey, ClaimRecord, EntryKey, RecordedAnswer, WriteId,
+        ledger_cell::LedgerCell, row_upkeep::RowUpkeep,
     },
     crate::time::TimePoint,
     std::sync::Arc,
@@ -12,7 +12,7 @@
 /// Dropping it releases the claim, since nothing was dispatched under it.
 #[derive(Debug)]
 pub struct ClaimToken {
-    claim: Option<OpenClaim>,
+    claim: Option<Box<OpenClaim>>,
 }
 
 /// A claim whose call is being dispatched.
@@ -20,7 +20,7 @@
 /// Dropping it leaves the call `unknown` for ever.
 #[derive(Debug)]
 pub struct RunningClaim {
-    claim: Option<OpenClaim>,
+    claim: Option<Box<OpenClaim>>,
 }
 
 #[derive(Debug)]
@@ -30,11 +30,14 @@
     pub(super) key: ClaimKey,
     pub(super) write_id: WriteId,
     pub(super) deadline: TimePoint,
+    pub(super) record: ClaimRecord,
 }
 
 impl ClaimToken {
     pub(super) fn new(claim: OpenClaim) -> Self {
-        Self { claim: Some(claim) }
+        Self {
+            claim: Some(Box::new(claim)),
+        }
     }
 
     /// Whether there is still time for the call; to be asked right before dispatch.
@@ -63,7 +66,7 @@
 }
 
 impl RunningClaim {
-    pub(super) fn take(mut self) -> Option<OpenClaim> {
+    pub(super) fn take(mut self) -> Option<Box<OpenClaim>> {
         self.claim.take()
     }
 }
@@ -71,12 +74,26 @@
 impl OpenClaim {
     /// Gives the claim up, which was not dispatched.
     pub(super) fn release(self) {
-        let released = ReleasedClaim {
+        let released = RowUpkeep::Release {
             key: self.key,
             write_id: self.write_id,
         };
         self.ledger.abandon(self.entry, Some(released));
     }
+
+    /// Records the answer, here and in the row if it is short.
+    pub(super) fn complete(mut self, answer: RecordedAnswer, row_answer_bytes: usize) {
+        self.record.answer = AnswerText::of(&answer, row_answer_bytes);
+        let is_kept_in_row = self.record.answer.is_some();
+        self.ledger.complete(self.entry, answer);
+        if is_kept_in_row {
+            self.ledger.keep_up(RowUpkeep::Record {
+                key: self.key,
+                write_id: self.write_id,
+                value: self.record.to_text(),
+            });
+        }
+    }
 }
 
 impl Drop for ClaimToken {
--- a/src/claims/commit_actor.rs
+++ b/src/claims/commit_actor.rs
@@ -52,8 +52,9 @@
 
     fn push(&mut self, service: &ServiceName, row: QueuedRow<ReplySender>) {
         let limits = self.limits;
+        let now = self.clock.now();
         let pushed = match self.queue(service) {
-            Some(queue) => queue.push(row, &limits),
+            Some(queue) => queue.push(row, &limits, now),
             None => Err(row),
         };
         if let Err(row) = pushed {
--- a/src/claims/commit_queue.rs
+++ b/src/claims/commit_queue.rs
@@ -7,15 +7,24 @@
     },
 };
 
+/// Longest time that a recorded answer waits for a claim to share its transaction.
+const RECORDING_WAIT: Duration = Duration::from_millis(500);
+
 /// Claims of one service that wait for a transaction; `R` is where each result goes.
 ///
 /// Group commit: while one transaction is in flight, the next batch collects. A token bucket
 /// bounds the transactions, so that batches grow with the load and the write rate does not.
+/// Recorded answers, for which nobody waits, go along with the next claims.
 #[derive(Debug)]
 pub struct CommitQueue<R> {
     waiting: VecDeque<QueuedRow<R>>,
     is_in_flight: bool,
-    is_pausing: bool,
+    /// End of the pause that was asked for.
+    resume: Option<TimePoint>,
+    /// Waiting rows that are no recorded answers.
+    urgent: usize,
+    /// When the oldest recorded answer may have come.
+    recording_since: TimePoint,
     tokens: f64,
     refilled: TimePoint,
 }
@@ -43,7 +52,9 @@
         Self {
             waiting: VecDeque::new(),
             is_in_flight: false,
-            is_pausing: false,
+            resume: None,
+            urgent: 0,
+            recording_since: now,
             tokens: f64::from(limits.commit_burst),
             refilled: now,
         }
@@ -51,28 +62,36 @@
 
     /// # Errors
     /// The queue is full; the row is handed back.
-    pub fn push(&mut self, row: QueuedRow<R>, limits: &ClaimLimits) -> Result<(), QueuedRow<R>> {
+    pub fn push(
+        &mut self,
+        row: QueuedRow<R>,
+        limits: &ClaimLimits,
+        now: TimePoint,
+    ) -> Result<(), QueuedRow<R>> {
         if self.waiting.len() >= limits.queued_rows {
             return Err(row);
         }
+        if self.waiting.is_empty() {
+            self.recording_since = now;
+        }
+        self.urgent += usize::from(!row.row.is_recording());
         self.waiting.push_back(row);
         Ok(())
     }
 
     /// What to do at `now`.
     pub fn step(&mut self, limits: &ClaimLimits, now: TimePoint) -> QueueStep<R> {
-        if self.is_in_flight || self.is_pausing || self.waiting.is_empty() {
+        if self.is_in_flight || self.waiting.is_empty() {
             return QueueStep::Idle;
         }
         self.refill(limits, now);
-        if self.tokens < 1.0 {
-            self.is_pausing = true;
-            let wait = (1.0 - self.tokens) / f64::from(limits.commits_per_s);
-            return QueueStep::Wait(Duration::from_secs_f64(wait));
+        let pause = self.pause(limits, now);
+        if !pause.is_zero() {
+            return self.wait(now, pause);
         }
         self.tokens -= 1.0;
         self.is_in_flight = true;
-        QueueStep::Commit(self.take_batch(limits.batch_rows))
+        QueueStep::Commit(self.take_batch(limits.batch_rows, now))
     }
 
     /// Reports the end of the transaction in flight.
@@ -82,7 +101,7 @@
 
     /// Reports the end of the pause that was asked for.
     pub fn pause_ended(&mut self) {
-        self.is_pausing = false;
+        self.resume = None;
     }
 
     /// Whether nothing waits and nothing is in flight.
@@ -91,6 +110,28 @@
         self.waiting.is_empty() && !self.is_in_flight
     }
 
+    /// Time until the next transaction may start.
+    fn pause(&self, limits: &ClaimLimits, now: TimePoint) -> Duration {
+        if self.urgent == 0 {
+            let due = self.recording_since + RECORDING_WAIT;
+            if now < due {
+                return now.until(due);
+            }
+        }
+        let missing = (1.0 - self.tokens).max(0.0);
+        Duration::from_secs_f64(missing / f64::from(limits.commits_per_s.max(1)))
+    }
+
+    /// Asks for a pause, unless an earlier end of one is due already.
+    fn wait(&mut self, now: TimePoint, pause: Duration) -> QueueStep<R> {
+        let resume = now + pause;
+        if self.resume.is_some_and(|earlier| earlier <= resume) {
+            return QueueStep::Idle;
+        }
+        self.resume = Some(resume);
+        QueueStep::Wait(pause)
+    }
+
     fn refill(&mut self, limits: &ClaimLimits, now: TimePoint) {
         let elapsed = now.since(self.refilled).as_secs_f64();
         let tokens = self.tokens + elapsed * f64::from(limits.commits_per_s);
@@ -99,7 +140,7 @@
     }
 
     /// Up to `limit` rows with different keys, in order; further rows of a key stay behind.
-    fn take_batch(&mut self, limit: usize) -> Vec<QueuedRow<R>> {
+    fn take_batch(&mut self, limit: usize, now: TimePoint) -> Vec<QueuedRow<R>> {
         let mut keys = HashSet::new();
         let mut batch = Vec::new();
         let mut rest = VecDeque::new();
@@ -111,6 +152,9 @@
             }
         }
         self.waiting = rest;
+        let urgent = |queued: &&QueuedRow<R>| !queued.row.is_recording();
+        self.urgent = self.waiting.iter().filter(urgent).count();
+        self.recording_since = now;
         batch
     }
 }
--- a/src/claims/ledger_cell.rs
+++ b/src/claims/ledger_cell.rs
@@ -1,13 +1,14 @@
 use {
     super::{
-        ClaimKey, ClaimLedger, ClaimLimits, EntryKey, JoinedCall, JoinedOutcome, RecordedAnswer,
-        UnknownReason, WriteId,
+        ClaimLedger, ClaimLimits, EntryKey, JoinedCall, JoinedOutcome, RecordedAnswer,
+        UnknownReason,
+        row_upkeep::{PendingRow, RowUpkeep, UpkeepTask},
     },
     std::{
         sync::{Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
-    tokio::sync::{mpsc, oneshot},
+    tokio::sync::{mpsc, oneshot, watch},
 };
 
 /// When a repeat of a released call may come back.
@@ -15,25 +16,21 @@
 
 pub(super) type JoinedSender = oneshot::Sender<JoinedOutcome>;
 
-/// A claim that was given up before dispatch and whose row is to be deleted.
-#[derive(Debug)]
-pub(super) struct ReleasedClaim {
-    pub(super) key: ClaimKey,
-    pub(super) write_id: WriteId,
-}
-
 /// The ledger as the parts of one daemon share it; it tells the repeats that wait.
 #[derive(Debug)]
 pub(super) struct LedgerCell {
     ledger: Mutex<ClaimLedger<JoinedSender>>,
-    releases: mpsc::Sender<ReleasedClaim>,
+    upkeep: mpsc::Sender<UpkeepTask>,
+    /// Rows that are still to be written.
+    pending: watch::Sender<usize>,
 }
 
 impl LedgerCell {
-    pub(super) fn new(limits: ClaimLimits, releases: mpsc::Sender<ReleasedClaim>) -> Self {
+    pub(super) fn new(limits: ClaimLimits, upkeep: mpsc::Sender<UpkeepTask>) -> Self {
         Self {
             ledger: Mutex::new(ClaimLedger::new(limits)),
-            releases,
+            upkeep,
+            pending: watch::Sender::new(0),
         }
     }
 
@@ -61,7 +58,7 @@
     }
 
     /// Gives an attempt up that was not dispatched; its row, if any, is deleted later.
-    pub(super) fn abandon(&self, entry: EntryKey, released: Option<ReleasedClaim>) {
+    pub(super) fn abandon(&self, entry: EntryKey, released: Option<RowUpkeep>) {
         let outcome = JoinedOutcome::NotRun {
             retry_after: RELEASED_RETRY,
         };
@@ -71,16 +68,31 @@
     pub(super) fn abandon_with(
         &self,
         entry: EntryKey,
-        released: Option<ReleasedClaim>,
+        released: Option<RowUpkeep>,
         outcome: &JoinedOutcome,
     ) {
         let waiters = self.lock().abandon(entry, released.is_some());
         tell(waiters, outcome);
         if let Some(released) = released {
-            // A full queue leaves the row to the next claim of the key, which replaces it.
-            let _ = self.releases.try_send(released);
+            self.keep_up(released);
         }
     }
+
+    /// Has a row changed in the background.
+    ///
+    /// A full queue drops the change: the row of a given-up claim is replaced by the next claim
+    /// of its key, and an answer that is not in its row is asked of this daemon.
+    pub(super) fn keep_up(&self, upkeep: RowUpkeep) {
+        let guard = PendingRow::new(&self.pending);
+        let _ = self.upkeep.try_send(UpkeepTask { upkeep, guard });
+    }
+
+    /// Ends once no row is to be written.
+    pub(super) async fn kept_up(&self) {
+        let mut pending = self.pending.subscribe();
+        // The sender lives as long as this cell.
+        let _ = pending.wait_for(|pending| *pending == 0).await;
+    }
 }
 
 fn tell(waiters: Vec<JoinedSender>, outcome: &JoinedOutcome) {
--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -15,6 +15,7 @@
 //! All of these are pure; the service, its actor and its tasks carry them out. Between daemons,
 //! rows and questions travel by a [`ClaimTransport`].
 
+mod answer_text;
 mod batch_progress;
 mod batcher_ring;
 mod body_fingerprint;
@@ -41,12 +42,13 @@
 mod ledger_entry;
 mod outage_gate;
 mod recorded_answer;
-mod release_task;
 mod ring_member;
+mod row_upkeep;
 mod sweep_actor;
 mod write_id;
 
 pub use {
+    answer_text::{AnswerText, HeaderText},
     batch_progress::{BatchProgress, BatchStep},
     batcher_ring::BatcherRing,
     body_fingerprint::{BodyFingerprint, FingerprintError},
