A start without the table waits for two peers also before it knows the members

With no member known yet, one report was enough, so a process test passed with the mechanism under test disabled. Two are needed now unless the members are known to be fewer.

Tests of processes: each of three daemons killed and restarted with the table service down comes back with the version in force; a restored backup of the row reverts nothing and is written over.

--- a/src/policy/start_evidence.rs
+++ b/src/policy/start_evidence.rs
@@ -56,8 +56,12 @@
         has_accepted || has_table
     }
 
+    /// All others if they are fewer; none are known before the first answer of a peer.
     fn needed(&self) -> usize {
-        START_PEERS.min(self.others).max(1)
+        match self.others {
+            0 => START_PEERS,
+            others => START_PEERS.min(others),
+        }
     }
 }
 
--- a/tests/policy_versions.rs
+++ b/tests/policy_versions.rs
@@ -148,6 +148,17 @@
     assert!(tracker.is_ready(NOW));
 }
 
+#[test]
+fn one_report_is_not_enough_before_the_members_are_known() {
+    let mut tracker = VersionTracker::new();
+    tracker.hear(report(1, &versioned(6, 0)), NOW);
+    tracker.begin_fetch(NOW);
+    tracker.end_fetch(Some(versioned(6, 0)));
+    assert!(!tracker.is_ready(NOW + START_PATIENCE));
+    tracker.set_peers(vec![peer(1)], 1);
+    assert!(tracker.is_ready(NOW), "there is no other");
+}
+
 #[test]
 fn a_start_asks_members_that_told_nothing() {
     let mut tracker = VersionTracker::new();
--- /dev/null
+++ b/tests/processes_policy.rs
@@ -0,0 +1,108 @@
+//! The policy over restarts of daemons that run as processes.
+
+mod fleet;
+
+use {
+    banyantrestle::{
+        platform::{HttpTable, TableStore, TableWrite, WriteCondition},
+        policy::{POLICY_KEY, POLICY_TABLE},
+    },
+    fleet::{PATIENCE, ProcessFleet, target_settings, test_policy},
+    http::{Method, StatusCode},
+    serde_json::{Value, json},
+    standins::{
+        client::TextRequest,
+        deployment::ADMIN_TOKEN,
+        platform::{DownMode, PlatformMode},
+        process::{ProcessSignal, wait_until},
+    },
+    std::net::SocketAddr,
+};
+
+async fn submit(admin: SocketAddr, base_version: u64) {
+    let body = json!({"base_version": base_version, "document": test_policy()});
+    let request = TextRequest {
+        method: Method::POST,
+        path: "/api/policy".into(),
+        headers: vec![("authorization", format!("Bearer {ADMIN_TOKEN}"))],
+        body: body.to_string(),
+    };
+    let answer = request.send(admin).await.expect("an answer of the console");
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+}
+
+async fn enforced_version(admin: SocketAddr) -> Option<u64> {
+    let answer = TextRequest::get("/api/policy").send(admin).await.ok()?;
+    let view: Value = serde_json::from_str(&answer.text).ok()?;
+    view.get("version")?.as_u64()
+}
+
+async fn is_ready(admin: SocketAddr) -> bool {
+    let answer = TextRequest::get("/ready").send(admin).await;
+    answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+}
+
+/// Three daemons that all enforce version 2.
+async fn fleet_on_version_2() -> ProcessFleet {
+    let mut fleet = ProcessFleet::new().await;
+    for service in ["a", "b", "c"] {
+        fleet.add(target_settings(service)).await;
+    }
+    submit(fleet.daemons[0].listen.admin, 1).await;
+    for daemon in &fleet.daemons {
+        let admin = daemon.listen.admin;
+        let is_there = wait_until(PATIENCE, || async {
+            enforced_version(admin).await == Some(2)
+        });
+        assert!(is_there.await, "{admin} does not enforce version 2");
+    }
+    fleet
+}
+
+/// Kills a daemon and starts it again; once ready it must enforce version 2.
+async fn replace(fleet: &mut ProcessFleet, index: usize) {
+    let killed = &fleet.daemons[index].process;
+    killed.signal(ProcessSignal::Kill).expect("it runs");
+    fleet.restart(index);
+    let admin = fleet.daemons[index].listen.admin;
+    let log = || fleet.daemons[index].process.log();
+    let is_back = wait_until(PATIENCE, || is_ready(admin));
+    assert!(is_back.await, "daemon {index} is not ready: {}", log());
+    assert_eq!(enforced_version(admin).await, Some(2), "{}", log());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn policy_outlives_the_restart_of_each_daemon_while_the_table_is_down() {
+    let mut fleet = fleet_on_version_2().await;
+    fleet.platform.set_mode(PlatformMode {
+        down: DownMode::Close,
+        ..PlatformMode::uncapped()
+    });
+    for index in 0..3 {
+        replace(&mut fleet, index).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn restored_backup_of_the_table_reverts_nothing_and_is_put_right() {
+    let mut fleet = fleet_on_version_2().await;
+    let table = HttpTable::new(fleet.platform.address(), PATIENCE);
+    let row = json!({"version": 1, "document": test_policy(), "recent_writes": []});
+    let backup = TableWrite {
+        table: POLICY_TABLE.into(),
+        key: POLICY_KEY.into(),
+        write_id: "backup".into(),
+        value: Some(row.to_string()),
+        condition: WriteCondition::Always,
+    };
+    table.transact(vec![backup]).await.expect("the table works");
+    replace(&mut fleet, 1).await;
+    let is_put_right = wait_until(PATIENCE, || async {
+        let rows = table.read(POLICY_TABLE, vec![POLICY_KEY.into()]).await;
+        let row = rows.ok().and_then(|rows| rows.into_iter().next().flatten());
+        let value = row.and_then(|row| serde_json::from_str::<Value>(&row.value).ok());
+        value.is_some_and(|value| value["version"] == 2)
+    });
+    assert!(is_put_right.await, "the table still holds the backup");
+    submit(fleet.daemons[1].listen.admin, 2).await;
+}
