--- a/src/cli/cli_output.rs
+++ b/src/cli/cli_output.rs
@@ -5,7 +5,8 @@
 
 /// Standard output and error of a command.
 ///
-/// A reader that closes its end early, such as `head`, is no failure.
+/// A reader that closes its end early, such as `head`, is no failure. Control characters, which a
+/// daemon may have answered with, are left out, so that they do not act on the terminal.
 pub struct CliOutput<O, E> {
     output: O,
     errors: E,
@@ -18,7 +19,7 @@
 
     /// Prints a line of the result.
     pub fn line(&mut self, line: impl Display) {
-        let _ = writeln!(self.output, "{line}");
+        let _ = writeln!(self.output, "{}", printable(&line.to_string()));
     }
 
     /// Prints a result as one line of JSON.
@@ -29,7 +30,7 @@
 
     /// Prints an error, a line for each of its faults.
     pub fn error(&mut self, error: impl Display) {
-        let _ = writeln!(self.errors, "{error}");
+        let _ = writeln!(self.errors, "{}", printable(&error.to_string()));
     }
 
     /// Prints rows in columns of equal width.
@@ -52,3 +53,8 @@
         }
     }
 }
+
+fn printable(text: &str) -> String {
+    let is_printable = |letter: &char| *letter == '\n' || !letter.is_control();
+    text.chars().filter(is_printable).collect()
+}
--- a/src/cli/member_command.rs
+++ b/src/cli/member_command.rs
@@ -38,15 +38,10 @@
     vec![
         member.id.address.to_string(),
         member.state.to_string(),
-        printable(&member.region),
-        printable(&member.data_centre),
+        member.region.to_string(),
+        member.data_centre.to_string(),
         service.unwrap_or_else(|| "-".into()),
         address.unwrap_or_else(|| "-".into()),
         member.policy_version.to_string(),
     ]
 }
-
-/// Text of another process without its control characters.
-fn printable(text: &str) -> String {
-    text.chars().filter(|letter| !letter.is_control()).collect()
-}
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -210,6 +210,10 @@
     let table = run_line(&format!("members {admin}")).await;
     assert!(table.output.starts_with("DAEMON"), "{table:?}");
     assert!(table.output.contains("akl-a"));
+    assert!(
+        !table.output.contains('\u{1b}'),
+        "no escape reaches the terminal"
+    );
     let json = run_line(&format!("members {admin} --json")).await;
     assert!(json.output.contains("\"data_centre\":\"akl-a\""));
     let closed = closed_address().await;
--- a/tests/support/fake_daemon.rs
+++ b/tests/support/fake_daemon.rs
@@ -69,7 +69,7 @@
         };
         vec![
             record("akl-a", MemberState::Alive),
-            record("<b>ham</b>", MemberState::Dead),
+            record("<b>ham\u{1b}[2J</b>", MemberState::Dead),
         ]
     }
 
