--- a/examples/overload.rs
+++ b/examples/overload.rs
@@ -29,6 +29,8 @@
         optional --scenario name: String
         /// Only the runs with the whole protection on.
         optional --only-on
+        /// Prints why calls were refused and which keys were doubled.
+        optional --verbose
         /// Prints the figures as JSON.
         optional --json
     }
@@ -104,7 +106,7 @@
         for mode in &modes {
             let figures = trial.run(mode).await?.figures;
             if !flags.json {
-                print(&figures);
+                print(&figures, flags.verbose);
             }
             runs.push(figures);
         }
@@ -112,8 +114,16 @@
     Ok(runs)
 }
 
-fn print(figures: &RunFigures) {
+fn print(figures: &RunFigures, is_verbose: bool) {
     println!("{}", figures.line());
+    if is_verbose {
+        for (reason, count) in &figures.reasons {
+            println!("    {count} refused: {reason}");
+        }
+        for runs in &figures.doubled_runs {
+            println!("    doubled: {runs}");
+        }
+    }
     let classes: Vec<String> = figures.classes.iter().map(ToString::to_string).collect();
     println!("    {}", classes.join("  "));
     let missed: Vec<&str> = figures.missed().collect();
--- a/examples/support/run_figures.rs
+++ b/examples/support/run_figures.rs
@@ -9,6 +9,8 @@
         target::RunLedger,
     },
     std::{
+        cmp::Reverse,
+        collections::BTreeMap,
         fmt::{self, Display, Formatter},
         time::Duration,
     },
@@ -18,6 +20,8 @@
 const GOODPUT_TARGET: f64 = 0.95;
 /// Share of the highest class that must be served.
 const HIGHEST_CLASS_TARGET: f64 = 0.99;
+const SHOWN_KEYS: usize = 3;
+const SHOWN_REASONS: usize = 8;
 const RECOVERY_TARGET: Duration = Duration::from_secs(2);
 
 /// Whether a stated target was met.
@@ -73,6 +77,10 @@
     /// Runs for requests whose whole answer never arrived, as a share of all runs.
     pub wasted: f64,
     pub doubled_keys: u64,
+    /// Runs of some of the doubled keys.
+    pub doubled_runs: Vec<String>,
+    /// Refused attempts by reason, the most frequent first.
+    pub reasons: Vec<(String, u64)>,
     pub false_not_run: u64,
     pub wrong_answers: u64,
     pub refused: u64,
@@ -114,6 +122,8 @@
             most_retries: runs.most_repeats,
             wasted: share(wasted, runs.started),
             doubled_keys: runs.doubled_keys,
+            doubled_runs: self.doubled_runs(),
+            reasons: self.reasons(),
             false_not_run: self.report.false_not_run(self.ledger),
             wrong_answers: runs.wrong_answers + self.report.total(|class| class.wrong),
             refused: self.report.total(ClassReport::refused),
@@ -125,6 +135,26 @@
         figures
     }
 
+    fn doubled_runs(&self) -> Vec<String> {
+        let doubled = self.ledger.doubled_runs().into_iter().take(SHOWN_KEYS);
+        doubled
+            .map(|(key, runs)| format!("{key}: {runs:?}"))
+            .collect()
+    }
+
+    fn reasons(&self) -> Vec<(String, u64)> {
+        let mut sums: BTreeMap<String, u64> = BTreeMap::new();
+        for class in &self.report.classes {
+            for (reason, count) in &class.reasons {
+                *sums.entry(reason.clone()).or_default() += count;
+            }
+        }
+        let mut reasons: Vec<(String, u64)> = sums.into_iter().collect();
+        reasons.sort_by_key(|(_, count)| Reverse(*count));
+        reasons.truncate(SHOWN_REASONS);
+        reasons
+    }
+
     fn pressure_span(&self) -> RunSpan {
         RunSpan {
             from: self.scenario.warm_up,
--- a/standins/src/target/mod.rs
+++ b/standins/src/target/mod.rs
@@ -12,7 +12,7 @@
 mod target_standin;
 
 pub use {
-    run_ledger::{RunLedger, RunReport, RunStage},
+    run_ledger::{KeyRun, RunLedger, RunReport, RunStage},
     target_control::{LoadMode, TargetControl, TargetFault},
     target_settings::{ServiceTime, TargetSettings},
     target_standin::TargetStandin,
--- a/standins/src/target/run_ledger.rs
+++ b/standins/src/target/run_ledger.rs
@@ -2,8 +2,9 @@
     serde::Serialize,
     std::{
         collections::{BTreeMap, HashMap, HashSet},
+        net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
@@ -25,10 +26,20 @@
 #[derive(Debug, Default)]
 struct LedgerTables {
     attempts: HashMap<String, AttemptRuns>,
-    keys: BTreeMap<String, u32>,
+    first_key: Option<Instant>,
+    keys: BTreeMap<String, Vec<KeyRun>>,
     wrong_answers: u64,
 }
 
+/// One start of a key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct KeyRun {
+    pub attempt: String,
+    pub target: SocketAddr,
+    /// Since the first start of any key, in ms.
+    pub at_ms: u128,
+}
+
 #[derive(Debug, Default)]
 struct AttemptRuns {
     arrived: u32,
@@ -56,11 +67,8 @@
 }
 
 impl RunLedger {
-    pub fn record(&self, service: &str, attempt: &str, key: Option<&str>, stage: RunStage) {
+    pub fn record(&self, service: &str, attempt: &str, stage: RunStage) {
         let mut tables = self.tables();
-        if let (Some(key), RunStage::Started) = (key, stage) {
-            *tables.keys.entry(format!("{service} {key}")).or_default() += 1;
-        }
         let runs = tables.attempts.entry(attempt.into()).or_default();
         match stage {
             RunStage::Arrived => runs.arrived += 1,
@@ -69,6 +77,29 @@
         }
     }
 
+    /// Counts a start of a key at a target.
+    pub fn record_key(&self, service: &str, key: &str, attempt: &str, target: SocketAddr) {
+        let mut tables = self.tables();
+        let first = *tables.first_key.get_or_insert_with(Instant::now);
+        let run = KeyRun {
+            attempt: attempt.into(),
+            target,
+            at_ms: first.elapsed().as_millis(),
+        };
+        let runs = tables.keys.entry(format!("{service} {key}"));
+        runs.or_default().push(run);
+    }
+
+    /// Starts of the keys that were started more than once.
+    #[must_use]
+    pub fn doubled_runs(&self) -> BTreeMap<String, Vec<KeyRun>> {
+        let tables = self.tables();
+        let doubled = tables.keys.iter().filter(|(_, runs)| runs.len() > 1);
+        doubled
+            .map(|(key, runs)| (key.clone(), runs.clone()))
+            .collect()
+    }
+
     /// Forgets all that was counted.
     pub fn clear(&self) {
         *self.tables() = LedgerTables::default();
@@ -97,7 +128,7 @@
     pub fn key_runs(&self, service: &str, key: &str) -> u32 {
         let tables = self.tables();
         let runs = tables.keys.get(&format!("{service} {key}"));
-        runs.copied().unwrap_or_default()
+        runs.map_or(0, |runs| u32::try_from(runs.len()).unwrap_or(u32::MAX))
     }
 
     /// Runs of attempts that are not among `whole`, whose answers reached their callers.
@@ -115,7 +146,7 @@
     pub fn report(&self) -> RunReport {
         let tables = self.tables();
         let mut report = RunReport {
-            keys: tables.keys.clone(),
+            keys: tables.key_counts(),
             wrong_answers: tables.wrong_answers,
             ..RunReport::default()
         };
@@ -136,6 +167,14 @@
     }
 }
 
+impl LedgerTables {
+    fn key_counts(&self) -> BTreeMap<String, u32> {
+        let count = |runs: &Vec<KeyRun>| u32::try_from(runs.len()).unwrap_or(u32::MAX);
+        let keys = self.keys.iter();
+        keys.map(|(key, runs)| (key.clone(), count(runs))).collect()
+    }
+}
+
 impl AttemptRuns {
     fn started(&self) -> u64 {
         self.services.values().copied().map(u64::from).sum()
--- a/standins/src/target/target_service.rs
+++ b/standins/src/target/target_service.rs
@@ -16,8 +16,9 @@
     http_body_util::BodyExt,
     hyper::body::Incoming,
     std::{
+        net::SocketAddr,
         sync::{
-            Arc,
+            Arc, OnceLock,
             atomic::{AtomicU32, AtomicU64, Ordering},
         },
         time::Duration,
@@ -42,6 +43,7 @@
     waiting: AtomicU32,
     running: AtomicU32,
     arrived: AtomicU64,
+    address: OnceLock<SocketAddr>,
     control: watch::Sender<TargetControl>,
     ledger: RunLedger,
 }
@@ -59,6 +61,7 @@
             waiting: AtomicU32::new(0),
             running: AtomicU32::new(0),
             arrived: AtomicU64::new(0),
+            address: OnceLock::new(),
             control: watch::Sender::new(TargetControl::default()),
             ledger,
         }))
@@ -248,8 +251,23 @@
 
     fn record(&self, call: &InboundCall, stage: RunStage) {
         let service = self.0.settings.service.as_str();
-        let key = call.key.as_deref();
-        self.0.ledger.record(service, &call.attempt, key, stage);
+        self.0.ledger.record(service, &call.attempt, stage);
+        if let (Some(key), RunStage::Started) = (&call.key, stage) {
+            let address = self.address();
+            let ledger = &self.0.ledger;
+            ledger.record_key(service, key, &call.attempt, address);
+        }
+    }
+
+    fn address(&self) -> SocketAddr {
+        let settings = self.0.settings.listen;
+        self.0.address.get().copied().unwrap_or(settings)
+    }
+
+    /// Notes where the target listens.
+    pub fn set_address(&self, address: SocketAddr) {
+        // The first address stands.
+        let _ = self.0.address.set(address);
     }
 }
 
--- a/standins/src/target/target_standin.rs
+++ b/standins/src/target/target_standin.rs
@@ -47,6 +47,7 @@
         let service = TargetService::new(settings.clone(), client, ledger.clone());
         let connections = settings.connections as usize;
         let server = HttpServer::start(settings.listen, connections, service.clone()).await?;
+        service.set_address(server.address());
         Ok(Self {
             settings,
             server,
