--- a/src/claims/ledger_cell.rs
+++ b/src/claims/ledger_cell.rs
@@ -84,7 +84,10 @@
     /// of its key, and an answer that is not in its row is asked of this daemon.
     pub(super) fn keep_up(&self, upkeep: RowUpkeep) {
         let guard = PendingRow::new(&self.pending);
-        let _ = self.upkeep.try_send(UpkeepTask { upkeep, guard });
+        let _ = self.upkeep.try_send(UpkeepTask {
+            upkeep,
+            _guard: guard,
+        });
     }
 
     /// Ends once no row is to be written.
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -5,7 +5,7 @@
     hyper::{
         body::{Body, Incoming},
         server::conn::http2,
-        service::service_fn,
+        service::{Service, service_fn},
     },
     hyper_util::{
         rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -87,19 +87,11 @@
         .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX))
         .keep_alive_interval(limits.header_timeout)
         .keep_alive_timeout(limits.header_timeout);
-    let builder = Arc::new(builder);
-    accept(listener, limits, gate, move |stream, gate| {
-        let builder = builder.clone();
-        let handler = handler.clone();
-        async move {
-            let service = service_fn(move |request| {
-                // Kept apart from the connection, which is idle for most of its life.
-                let answer = Box::pin(handler(request));
-                async move { Ok::<_, Infallible>(answer.await) }
-            });
-            let connection = builder.serve_connection(TokioIo::new(stream), service);
-            drive(connection, &gate).await;
-        }
+    accept(listener, limits, gate, move |stream| {
+        let service = call_service(handler.clone());
+        builder
+            .serve_connection(TokioIo::new(stream), service)
+            .into_owned()
     })
     .await;
 }
@@ -125,26 +117,40 @@
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .keep_alive_interval(limits.silence / 2)
         .keep_alive_timeout(limits.silence / 2);
-    accept(listener, limits, gate, move |stream, gate| {
-        let builder = builder.clone();
-        let handler = handler.clone();
-        async move {
-            let service = service_fn(move |request| {
-                // Kept apart from the connection, which is idle for most of its life.
-                let answer = Box::pin(handler(request));
-                async move { Ok::<_, Infallible>(answer.await) }
-            });
-            let connection = builder.serve_connection(TokioIo::new(stream), service);
-            drive(connection, &gate).await;
-        }
+    accept(listener, limits, gate, move |stream| {
+        let service = call_service(handler.clone());
+        builder.serve_connection(TokioIo::new(stream), service)
     })
     .await;
 }
 
-async fn accept<F, R>(listener: TcpListener, limits: ListenerLimits, gate: ConnectionGate, serve: F)
+/// A service that answers each request by `handler`.
+fn call_service<F, R, B>(
+    handler: F,
+) -> impl Service<Request<Incoming>, Response = Response<B>, Error = Infallible, Future: Send + 'static>
++ Send
++ 'static
 where
-    F: Fn(TcpStream, ConnectionGate) -> R,
-    R: Future<Output = ()> + Send + 'static,
+    F: Fn(Request<Incoming>) -> R + Send + 'static,
+    R: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    service_fn(move |request| {
+        // Kept apart from the connection, which is idle for most of its life.
+        let answer = Box::pin(handler(request));
+        async move { Ok::<_, Infallible>(answer.await) }
+    })
+}
+
+async fn accept<F, C>(
+    listener: TcpListener,
+    limits: ListenerLimits,
+    gate: ConnectionGate,
+    connect: F,
+) where
+    F: Fn(TcpStream) -> C,
+    C: GracefulConnection + Send + 'static,
 {
     let permits = Arc::new(Semaphore::new(limits.connections));
     loop {
@@ -158,13 +164,13 @@
             continue;
         };
         stream.set_nodelay(true).ok();
-        let serving = serve(stream, gate.clone());
-        gate.tracker.spawn(hold_permit(permit.ok(), serving));
+        let serving = drive(connect(stream), gate.clone(), permit.ok());
+        gate.tracker.spawn(serving);
     }
 }
 
-/// Serves a connection until it ends, drains, or is closed.
-async fn drive<C>(connection: C, gate: &ConnectionGate)
+/// Serves a connection until it ends, drains, or is closed; the permit is free after that.
+async fn drive<C>(connection: C, gate: ConnectionGate, permit: Option<OwnedSemaphorePermit>)
 where
     C: GracefulConnection,
 {
@@ -177,12 +183,5 @@
         _ = connection.as_mut() => {}
         () = gate.closed.cancelled() => {}
     }
-}
-
-async fn hold_permit<R>(permit: Option<OwnedSemaphorePermit>, serving: R)
-where
-    R: Future<Output = ()>,
-{
-    serving.await;
     drop(permit);
 }
