--- a/src/context/call_priority.rs
+++ b/src/context/call_priority.rs
@@ -16,6 +16,8 @@
 
 impl CallPriority {
     pub const LOWEST: Self = Self(0);
+    /// Lowest that a call can have: ranks start from 1.
+    pub const LOWEST_CALL: Self = Self(1 << HASH_BITS);
     pub const HIGHEST: Self = Self((1 << (HASH_BITS + 8)) - 1);
 
     #[must_use]
--- a/src/daemon/call_router.rs
+++ b/src/daemon/call_router.rs
@@ -89,10 +89,11 @@
                 Ok(picked) => picked,
                 Err(refusal) => return Err(self.settle(last.unwrap_or(refusal))),
             };
-            if let Some(earlier) = last.take()
-                && !ask_permit(self.state, self.context, &self.request.service).await
-            {
-                return Err(self.settle(earlier));
+            if let Some(earlier) = last.take() {
+                if !ask_permit(self.state, self.context, &self.request.service).await {
+                    return Err(self.settle(earlier));
+                }
+                self.record_retry(earlier.refusal.kind);
             }
             match self.attempt(key, peer).await {
                 Ok(answer) => return Ok(answer),
@@ -102,7 +103,6 @@
                     }
                     self.tried.push(key);
                     self.is_broken = refusal.refusal.kind == RefusalKind::AnswerBroken;
-                    self.record_retry(refusal.refusal.kind);
                     last = Some(refusal);
                 }
             }
@@ -171,6 +171,7 @@
         in_flight: InFlightCall,
         response: Response<Incoming>,
     ) -> Result<RoutedAnswer, RoutedRefusal> {
+        self.state.observe_clock(response.headers());
         let load = parse_load(response.headers());
         let Some(outcome) = parse_outcome(response.headers()) else {
             in_flight.end(CallEnd::Broken);
--- a/src/daemon/daemon_process.rs
+++ b/src/daemon/daemon_process.rs
@@ -8,7 +8,7 @@
         daemon_phase::DaemonPhase,
         daemon_sockets::DaemonSockets,
         daemon_state::{DaemonState, RoutingTables},
-        local_target::TargetSlot,
+        local_target::{LocalTarget, TargetSlot},
         member_watch::{follow_members, follow_policy, follow_sightings},
         mesh_service::serve_mesh_call,
         mesh_transport::MeshTransport,
@@ -20,8 +20,9 @@
         auth::SharedKey,
         claims::{ClaimIdentity, ClaimLimits, ClaimService},
         console::AdminToken,
+        context::CallPriority,
         error::StepError,
-        events::EventLog,
+        events::{EventKind, EventLog},
         membership::{MemberId, MembershipHandle, MembershipSettings},
         net::{ConnectionGate, ListenerLimits, MeshPool, serve_http, serve_mesh},
         platform::HttpTable,
@@ -179,6 +180,7 @@
         self.state.spawn(probe_target(self.state.clone()));
         self.state.spawn(expire(self.state.clone()));
         let state = Arc::downgrade(&self.state);
+        let mut told = CallPriority::LOWEST;
         timers.run(GUARD_TICK, move |now| {
             let Some(state) = state.upgrade() else {
                 return false;
@@ -188,7 +190,9 @@
             }
             if let Some(target) = state.target.get() {
                 target.desk.tick(now);
-                show_load(&target.desk.load());
+                let load = target.desk.load();
+                show_load(&load);
+                told = tell_threshold(&state, &target, load.threshold, told);
             }
             state.gate().tick(now);
             true
@@ -226,6 +230,26 @@
     }
 }
 
+/// Records that the threshold has moved to another class, or begins or ends to refuse any call.
+fn tell_threshold(
+    state: &DaemonState,
+    target: &LocalTarget,
+    threshold: CallPriority,
+    told: CallPriority,
+) -> CallPriority {
+    let is_open = |threshold: CallPriority| threshold <= CallPriority::LOWEST_CALL;
+    let is_still_open = is_open(threshold) && is_open(told);
+    let is_same_class = is_open(threshold) == is_open(told) && threshold.rank() == told.rank();
+    if is_still_open || is_same_class {
+        return told;
+    }
+    state.events.record(EventKind::ThresholdChanged {
+        service: target.announcement.service.clone(),
+        threshold,
+    });
+    threshold
+}
+
 /// Withdraws a target that does not announce itself any more.
 async fn expire(state: Arc<DaemonState>) {
     let mut ticks = interval(EXPIRY_TICK);
--- a/src/daemon/in_flight_call.rs
+++ b/src/daemon/in_flight_call.rs
@@ -1,8 +1,9 @@
 use {
     super::{daemon_state::DaemonState, root_entry::RootEntry},
     crate::{
+        events::EventKind,
         net::{StreamEnd, StreamHold},
-        routing::{CallEnd, LoadNote, TargetKey},
+        routing::{CallEnd, EjectionChange, LoadNote, TargetEntry, TargetKey},
     },
     std::sync::Arc,
 };
@@ -46,11 +47,31 @@
     fn note(&mut self, end: CallEnd) {
         if let Some(key) = self.key.take() {
             let now = self.state.clock.now();
-            self.state.routing().end(now, key, end);
+            let mut table = self.state.routing();
+            let change = table.end(now, key, end);
+            let entry = table.get(key);
+            if let (Some(change), Some(entry)) = (change, entry) {
+                let event = ejection_event(change, entry, end);
+                drop(table);
+                self.state.events.record(event);
+            }
         }
     }
 }
 
+fn ejection_event(change: EjectionChange, entry: &TargetEntry, end: CallEnd) -> EventKind {
+    let service = entry.service().clone();
+    let peer = entry.mesh();
+    match change {
+        EjectionChange::Ejected => EventKind::TargetEjected {
+            service,
+            peer,
+            reason: <&'static str>::from(end).into(),
+        },
+        EjectionChange::Restored => EventKind::TargetRestored { service, peer },
+    }
+}
+
 impl StreamHold for InFlightCall {
     fn end(mut self, end: StreamEnd) {
         let end = match end {
--- /dev/null
+++ b/src/daemon/member_changes.rs
@@ -0,0 +1,57 @@
+use {
+    crate::{
+        events::EventKind,
+        membership::{MemberId, MemberState, MemberView},
+    },
+    std::collections::HashMap,
+};
+
+/// States of the members as the last view showed them.
+#[derive(Debug, Default)]
+pub(crate) struct MemberChanges {
+    states: HashMap<MemberId, MemberState>,
+}
+
+impl MemberChanges {
+    /// Takes a view in and tells what has changed since the one before.
+    pub(crate) fn take_in(&mut self, view: &MemberView) -> Vec<EventKind> {
+        let states: HashMap<MemberId, MemberState> = view
+            .members
+            .iter()
+            .map(|record| (record.id, record.state))
+            .collect();
+        let mut events: Vec<EventKind> = states
+            .iter()
+            .filter_map(|(member, state)| self.change(*member, *state))
+            .collect();
+        let gone = self
+            .states
+            .iter()
+            .filter(|(member, _)| !states.contains_key(member))
+            .map(|(member, state)| departure(*member, *state));
+        events.extend(gone);
+        self.states = states;
+        events
+    }
+
+    fn change(&self, member: MemberId, state: MemberState) -> Option<EventKind> {
+        let before = self.states.get(&member).copied();
+        if before == Some(state) {
+            return None;
+        }
+        match state {
+            MemberState::Alive => Some(EventKind::MemberJoined { member }),
+            MemberState::Suspect => Some(EventKind::MemberSuspected { member }),
+            MemberState::Leaving => Some(EventKind::MemberLeft { member }),
+            MemberState::Dead => Some(EventKind::MemberDied { member }),
+        }
+    }
+}
+
+/// A member that is no more in the view has left if it said so, and died if not.
+fn departure(member: MemberId, last: MemberState) -> EventKind {
+    match last {
+        MemberState::Leaving => EventKind::MemberLeft { member },
+        _ => EventKind::MemberDied { member },
+    }
+}
--- a/src/daemon/member_watch.rs
+++ b/src/daemon/member_watch.rs
@@ -1,5 +1,5 @@
 use {
-    super::{daemon_phase::DaemonPhase, daemon_state::DaemonState},
+    super::{daemon_phase::DaemonPhase, daemon_state::DaemonState, member_changes::MemberChanges},
     crate::policy::PolicyHash,
     std::{collections::HashSet, sync::Arc},
 };
@@ -7,8 +7,12 @@
 /// Brings each change of the membership into the tables of the daemon.
 pub(crate) async fn follow_members(state: Arc<DaemonState>) {
     let mut views = state.membership.view();
+    let mut changes = MemberChanges::default();
     loop {
         let view = views.borrow_and_update().clone();
+        for event in changes.take_in(&view) {
+            state.events.record(event);
+        }
         let now = state.clock.now();
         let records = view.members.iter().map(AsRef::as_ref);
         state.routing().update(now, records);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -21,6 +21,7 @@
 mod guarded_call;
 mod in_flight_call;
 mod local_target;
+mod member_changes;
 mod member_watch;
 mod mesh_client;
 mod mesh_service;
--- a/src/routing/call_end.rs
+++ b/src/routing/call_end.rs
@@ -1,7 +1,10 @@
-use {super::LoadNote, strum::Display};
+use {
+    super::LoadNote,
+    strum::{Display, IntoStaticStr},
+};
 
 /// How an attempt at a target ended, as the router saw it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum CallEnd {
     /// The target answered, or its daemon refused.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -14,6 +14,6 @@
     call_end::CallEnd,
     load_note::LoadNote,
     pick_verdict::PickVerdict,
-    target_entry::{TargetEntry, TargetKey},
+    target_entry::{EjectionChange, TargetEntry, TargetKey},
     target_table::{RouterPlace, TargetTable},
 };
--- a/src/routing/target_entry.rs
+++ b/src/routing/target_entry.rs
@@ -32,6 +32,15 @@
     Full,
 }
 
+/// What the end of a call changed for its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EjectionChange {
+    /// The router stops sending to the target for a while.
+    Ejected,
+    /// The target has answered again.
+    Restored,
+}
+
 /// What the router knows of one target.
 #[derive(Clone, Debug)]
 pub struct TargetEntry {
@@ -89,6 +98,11 @@
         self.mesh
     }
 
+    #[must_use]
+    pub fn service(&self) -> &ServiceName {
+        &self.service
+    }
+
     /// Calls of this router that the target has not answered yet.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
@@ -99,40 +113,49 @@
         self.in_flight += 1;
     }
 
-    pub(super) fn end(&mut self, now: TimePoint, end: CallEnd, room: EjectionRoom) {
+    pub(super) fn end(
+        &mut self,
+        now: TimePoint,
+        end: CallEnd,
+        room: EjectionRoom,
+    ) -> Option<EjectionChange> {
         self.in_flight = self.in_flight.saturating_sub(1);
         match end {
             CallEnd::Answered(load) => self.note_answer(now, load),
             CallEnd::Unreachable => self.eject(now),
             CallEnd::Broken => self.note_failure(now, room),
-            CallEnd::Abandoned => {}
+            CallEnd::Abandoned => None,
         }
     }
 
-    fn note_answer(&mut self, now: TimePoint, load: Option<LoadNote>) {
+    fn note_answer(&mut self, now: TimePoint, load: Option<LoadNote>) -> Option<EjectionChange> {
+        let was_ejected = self.ejections > 0;
         self.failures = 0;
         self.ejections = 0;
         if let Some(load) = load {
             self.load = load;
             self.load_at = now;
         }
+        was_ejected.then_some(EjectionChange::Restored)
     }
 
-    fn note_failure(&mut self, now: TimePoint, room: EjectionRoom) {
+    fn note_failure(&mut self, now: TimePoint, room: EjectionRoom) -> Option<EjectionChange> {
         self.failures += 1;
-        if self.failures >= EJECTION_FAILURES && room == EjectionRoom::Free {
-            self.eject(now);
+        if self.failures < EJECTION_FAILURES || room == EjectionRoom::Full {
+            return None;
         }
+        self.eject(now)
     }
 
-    fn eject(&mut self, now: TimePoint) {
+    fn eject(&mut self, now: TimePoint) -> Option<EjectionChange> {
         if self.is_ejected(now) {
-            return;
+            return None;
         }
         let factor = 1_u32 << self.ejections.min(8);
         self.ejected_until = now + (EJECTION_BASE * factor).min(EJECTION_MAX);
         self.ejections += 1;
         self.failures = 0;
+        Some(EjectionChange::Ejected)
     }
 
     pub(super) fn is_ejected(&self, now: TimePoint) -> bool {
--- a/src/routing/target_table.rs
+++ b/src/routing/target_table.rs
@@ -1,5 +1,7 @@
 use {
-    super::{CallEnd, PickVerdict, TargetEntry, TargetKey, target_entry::EjectionRoom},
+    super::{
+        CallEnd, EjectionChange, PickVerdict, TargetEntry, TargetKey, target_entry::EjectionRoom,
+    },
     crate::{
         context::{CallPriority, ServiceName},
         membership::{MemberId, MemberRecord, MemberState, TargetAnnouncement, TargetState},
@@ -102,11 +104,9 @@
     }
 
     /// Notes how a call to a target ended.
-    pub fn end(&mut self, now: TimePoint, key: TargetKey, end: CallEnd) {
+    pub fn end(&mut self, now: TimePoint, key: TargetKey, end: CallEnd) -> Option<EjectionChange> {
         let room = self.ejection_room(now, key);
-        if let Some(entry) = self.targets.get_mut(key) {
-            entry.end(now, end, room);
-        }
+        self.targets.get_mut(key)?.end(now, end, room)
     }
 
     #[must_use]
