Tests of the guard, the gate and the stated targets; ramp and estimates mended

Now two slow windows end the ramp, no call is dropped from a standing queue while the limit ramps, and a limit that is held is tried one higher.

--- a/examples/admission_weigh/main.rs
+++ b/examples/admission_weigh/main.rs
@@ -22,6 +22,7 @@
 
 const DEFAULT_SEED: u64 = 1;
 const DEFAULT_RUNS: u64 = 8;
+const DEFAULT_SLOTS: u32 = 20;
 
 xflags::xflags! {
     /// Weighs ways of admission on a model of one target.
@@ -30,6 +31,8 @@
         optional --seed seed: u64
         /// Runs of each way, with a seed each; 8 if absent.
         optional --runs runs: u64
+        /// Slots of the target; 20 if absent.
+        optional --slots slots: u32
     }
 }
 
@@ -37,7 +40,8 @@
     let flags = AdmissionWeigh::from_env_or_exit();
     let seed = flags.seed.unwrap_or(DEFAULT_SEED);
     let runs = flags.runs.unwrap_or(DEFAULT_RUNS).max(1);
-    for scenario in scenarios::all() {
+    let slots = flags.slots.unwrap_or(DEFAULT_SLOTS).max(1);
+    for scenario in scenarios::all(slots) {
         print_scenario(&scenario, seed..seed + runs);
     }
 }
@@ -45,8 +49,16 @@
 fn print_scenario(scenario: &LoadScenario, seeds: Range<u64>) {
     println!("\n{}, {} runs", scenario.name, seeds.end - seeds.start);
     println!(
-        "{:<26} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9}",
-        "way", "goodput%", "weighted%", "highest%", "least%", "answering", "refused-0", "wasted",
+        "{:<26} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9}",
+        "way",
+        "goodput%",
+        "weighted%",
+        "highest%",
+        "least%",
+        "answering",
+        "all back",
+        "refused-0",
+        "wasted",
     );
     for variant in variants() {
         let run = |seed| (variant.run)(scenario, variant.way, seed);
@@ -61,13 +73,14 @@
     let wasted =
         |result: &RunResult| -> u32 { result.classes.iter().map(|class| class.wasted).sum() };
     println!(
-        "{:<26} {:>9.1} {:>9.1} {:>9.1} {:>9.1} {:>9} {:>9.1} {:>9.1}",
+        "{:<26} {:>9.1} {:>9.1} {:>9.1} {:>9.1} {:>9} {:>9} {:>9.1} {:>9.1}",
         variant.name,
         mean(results, |result| result.goodput_percent),
         mean(results, |result| result.weighted_percent),
         mean(results, highest),
         results.iter().map(highest).fold(f64::MAX, f64::min),
-        longest(results),
+        longest(results, |result| result.answering),
+        longest(results, |result| result.recovery),
         mean(results, |result| f64::from(result.refused_before)),
         mean(results, |result| f64::from(wasted(result))),
     );
@@ -78,8 +91,8 @@
     results.iter().map(figure).sum::<f64>() / f64::from(count)
 }
 
-fn longest(results: &[RunResult]) -> String {
-    let spans: Option<Vec<Duration>> = results.iter().map(|result| result.answering).collect();
+fn longest(results: &[RunResult], figure: impl Fn(&RunResult) -> Option<Duration>) -> String {
+    let spans: Option<Vec<Duration>> = results.iter().map(figure).collect();
     match spans.and_then(|spans| spans.into_iter().max()) {
         Some(span) => format!("{:.1} s", span.as_secs_f64()),
         None => "none".into(),
--- a/examples/admission_weigh/scenarios.rs
+++ b/examples/admission_weigh/scenarios.rs
@@ -3,7 +3,8 @@
     std::time::Duration,
 };
 
-const SLOTS: u32 = 20;
+/// Against the slots, where a target overstates them.
+const OVERSTATED: u32 = 3;
 /// Demand of an ordinary hour against the capacity.
 const CALM_DEMAND: f64 = 0.7;
 const SURGE_DEMAND: f64 = 3.0;
@@ -13,33 +14,55 @@
 const AFTER: Duration = Duration::from_secs(8);
 const THRASH: f64 = 0.3;
 
-/// All scenarios that the ways are weighed on.
-pub fn all() -> Vec<LoadScenario> {
+/// All scenarios that the ways are weighed on, for a target of so many slots.
+pub fn all(slots: u32) -> Vec<LoadScenario> {
     vec![
-        surge("threefold surge", SLOTS, 0.0),
-        surge(
+        surge("threefold surge", slots, 0.0),
+        impatient_surge(slots),
+        overstated(surge(
             "threefold surge, slots overstated threefold",
-            SLOTS * 3,
+            slots,
             THRASH,
+        )),
+        slow_dependency(slots),
+        lost_capacity(slots),
+        cold_start(slots),
+        reporting(
+            surge("threefold surge, reports 200% always", slots, THRASH),
+            200,
         ),
-        slow_dependency(),
-        lost_capacity(),
-        cold_start(),
-        misleading_report("threefold surge, reports 200% always", SLOTS, 200),
-        misleading_report(
-            "threefold surge, slots overstated, reports 0% always",
-            SLOTS * 3,
+        overstated(reporting(
+            surge(
+                "threefold surge, slots overstated, reports 0% always",
+                slots,
+                THRASH,
+            ),
             0,
-        ),
+        )),
     ]
 }
 
-fn surge(name: &'static str, announced: u32, thrash: f64) -> LoadScenario {
+fn overstated(scenario: LoadScenario) -> LoadScenario {
+    LoadScenario {
+        announced: scenario.capacity * OVERSTATED,
+        ..scenario
+    }
+}
+
+/// Callers return at once, and are gone soon after.
+fn impatient_surge(slots: u32) -> LoadScenario {
+    LoadScenario {
+        hard_retries: 1.0,
+        ..surge("threefold surge, all callers retry at once", slots, 0.0)
+    }
+}
+
+fn surge(name: &'static str, slots: u32, thrash: f64) -> LoadScenario {
     LoadScenario {
         name,
         classes: classes(),
-        capacity: SLOTS,
-        announced,
+        capacity: slots,
+        announced: slots,
         thrash,
         phases: vec![
             ScenarioPhase::new(BEFORE, CALM_DEMAND),
@@ -51,8 +74,8 @@
     }
 }
 
-fn slow_dependency() -> LoadScenario {
-    let mut scenario = surge("tenfold slower further down, then healed", SLOTS, 0.0);
+fn slow_dependency(slots: u32) -> LoadScenario {
+    let mut scenario = surge("tenfold slower further down, then healed", slots, 0.0);
     scenario.phases[1] = ScenarioPhase {
         slowdown: DEEP_SLOWDOWN,
         ..ScenarioPhase::new(PRESSURE, CALM_DEMAND)
@@ -60,8 +83,8 @@
     scenario
 }
 
-fn lost_capacity() -> LoadScenario {
-    let mut scenario = surge("a fifth of the capacity, then healed", SLOTS, THRASH);
+fn lost_capacity(slots: u32) -> LoadScenario {
+    let mut scenario = surge("a fifth of the capacity, then healed", slots, THRASH);
     scenario.phases[1] = ScenarioPhase {
         warmth: 0.2..0.2,
         ..ScenarioPhase::new(PRESSURE, CALM_DEMAND)
@@ -69,10 +92,10 @@
     scenario
 }
 
-fn cold_start() -> LoadScenario {
+fn cold_start(slots: u32) -> LoadScenario {
     let mut scenario = surge(
         "cold start, a tenth of the capacity at first",
-        SLOTS,
+        slots,
         THRASH,
     );
     scenario.phases.remove(0);
@@ -84,8 +107,7 @@
     scenario
 }
 
-fn misleading_report(name: &'static str, announced: u32, percent: u32) -> LoadScenario {
-    let mut scenario = surge(name, announced, THRASH);
+fn reporting(mut scenario: LoadScenario, percent: u32) -> LoadScenario {
     for phase in &mut scenario.phases {
         phase.report = Some(percent);
     }
--- a/src/admission/admission_guard.rs
+++ b/src/admission/admission_guard.rs
@@ -318,10 +318,13 @@
         let is_overtaken = first.is_some_and(|first| first.order.rank() > ticket.order.rank());
         let patience = ticket.queued.until(ticket.deadline) / MAX_SOJOURN_SHARE;
         let longest = MAX_SOJOURN.max(self.target_delay() * MAX_SOJOURN_TARGETS);
-        is_overtaken && now.since(ticket.queued) > patience.min(longest)
+        is_overtaken && !self.limit.is_ramping() && now.since(ticket.queued) > patience.min(longest)
     }
 
     fn drop_standing<R: Rng + ?Sized>(&mut self, now: TimePoint, rng: &mut R) {
+        if self.limit.is_ramping() {
+            return;
+        }
         let target = self.target_delay();
         let interval = self.settings.queue_interval.max(target * INTERVAL_TARGETS);
         loop {
--- a/src/admission/concurrency_limit.rs
+++ b/src/admission/concurrency_limit.rs
@@ -37,6 +37,11 @@
     /// Calls at once, from 1 to the announced slots.
     fn limit(&self) -> u32;
 
+    /// Whether the limit still grows from its start, so that a queue says little of the target.
+    fn is_ramping(&self) -> bool {
+        false
+    }
+
     fn set_slots(&mut self, now: TimePoint, slots: u32);
 
     fn observe(&mut self, sample: &ServiceSample);
--- a/src/admission/gradient_limit.rs
+++ b/src/admission/gradient_limit.rs
@@ -20,16 +20,17 @@
 const RAMP_SAMPLES_PER_CALL: u32 = 2;
 /// Part of the limit that was in use on average, without which its speed says little of it.
 const GROWTH_USE: f64 = 0.5;
-/// Slowdown up to which the limit grows.
+/// Slowdown up to which the limit grows, beyond chance.
 const GROWTH_BOUND: f64 = 1.1;
-/// The same while the target itself reports overload.
-const CAREFUL_GROWTH_BOUND: f64 = 1.05;
+/// Windows without growth after which the limit is tried one higher, since a floor that was
+/// learned too low would hold it for ever.
+const HELD_WINDOWS: u32 = 4;
 /// Deviations by chance beyond it that count as too many calls.
 const TOLERATED_DEVIATIONS: f64 = 2.0;
 const OVERLOAD_PERCENT: u32 = 100;
 /// Time for which a load report counts.
 const REPORT_EXPIRY: Duration = Duration::from_secs(1);
-/// Slow windows in a row before a cut.
+/// Slow windows in a row that are no chance.
 const SLOW_WINDOWS: u32 = 2;
 /// Slowdown against what crowding explains that comes from outside.
 const PLAIN_SLOWDOWN: f64 = 2.0;
@@ -61,6 +62,8 @@
     growth: LimitGrowth,
     window: LatencyWindow,
     slow_windows: u32,
+    /// Windows in a row in which the limit was in use and did not grow.
+    held_windows: u32,
     /// Most calls at once that the target has run at full speed; zero if that is in doubt.
     proven: f64,
     trial: Option<CutTrial>,
@@ -70,7 +73,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LimitGrowth {
-    /// Doubles with each window until the first slowdown or all slots.
+    /// Doubles with each window until a slowdown lasts or all slots are in use.
     Ramp,
     /// Grows by half the square root, and by one at least.
     Probe,
@@ -128,7 +131,9 @@
             self.judge(now, trial, summary);
         } else if slowdown > tolerance(&summary) {
             self.slow_windows += 1;
-            self.growth = LimitGrowth::Probe;
+            if self.slow_windows >= SLOW_WINDOWS {
+                self.growth = LimitGrowth::Probe;
+            }
             self.answer_slowdown(now, summary, slowdown);
         } else {
             self.slow_windows = 0;
@@ -141,16 +146,23 @@
             self.proven = self.proven.max(summary.in_flight);
         }
         let is_used = summary.in_flight >= self.limit * GROWTH_USE;
-        if is_used && summary.usage >= WindowUse::Full && slowdown < self.growth_bound(now) {
+        if !is_used || summary.usage < WindowUse::Full {
+            return;
+        }
+        self.held_windows += 1;
+        let is_fast =
+            self.growth == LimitGrowth::Ramp || slowdown < self.growth_bound(now, summary);
+        if is_fast || self.held_windows >= HELD_WINDOWS {
+            self.held_windows = 0;
             self.grow();
         }
     }
 
-    fn growth_bound(&self, now: TimePoint) -> f64 {
+    fn growth_bound(&self, now: TimePoint, summary: WindowSummary) -> f64 {
         if now < self.careful_until {
-            CAREFUL_GROWTH_BOUND
-        } else {
             GROWTH_BOUND
+        } else {
+            GROWTH_BOUND + summary.deviation()
         }
     }
 
@@ -230,6 +242,7 @@
             growth: LimitGrowth::Ramp,
             window: LatencyWindow::new(now),
             slow_windows: 0,
+            held_windows: 0,
             proven: 0.0,
             trial: None,
             outside: OutsideSlowdown::default(),
@@ -242,6 +255,10 @@
         self.limit as u32
     }
 
+    fn is_ramping(&self) -> bool {
+        self.growth == LimitGrowth::Ramp
+    }
+
     fn set_slots(&mut self, _: TimePoint, slots: u32) {
         self.slots = f64::from(slots.max(1));
         self.limit = self.limit.min(self.slots);
--- a/standins/src/model/model_run.rs
+++ b/standins/src/model/model_run.rs
@@ -71,7 +71,7 @@
     Running { key: TicketKey, place: ServicePlace },
     Served { at: TimePoint },
     Late,
-    Refused,
+    Refused { at: TimePoint },
 }
 
 impl<'a, G: ModelGuard, E: GuardEvents> ModelRun<'a, G, E> {
@@ -176,7 +176,7 @@
         let index = self.calls.len();
         self.calls.push(CallRecord {
             call,
-            state: CallState::Refused,
+            state: CallState::Refused { at: now },
         });
         match verdict {
             AdmissionVerdict::Start(key) => {
@@ -220,7 +220,7 @@
 
     fn refuse(&mut self, now: TimePoint, index: usize, refusal: &AdmissionRefusal) {
         let record = &mut self.calls[index];
-        record.state = CallState::Refused;
+        record.state = CallState::Refused { at: now };
         if record.call.tries >= MAX_RETRIES {
             return;
         }
@@ -247,7 +247,7 @@
                 self.service.cancel(now, place);
                 key
             }
-            CallState::Served { .. } | CallState::Late | CallState::Refused => return,
+            CallState::Served { .. } | CallState::Late | CallState::Refused { .. } => return,
         };
         self.calls[index].state = CallState::Late;
         self.finish(now, key, CompletionKind::Cancelled);
@@ -291,7 +291,7 @@
                     result.answered += 1;
                     result.served += u32::from(is_first);
                 }
-                CallState::Refused => result.refused += 1,
+                CallState::Refused { .. } => result.refused += 1,
                 CallState::Late => result.wasted += 1,
                 CallState::Queued { .. } | CallState::Running { .. } => {}
             }
@@ -338,8 +338,9 @@
 
     fn refused_before(&self) -> u32 {
         let start = self.scenario.pressure_span().start;
-        let is_refused = |record: &&CallRecord| {
-            record.call.offered < start && matches!(record.state, CallState::Refused)
+        let is_refused = |record: &&CallRecord| match record.state {
+            CallState::Refused { at } => at < start,
+            _ => false,
         };
         let count = self.calls.iter().filter(is_refused).count();
         u32::try_from(count).unwrap_or(u32::MAX)
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -3,8 +3,8 @@
 use {
     banyantrestle::{
         admission::{
-            AdmissionGuard, AdmissionRequest, AdmissionVerdict, CompletionKind, GuardEffect,
-            GuardSettings, RefusalReason, StaticLimit, TicketKey,
+            AdmissionGuard, AdmissionRequest, AdmissionVerdict, CompletionKind, DrainState,
+            GuardEffect, GuardSettings, RefusalReason, StaticLimit, TicketKey,
         },
         context::{CallPriority, RequestId},
         policy::OverloadPolicy,
@@ -18,10 +18,15 @@
 const SLOTS: u32 = 2;
 const BROWSE: u8 = 1;
 const PURCHASE: u8 = 3;
+const TICK: Duration = Duration::from_millis(10);
+/// Stated target for the recovery.
+const RECOVERY: Duration = Duration::from_secs(2);
 
 struct GuardFixture {
     guard: AdmissionGuard<StaticLimit>,
     rng: SmallRng,
+    now: TimePoint,
+    next_request: u128,
 }
 
 impl GuardFixture {
@@ -30,66 +35,276 @@
         Self {
             guard: AdmissionGuard::new(settings, TimePoint::ORIGIN),
             rng: SmallRng::seed_from_u64(SEED),
+            now: TimePoint::ORIGIN,
+            next_request: 0,
         }
     }
 
-    fn offer(&mut self, now: TimePoint, rank: u8) -> AdmissionVerdict {
-        self.offer_until(now, rank, now + Duration::from_secs(10))
+    fn pass(&mut self, span: Duration) {
+        self.now = self.now + span;
     }
 
-    fn offer_until(&mut self, now: TimePoint, rank: u8, deadline: TimePoint) -> AdmissionVerdict {
-        let request = AdmissionRequest {
-            priority: CallPriority::new(rank, RequestId::from_u128(7)),
+    fn request(&mut self, rank: u8) -> AdmissionRequest {
+        self.next_request += 1;
+        AdmissionRequest {
+            priority: CallPriority::new(rank, RequestId::from_u128(self.next_request)),
             depth: 0,
-            deadline,
-        };
-        self.guard.offer(now, request, &mut self.rng)
+            deadline: self.now + Duration::from_secs(10),
+        }
+    }
+
+    fn offer_request(&mut self, request: AdmissionRequest) -> AdmissionVerdict {
+        self.guard.offer(self.now, request, &mut self.rng)
+    }
+
+    fn offer(&mut self, rank: u8) -> AdmissionVerdict {
+        let request = self.request(rank);
+        self.offer_request(request)
     }
 
-    fn start(&mut self, now: TimePoint, rank: u8) -> TicketKey {
-        match self.offer(now, rank) {
+    fn start(&mut self, rank: u8) -> TicketKey {
+        match self.offer(rank) {
             AdmissionVerdict::Start(key) => key,
             other => panic!("not started: {other:?}"),
         }
     }
 
-    fn queue(&mut self, now: TimePoint, rank: u8) -> TicketKey {
-        match self.offer(now, rank) {
+    fn queue(&mut self, request: AdmissionRequest) -> TicketKey {
+        match self.offer_request(request) {
             AdmissionVerdict::Queued(key) => key,
             other => panic!("not queued: {other:?}"),
         }
     }
 
-    fn finish(&mut self, now: TimePoint, key: TicketKey) {
-        let rng = &mut self.rng;
-        self.guard.finish(now, key, CompletionKind::Success, rng);
+    fn refuse(&mut self, request: AdmissionRequest) -> RefusalReason {
+        match self.offer_request(request) {
+            AdmissionVerdict::Refused(refusal) => {
+                assert!(refusal.retry_after > Duration::ZERO);
+                refusal.reason
+            }
+            other => panic!("not refused: {other:?}"),
+        }
+    }
+
+    fn finish(&mut self, key: TicketKey, kind: CompletionKind) {
+        self.guard.finish(self.now, key, kind, &mut self.rng);
+    }
+
+    fn tick(&mut self) {
+        self.pass(TICK);
+        self.guard.tick(self.now, &mut self.rng);
+    }
+
+    fn effects(&mut self) -> Vec<GuardEffect> {
+        std::iter::from_fn(|| self.guard.next_effect()).collect()
+    }
+
+    /// Finishes the running calls and starts the next, for as long as `ticks`.
+    fn serve(&mut self, ticks: u32, running: &mut Vec<TicketKey>, offers: u32, rank: u8) {
+        for _ in 0..ticks {
+            for _ in 0..offers {
+                if let AdmissionVerdict::Start(key) = self.offer(rank) {
+                    running.push(key);
+                }
+            }
+            self.tick();
+            for key in std::mem::take(running) {
+                self.finish(key, CompletionKind::Success);
+            }
+            running.extend(
+                self.effects()
+                    .into_iter()
+                    .filter_map(|effect| match effect {
+                        GuardEffect::Start(key) => Some(key),
+                        GuardEffect::Drop(..) => None,
+                    }),
+            );
+        }
+    }
+}
+
+#[test]
+fn calls_start_by_class_then_depth_then_hash_then_arrival() {
+    let mut fixture = GuardFixture::new();
+    let running = fixture.start(BROWSE);
+    fixture.start(BROWSE);
+    let browse = fixture.request(BROWSE);
+    let deep = AdmissionRequest {
+        depth: 2,
+        ..fixture.request(BROWSE)
+    };
+    let purchase = fixture.request(PURCHASE);
+    let first = fixture.queue(browse);
+    let second = fixture.queue(browse);
+    let deeper = fixture.queue(deep);
+    let highest = fixture.queue(purchase);
+    let mut key = running;
+    for expected in [highest, deeper, first, second] {
+        fixture.finish(key, CompletionKind::Success);
+        assert_eq!(fixture.effects(), [GuardEffect::Start(expected)]);
+        key = expected;
+    }
+}
+
+#[test]
+fn a_full_queue_evicts_its_lowest_for_a_higher_call() {
+    let mut fixture = GuardFixture::new();
+    fixture.start(BROWSE);
+    fixture.start(BROWSE);
+    let capacity = GuardSettings::queue_capacity_of(SLOTS);
+    let lowest = fixture.request(BROWSE);
+    let request = fixture.request(2);
+    let last = fixture.queue(lowest);
+    for _ in 1..capacity {
+        fixture.queue(request);
+    }
+    assert_eq!(fixture.refuse(lowest), RefusalReason::QueueFull);
+    let purchase = fixture.request(PURCHASE);
+    fixture.queue(purchase);
+    let effects = fixture.effects();
+    assert!(
+        matches!(effects[..], [GuardEffect::Drop(key, refusal)]
+            if key == last && refusal.reason == RefusalReason::QueueFull),
+        "{effects:?}"
+    );
+}
+
+#[test]
+fn work_that_cannot_finish_in_time_is_refused_before_it_starts() {
+    let mut fixture = GuardFixture::new();
+    for _ in 0..8 {
+        let key = fixture.start(PURCHASE);
+        fixture.pass(Duration::from_millis(100));
+        fixture.finish(key, CompletionKind::Success);
     }
+    let cases = [(0, true), (50, true), (200, false)];
+    for (left_ms, is_refused) in cases {
+        let request = AdmissionRequest {
+            deadline: fixture.now + Duration::from_millis(left_ms),
+            ..fixture.request(PURCHASE)
+        };
+        match fixture.offer_request(request) {
+            AdmissionVerdict::Refused(refusal) => {
+                assert!(is_refused, "{left_ms} ms");
+                assert_eq!(refusal.reason, RefusalReason::DeadlineTooNear);
+            }
+            AdmissionVerdict::Start(key) => {
+                assert!(!is_refused, "{left_ms} ms");
+                fixture.finish(key, CompletionKind::Cancelled);
+            }
+            AdmissionVerdict::Queued(_) => panic!("queued with a free slot"),
+        }
+    }
+}
+
+#[test]
+fn an_estimate_that_refuses_every_call_fades() {
+    let mut fixture = GuardFixture::new();
+    let key = fixture.start(PURCHASE);
+    fixture.pass(Duration::from_secs(8));
+    fixture.finish(key, CompletionKind::Success);
+    let deadline = Duration::from_secs(1);
+    let request = AdmissionRequest {
+        deadline: fixture.now + deadline,
+        ..fixture.request(PURCHASE)
+    };
+    assert_eq!(fixture.refuse(request), RefusalReason::DeadlineTooNear);
+    fixture.pass(RECOVERY);
+    let later = AdmissionRequest {
+        deadline: fixture.now + deadline,
+        ..request
+    };
+    assert!(matches!(
+        fixture.offer_request(later),
+        AdmissionVerdict::Start(_)
+    ));
 }
 
 #[test]
-fn the_higher_class_starts_first() {
+fn a_queued_call_past_its_deadline_is_dropped_with_an_answer() {
     let mut fixture = GuardFixture::new();
-    let now = TimePoint::from_millis(1);
-    let running = fixture.start(now, BROWSE);
-    fixture.start(now, BROWSE);
-    fixture.queue(now, BROWSE);
-    let purchase = fixture.queue(now, PURCHASE);
-    fixture.finish(now + Duration::from_millis(5), running);
-    assert_eq!(
-        fixture.guard.next_effect(),
-        Some(GuardEffect::Start(purchase))
+    fixture.start(BROWSE);
+    fixture.start(BROWSE);
+    let request = AdmissionRequest {
+        deadline: fixture.now + TICK / 2,
+        ..fixture.request(PURCHASE)
+    };
+    let key = fixture.queue(request);
+    fixture.tick();
+    let effects = fixture.effects();
+    assert!(
+        matches!(effects[..], [GuardEffect::Drop(dropped, refusal)] if dropped == key
+            && refusal.reason == RefusalReason::DeadlineTooNear
+            && refusal.retry_after > Duration::ZERO),
+        "{effects:?}"
     );
-    assert_eq!(fixture.guard.next_effect(), None);
 }
 
 #[test]
-fn a_call_past_its_deadline_is_refused() {
+fn a_cancelled_call_leaves_the_queue_without_effect() {
+    let mut fixture = GuardFixture::new();
+    let running = fixture.start(BROWSE);
+    fixture.start(BROWSE);
+    let request = fixture.request(PURCHASE);
+    let key = fixture.queue(request);
+    fixture.finish(key, CompletionKind::Cancelled);
+    fixture.finish(running, CompletionKind::Success);
+    assert_eq!(fixture.effects(), []);
+    assert_eq!(fixture.guard.load().queued, 0);
+}
+
+#[test]
+fn draining_refuses_the_new_and_serves_the_queued() {
+    let mut fixture = GuardFixture::new();
+    let running = fixture.start(BROWSE);
+    fixture.start(BROWSE);
+    let request = fixture.request(BROWSE);
+    let queued = fixture.queue(request);
+    fixture.guard.set_state(DrainState::Draining);
+    let purchase = fixture.request(PURCHASE);
+    assert_eq!(fixture.refuse(purchase), RefusalReason::Draining);
+    fixture.finish(running, CompletionKind::Success);
+    assert_eq!(fixture.effects(), [GuardEffect::Start(queued)]);
+}
+
+#[test]
+fn pressure_raises_the_threshold_and_its_end_lowers_it_in_time() {
+    let mut fixture = GuardFixture::new();
+    let mut running = Vec::new();
+    fixture.serve(200, &mut running, 10, BROWSE);
+    let threshold = fixture.guard.load().threshold;
+    assert!(threshold > CallPriority::LOWEST);
+    assert!(threshold.rank() <= BROWSE, "a higher class is not shed");
+    let purchase = fixture.request(PURCHASE);
+    assert!(!matches!(
+        fixture.offer_request(purchase),
+        AdmissionVerdict::Refused(_)
+    ));
+    let below = AdmissionRequest {
+        priority: CallPriority::LOWEST,
+        ..fixture.request(BROWSE)
+    };
+    assert_eq!(fixture.refuse(below), RefusalReason::BelowThreshold);
+    let ticks = u32::try_from(RECOVERY.as_millis() / TICK.as_millis()).expect("a small number");
+    fixture.serve(ticks, &mut running, 0, BROWSE);
+    assert_eq!(fixture.guard.load().threshold, CallPriority::LOWEST);
+}
+
+#[test]
+fn a_deep_call_is_measured_by_its_class_alone() {
     let mut fixture = GuardFixture::new();
-    let now = TimePoint::from_millis(100);
-    let verdict = fixture.offer_until(now, PURCHASE, TimePoint::from_millis(99));
-    let AdmissionVerdict::Refused(refusal) = verdict else {
-        panic!("not refused: {verdict:?}");
+    fixture.serve(200, &mut Vec::new(), 10, BROWSE);
+    let threshold = fixture.guard.load().threshold;
+    let below = CallPriority::from_u32(threshold.as_u32() - 1);
+    assert_eq!(below.rank(), threshold.rank());
+    let front = AdmissionRequest {
+        priority: below,
+        ..fixture.request(BROWSE)
     };
-    assert_eq!(refusal.reason, RefusalReason::DeadlineTooNear);
-    assert!(refusal.retry_after > Duration::ZERO);
+    assert_eq!(fixture.refuse(front), RefusalReason::BelowThreshold);
+    let deep = AdmissionRequest { depth: 1, ..front };
+    assert!(!matches!(
+        fixture.offer_request(deep),
+        AdmissionVerdict::Refused(_)
+    ));
 }
--- /dev/null
+++ b/tests/admission_gate.rs
@@ -0,0 +1,110 @@
+//! Thresholds at the front of the chain.
+
+use {
+    banyantrestle::{
+        admission::{FrontGate, RefusalReason},
+        context::{CallPriority, ClassName, ServiceName},
+        time::TimePoint,
+    },
+    rand::{SeedableRng, rngs::SmallRng},
+    std::time::Duration,
+};
+
+const CALLS: u32 = 1_000;
+const ANSWERS: u32 = 20;
+/// Stated target for the recovery.
+const RECOVERY: Duration = Duration::from_secs(2);
+
+struct GateFixture {
+    gate: FrontGate,
+    service: ServiceName,
+    class: ClassName,
+}
+
+impl GateFixture {
+    fn new() -> Self {
+        Self {
+            gate: FrontGate::default(),
+            service: ServiceName::new("catalogue").expect("a valid name"),
+            class: ClassName::new("browse").expect("a valid name"),
+        }
+    }
+
+    fn note(&mut self, now: TimePoint, threshold: CallPriority) {
+        for _ in 0..ANSWERS {
+            self.gate.note(now, &self.service, &self.class, threshold);
+        }
+    }
+
+    fn admitted(&mut self, now: TimePoint, priority: CallPriority) -> u32 {
+        let is_admitted = |_: &u32| {
+            self.gate
+                .is_admitted(now, &self.service, &self.class, priority)
+        };
+        let count = (0..CALLS).filter(is_admitted).count();
+        u32::try_from(count).expect("a small number")
+    }
+}
+
+fn priority(rank: u32, hash: u32) -> CallPriority {
+    CallPriority::from_u32(rank << 16 | hash)
+}
+
+#[test]
+fn a_threshold_sheds_below_it_but_for_a_few_probes() {
+    let mut fixture = GateFixture::new();
+    let now = TimePoint::from_millis(5);
+    assert_eq!(fixture.admitted(now, CallPriority::LOWEST), CALLS);
+    fixture.note(now, priority(2, 0));
+    assert_eq!(fixture.admitted(now, priority(2, 0)), CALLS);
+    let probes = fixture.admitted(now, priority(1, 0xffff / 2));
+    assert!((1..CALLS / 10).contains(&probes), "{probes} probes");
+}
+
+#[test]
+fn a_threshold_is_that_of_its_service_and_class() {
+    let mut fixture = GateFixture::new();
+    let now = TimePoint::from_millis(5);
+    fixture.note(now, CallPriority::HIGHEST);
+    let service = ServiceName::new("billing").expect("a valid name");
+    let class = ClassName::new("purchase").expect("a valid name");
+    let lowest = CallPriority::LOWEST;
+    let gate = &mut fixture.gate;
+    assert!(gate.is_admitted(now, &service, &fixture.class, lowest));
+    assert!(gate.is_admitted(now, &fixture.service, &class, lowest));
+    assert!(!gate.is_admitted(now, &fixture.service, &fixture.class, lowest));
+}
+
+#[test]
+fn a_threshold_that_is_not_confirmed_fades_in_time() {
+    let mut fixture = GateFixture::new();
+    let now = TimePoint::from_millis(5);
+    fixture.note(now, CallPriority::HIGHEST);
+    let later = now + RECOVERY;
+    assert_eq!(fixture.admitted(later, CallPriority::LOWEST), CALLS);
+    fixture.gate.tick(later);
+    fixture.note(later, priority(1, 0));
+    assert!(fixture.admitted(later, CallPriority::LOWEST) < CALLS / 10);
+}
+
+#[test]
+fn answers_without_pressure_lower_a_threshold_at_once() {
+    let mut fixture = GateFixture::new();
+    let now = TimePoint::from_millis(5);
+    fixture.note(now, CallPriority::HIGHEST);
+    fixture.note(now, CallPriority::LOWEST);
+    assert_eq!(fixture.admitted(now, priority(1, 0)), CALLS);
+}
+
+#[test]
+fn a_refusal_says_when_to_come_back() {
+    let fixture = GateFixture::new();
+    let mut rng = SmallRng::seed_from_u64(3);
+    let refusals: Vec<_> = (0..64).map(|_| fixture.gate.refusal(&mut rng)).collect();
+    let is_told = |refusal: &banyantrestle::admission::AdmissionRefusal| {
+        refusal.reason == RefusalReason::FrontGate && refusal.retry_after > Duration::ZERO
+    };
+    assert!(refusals.iter().all(is_told));
+    let first = refusals[0].retry_after;
+    assert!(refusals.iter().any(|refusal| refusal.retry_after != first));
+}
--- /dev/null
+++ b/tests/admission_properties.rs
@@ -0,0 +1,265 @@
+//! What holds of a guard whatever it is told.
+
+use {
+    banyantrestle::{
+        admission::{
+            AdmissionGuard, AdmissionRequest, AdmissionVerdict, CallOrder, CompletionKind,
+            GradientLimit, GuardEffect, GuardSettings, LoadReport, TicketKey,
+        },
+        context::CallPriority,
+        policy::OverloadPolicy,
+        time::TimePoint,
+    },
+    proptest::{collection::vec, prelude::*, test_runner::RngSeed},
+    rand::{SeedableRng, rngs::SmallRng},
+    std::{collections::HashMap, time::Duration},
+};
+
+const SEED: u64 = 5;
+const MAX_RANK: u32 = 3;
+/// Stated target for the recovery.
+const RECOVERY: Duration = Duration::from_secs(2);
+const TICK: Duration = Duration::from_millis(10);
+
+#[derive(Clone, Copy, Debug)]
+enum GuardStep {
+    Offer {
+        priority: u32,
+        depth: u8,
+        left_ms: u64,
+    },
+    /// Ends one of the calls that are known, queued or running.
+    Finish {
+        index: usize,
+        kind: CompletionKind,
+    },
+    Slots {
+        slots: u32,
+    },
+    Load {
+        percent: u32,
+    },
+    Pass {
+        ms: u64,
+    },
+    Tick,
+}
+
+fn kind() -> impl Strategy<Value = CompletionKind> {
+    prop_oneof![
+        4 => Just(CompletionKind::Success),
+        1 => Just(CompletionKind::Failure),
+        1 => Just(CompletionKind::Cancelled),
+    ]
+}
+
+fn step() -> impl Strategy<Value = GuardStep> {
+    let priority = 0..(MAX_RANK + 1) << 16;
+    prop_oneof![
+        8 => (priority, 0_u8..4, 0_u64..3_000)
+            .prop_map(|(priority, depth, left_ms)| GuardStep::Offer { priority, depth, left_ms }),
+        6 => (0_usize..64, kind()).prop_map(|(index, kind)| GuardStep::Finish { index, kind }),
+        1 => (0_u32..8).prop_map(|slots| GuardStep::Slots { slots }),
+        1 => (0_u32..300).prop_map(|percent| GuardStep::Load { percent }),
+        4 => (0_u64..60).prop_map(|ms| GuardStep::Pass { ms }),
+        6 => Just(GuardStep::Tick),
+    ]
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SeenState {
+    Queued,
+    Running,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SeenCall {
+    request: AdmissionRequest,
+    state: SeenState,
+}
+
+struct GuardWatch {
+    guard: AdmissionGuard<GradientLimit>,
+    rng: SmallRng,
+    now: TimePoint,
+    slots: u32,
+    calls: HashMap<TicketKey, SeenCall>,
+    /// In the order of their offers.
+    keys: Vec<TicketKey>,
+}
+
+impl GuardWatch {
+    fn new(slots: u32) -> Self {
+        let settings = GuardSettings::new(slots, &OverloadPolicy::default());
+        Self {
+            guard: AdmissionGuard::new(settings, TimePoint::ORIGIN),
+            rng: SmallRng::seed_from_u64(SEED),
+            now: TimePoint::ORIGIN,
+            slots,
+            calls: HashMap::new(),
+            keys: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, step: GuardStep) {
+        match step {
+            GuardStep::Offer {
+                priority,
+                depth,
+                left_ms,
+            } => {
+                let request = AdmissionRequest {
+                    priority: CallPriority::from_u32(priority),
+                    depth,
+                    deadline: self.now + Duration::from_millis(left_ms),
+                };
+                self.offer(request);
+            }
+            GuardStep::Finish { index, kind } => self.finish(index, kind),
+            GuardStep::Slots { slots } => {
+                self.slots = slots.max(1);
+                self.guard.set_slots(self.now, slots);
+            }
+            GuardStep::Load { percent } => {
+                let limit = self.guard.load().limit;
+                let report = LoadReport {
+                    utilization_percent: percent,
+                };
+                self.guard.report_load(self.now, report);
+                assert!(
+                    self.guard.load().limit <= limit,
+                    "a report raised the limit"
+                );
+            }
+            GuardStep::Pass { ms } => self.now = self.now + Duration::from_millis(ms),
+            GuardStep::Tick => {
+                self.now = self.now + TICK;
+                self.guard.tick(self.now, &mut self.rng);
+            }
+        }
+        self.pull();
+        self.check();
+    }
+
+    fn offer(&mut self, request: AdmissionRequest) {
+        match self.guard.offer(self.now, request, &mut self.rng) {
+            AdmissionVerdict::Start(key) => {
+                self.check_room();
+                self.add(key, request, SeenState::Running);
+            }
+            AdmissionVerdict::Queued(key) => {
+                // The key of an evicted call may be used again only once its effect is out.
+                self.pull();
+                self.add(key, request, SeenState::Queued);
+            }
+            AdmissionVerdict::Refused(refusal) => assert!(refusal.retry_after > Duration::ZERO),
+        }
+    }
+
+    fn add(&mut self, key: TicketKey, request: AdmissionRequest, state: SeenState) {
+        let before = self.calls.insert(key, SeenCall { request, state });
+        assert!(before.is_none(), "a ticket was used twice");
+        self.keys.push(key);
+    }
+
+    fn finish(&mut self, index: usize, kind: CompletionKind) {
+        if self.keys.is_empty() {
+            return;
+        }
+        let key = self.keys.remove(index % self.keys.len());
+        self.calls.remove(&key);
+        self.guard.finish(self.now, key, kind, &mut self.rng);
+    }
+
+    /// Each effect is for a call that is queued, so none gets two.
+    fn pull(&mut self) {
+        while let Some(effect) = self.guard.next_effect() {
+            match effect {
+                GuardEffect::Start(key) => {
+                    let call = self.calls.get_mut(&key).expect("a known ticket");
+                    assert_eq!(call.state, SeenState::Queued, "started twice");
+                    call.state = SeenState::Running;
+                    let order = CallOrder::of(&call.request);
+                    self.check_order(order);
+                    self.check_room();
+                }
+                GuardEffect::Drop(key, refusal) => {
+                    let call = self.calls.remove(&key).expect("a known ticket");
+                    assert_eq!(call.state, SeenState::Queued, "dropped after its start");
+                    assert!(refusal.retry_after > Duration::ZERO);
+                    self.keys.retain(|known| *known != key);
+                }
+            }
+        }
+    }
+
+    /// No higher call that is still in time waits while a lower one starts.
+    fn check_order(&self, started: CallOrder) {
+        let is_passed_over = self.calls.values().any(|call| {
+            call.state == SeenState::Queued
+                && CallOrder::of(&call.request) > started
+                && call.request.deadline > self.now
+        });
+        assert!(!is_passed_over, "a higher call was passed over");
+    }
+
+    fn check_room(&self) {
+        let load = self.guard.load();
+        assert!(
+            load.in_flight <= load.limit,
+            "started beyond the limit: {load:?}"
+        );
+    }
+
+    fn check(&self) {
+        let load = self.guard.load();
+        let count = |state| {
+            self.calls
+                .values()
+                .filter(|call| call.state == state)
+                .count()
+        };
+        assert_eq!(load.in_flight as usize, count(SeenState::Running));
+        assert_eq!(load.queued as usize, count(SeenState::Queued));
+        assert!(load.limit >= 1 && load.limit <= self.slots);
+        assert!(
+            load.queued == 0 || load.in_flight >= load.limit,
+            "a free slot"
+        );
+    }
+
+    fn settle(&mut self) {
+        while !self.keys.is_empty() {
+            self.finish(0, CompletionKind::Success);
+            self.pull();
+        }
+        let end = self.now + RECOVERY;
+        while self.now < end {
+            self.step(GuardStep::Tick);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_guard_keeps_its_limit_its_order_and_one_effect_a_ticket(
+        slots in 1_u32..8,
+        steps in vec(step(), 0..400),
+    ) {
+        let mut watch = GuardWatch::new(slots);
+        for step in steps {
+            watch.step(step);
+        }
+        watch.settle();
+        let load = watch.guard.load();
+        prop_assert_eq!(load.threshold, CallPriority::LOWEST);
+        prop_assert_eq!((load.in_flight, load.queued), (0, 0));
+    }
+}
--- /dev/null
+++ b/tests/admission_targets.rs
@@ -0,0 +1,167 @@
+//! The stated targets under overload, on the model of one target.
+
+use {
+    banyantrestle::{
+        admission::{AdmissionGuard, GradientLimit, GuardSettings},
+        policy::OverloadPolicy,
+        time::TimePoint,
+    },
+    standins::model::{ClassDemand, LoadScenario, ModelRun, NoEvents, RunResult, ScenarioPhase},
+    std::time::Duration,
+};
+
+/// Slots of the services of both deployments.
+const SLOTS: [u32; 3] = [20, 55, 130];
+const SEEDS: std::ops::Range<u64> = 1..5;
+const CALM_DEMAND: f64 = 0.7;
+const SURGE_DEMAND: f64 = 3.0;
+const DEEP_SLOWDOWN: f64 = 10.0;
+const PHASE: Duration = Duration::from_secs(4);
+/// Stated targets.
+const GOODPUT_PERCENT: f64 = 95.0;
+const HIGHEST_PERCENT: f64 = 99.0;
+const RECOVERY: Duration = Duration::from_secs(2);
+
+fn class(name: &'static str, rank: u8, share: f64, work_ms: u64, depth: u8) -> ClassDemand {
+    ClassDemand {
+        name,
+        rank,
+        weight: u32::from(rank),
+        share,
+        work: Duration::from_millis(work_ms),
+        deadline: Duration::from_secs(2),
+        depth,
+    }
+}
+
+fn scenario(slots: u32) -> LoadScenario {
+    LoadScenario {
+        name: "surge",
+        classes: vec![
+            class("purchase", 3, 0.15, 40, 2),
+            class("browse", 2, 0.45, 15, 0),
+            class("download", 1, 0.40, 120, 1),
+        ],
+        capacity: slots,
+        announced: slots,
+        thrash: 0.0,
+        phases: vec![
+            ScenarioPhase::new(PHASE, CALM_DEMAND),
+            ScenarioPhase::new(PHASE, SURGE_DEMAND),
+            ScenarioPhase::new(PHASE, CALM_DEMAND),
+        ],
+        pressure: 1,
+        hard_retries: 1.0,
+    }
+}
+
+fn run(scenario: &LoadScenario, seed: u64) -> RunResult {
+    let settings = GuardSettings::new(scenario.announced, &OverloadPolicy::default());
+    let guard = AdmissionGuard::<GradientLimit>::new(settings, TimePoint::ORIGIN);
+    ModelRun::new(scenario, guard, &mut NoEvents, seed).run()
+}
+
+fn check(scenario: &LoadScenario, seed: u64) -> RunResult {
+    let result = run(scenario, seed);
+    let name = format!(
+        "{}, {} slots, seed {seed}",
+        scenario.name, scenario.announced
+    );
+    assert!(
+        result.classes[0].served_percent() >= HIGHEST_PERCENT,
+        "{name}: {result:?}"
+    );
+    let answering = result.answering.expect("answers come back");
+    assert!(answering <= RECOVERY, "{name}: {answering:?}");
+    assert!(result.most_in_flight <= scenario.announced, "{name}");
+    result
+}
+
+#[test]
+fn a_threefold_surge_keeps_goodput_and_ends_in_time() {
+    for slots in SLOTS {
+        for seed in SEEDS {
+            let result = check(&scenario(slots), seed);
+            let goodput = result.goodput_percent;
+            assert!(
+                goodput >= GOODPUT_PERCENT,
+                "{slots} slots, seed {seed}: {goodput}"
+            );
+            let recovery = result.recovery.expect("all are served again");
+            assert!(
+                recovery <= RECOVERY,
+                "{slots} slots, seed {seed}: {recovery:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_slow_dependency_does_not_take_the_slots() {
+    for slots in SLOTS {
+        for seed in SEEDS {
+            let mut scenario = scenario(slots);
+            scenario.name = "slow dependency";
+            scenario.phases[1] = ScenarioPhase {
+                slowdown: DEEP_SLOWDOWN,
+                ..ScenarioPhase::new(PHASE, CALM_DEMAND / 2.0)
+            };
+            check(&scenario, seed);
+        }
+    }
+}
+
+#[test]
+fn a_cold_target_serves_its_highest_class() {
+    for slots in SLOTS {
+        for seed in SEEDS {
+            let mut scenario = scenario(slots);
+            scenario.name = "cold start";
+            scenario.phases.remove(0);
+            scenario.pressure = 0;
+            scenario.phases[0] = ScenarioPhase {
+                warmth: 0.3..1.0,
+                ..ScenarioPhase::new(PHASE, CALM_DEMAND)
+            };
+            check(&scenario, seed);
+        }
+    }
+}
+
+#[test]
+fn a_misleading_report_costs_no_goodput() {
+    for percent in [0, 200] {
+        for seed in SEEDS {
+            let mut scenario = scenario(SLOTS[0]);
+            scenario.name = "misleading report";
+            for phase in &mut scenario.phases {
+                phase.report = Some(percent);
+            }
+            let goodput = check(&scenario, seed).goodput_percent;
+            assert!(
+                goodput >= GOODPUT_PERCENT,
+                "{percent} %, seed {seed}: {goodput}"
+            );
+        }
+    }
+}
+
+#[test]
+fn nothing_is_refused_without_pressure() {
+    for slots in SLOTS {
+        let mut scenario = scenario(slots);
+        scenario.phases = vec![
+            ScenarioPhase::new(PHASE, CALM_DEMAND / 2.0),
+            ScenarioPhase::new(PHASE, CALM_DEMAND / 2.0),
+        ];
+        for seed in SEEDS {
+            let result = run(&scenario, seed);
+            let refused: u32 = result.classes.iter().map(|class| class.refused).sum();
+            assert_eq!(
+                (result.refused_before, refused),
+                (0, 0),
+                "{slots} slots, seed {seed}"
+            );
+        }
+    }
+}
