--- /dev/null
+++ b/examples/policy_spread.rs
@@ -0,0 +1,166 @@
+//! Measures how long a policy takes from its acceptance to being in force at each daemon.
+//!
+//! All daemons run in this process, over UDP and TCP on loopback, with a stand-in for the platform.
+//! Times are differences of the stamps of events, in ms.
+
+use {
+    anyhow::{Context, ensure},
+    banyantrestle::{
+        context::ServiceName,
+        daemon::{Daemon, DaemonOptions},
+        events::{EventKind, EventPage},
+        policy::{PolicyDocument, RoutePolicy},
+    },
+    http::{Method, StatusCode},
+    serde_json::json,
+    slog::{Discard, Logger, o},
+    standins::{
+        client::TextRequest,
+        deployment::{ADMIN_TOKEN, LOOPBACK, loopback_settings},
+        platform::{PlatformMode, PlatformStandin},
+    },
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::{Instant, sleep},
+};
+
+const DAEMONS: usize = 40;
+const CHANGES: u64 = 20;
+/// Routes of the document.
+const ROUTES: usize = 100;
+/// Pause between two changes.
+const CHANGE_PAUSE: Duration = Duration::from_secs(1);
+/// Longest wait for a version to be in force everywhere.
+const PATIENCE: Duration = Duration::from_secs(60);
+const POLL_PAUSE: Duration = Duration::from_millis(50);
+const PAGE_EVENTS: usize = 5_000;
+
+xflags::xflags! {
+    /// Measures the spread of policies.
+    cmd policy-spread {
+        /// Daemons, 40 by default.
+        optional --daemons count: usize
+        /// Changes of the policy, 20 by default.
+        optional --changes count: u64
+    }
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let flags = PolicySpread::from_env_or_exit();
+    let count = flags.daemons.unwrap_or(DAEMONS);
+    let changes = flags.changes.unwrap_or(CHANGES);
+    ensure!(count > 0 && changes > 0, "nothing to measure");
+    let platform = PlatformStandin::start(LOOPBACK, PlatformMode::default()).await?;
+    let daemons = start_daemons(count, platform.address()).await?;
+    for version in 1..=changes {
+        let submitter = &daemons[usize::try_from(version)? % count];
+        submit(submitter.listen().admin, version).await?;
+        wait_until_everywhere(&daemons, version).await?;
+        sleep(CHANGE_PAUSE).await;
+    }
+    let times = spread_times(&daemons, changes).await?;
+    report(count, changes, &times)
+}
+
+async fn start_daemons(count: usize, platform: SocketAddr) -> anyhow::Result<Vec<Daemon>> {
+    let mut daemons = Vec::with_capacity(count);
+    for _ in 0..count {
+        let settings = loopback_settings("dc-1", platform, &[]);
+        let log = Logger::root(Discard, o!());
+        daemons.push(Daemon::start(settings, DaemonOptions::default(), log).await?);
+    }
+    for daemon in &daemons {
+        daemon.ready().await;
+    }
+    Ok(daemons)
+}
+
+/// Submits the document that becomes `version`.
+async fn submit(admin: SocketAddr, version: u64) -> anyhow::Result<()> {
+    let body = json!({"base_version": version - 1, "document": document(version)?});
+    let request = TextRequest {
+        method: Method::POST,
+        path: "/api/policy".into(),
+        headers: vec![("authorization", format!("Bearer {ADMIN_TOKEN}"))],
+        body: body.to_string(),
+    };
+    let answer = request.send(admin).await?;
+    ensure!(answer.status == StatusCode::OK, "{answer:?}");
+    Ok(())
+}
+
+fn document(version: u64) -> anyhow::Result<PolicyDocument> {
+    let mut document = PolicyDocument::initial();
+    document.deployment = "spread".into();
+    document.classes[0].deadline_ms = 10_000 + version;
+    let class = document.default_class.clone();
+    let service = ServiceName::new("catalogue")?;
+    let routes = (0..ROUTES).map(|number| RoutePolicy {
+        service: service.clone(),
+        method: Some("GET".into()),
+        path: format!("/page-{number}"),
+        class: class.clone(),
+    });
+    document.routes = routes.collect();
+    Ok(document)
+}
+
+async fn wait_until_everywhere(daemons: &[Daemon], version: u64) -> anyhow::Result<()> {
+    let end = Instant::now() + PATIENCE;
+    for daemon in daemons {
+        let admin = daemon.listen().admin;
+        while enforced_version(admin).await? < version {
+            ensure!(Instant::now() < end, "{admin} does not enforce {version}");
+            sleep(POLL_PAUSE).await;
+        }
+    }
+    Ok(())
+}
+
+async fn enforced_version(admin: SocketAddr) -> anyhow::Result<u64> {
+    let answer = TextRequest::get("/api/policy").send(admin).await?;
+    let view: serde_json::Value = serde_json::from_str(&answer.text)?;
+    view["version"].as_u64().context("no version")
+}
+
+/// Time from acceptance to enforcement, for each change at each daemon, sorted.
+async fn spread_times(daemons: &[Daemon], changes: u64) -> anyhow::Result<Vec<u64>> {
+    let mut accepted = vec![0; usize::try_from(changes)? + 1];
+    let mut enforced = Vec::new();
+    for daemon in daemons {
+        let path = format!("/events?limit={PAGE_EVENTS}");
+        let answer = TextRequest::get(&path).send(daemon.listen().admin).await?;
+        for record in EventPage::decode(answer.text.as_bytes())?.events {
+            let wall_ms = record.stamp.wall_ms;
+            match record.kind {
+                EventKind::PolicyAccepted { version, .. } => {
+                    accepted[usize::try_from(version)?] = wall_ms;
+                }
+                EventKind::PolicyEnforced { version, .. } => enforced.push((version, wall_ms)),
+                _ => {}
+            }
+        }
+    }
+    let mut times = Vec::with_capacity(enforced.len());
+    for (version, wall_ms) in enforced {
+        times.push(wall_ms.saturating_sub(accepted[usize::try_from(version)?]));
+    }
+    times.sort_unstable();
+    Ok(times)
+}
+
+fn report(daemons: usize, changes: u64, times: &[u64]) -> anyhow::Result<()> {
+    let at = |percent: usize| times[(times.len() - 1) * percent / 100];
+    ensure!(!times.is_empty(), "no event of a policy in force");
+    println!(
+        "{daemons} daemons, {changes} changes, {} times",
+        times.len()
+    );
+    println!(
+        "p50 {} ms, p99 {} ms, largest {} ms",
+        at(50),
+        at(99),
+        at(100)
+    );
+    Ok(())
+}
