--- a/examples/demo.rs
+++ b/examples/demo.rs
@@ -88,6 +88,7 @@
             scenario: &scenario,
             capacity,
             seed,
+            events: None,
         };
         for mode in [TrialMode::Direct, TrialMode::on()] {
             let row = DemoRow::new(trial.run(&mode).await?);
--- a/examples/overload.rs
+++ b/examples/overload.rs
@@ -6,7 +6,7 @@
 use {
     anyhow::{Context, bail},
     banyantrestle::daemon::{DaemonOptions, DaemonPart},
-    std::str::FromStr,
+    std::{path::PathBuf, str::FromStr},
     strum::IntoEnumIterator,
     support::{
         DeploymentPlan, PressureKind, PressureScenario, RunFigures, TrialMode, TrialRun,
@@ -31,6 +31,8 @@
         optional --only-on
         /// Prints why calls were refused and which keys were doubled.
         optional --verbose
+        /// Folder for the events of all daemons at the end of each run.
+        optional --events folder: PathBuf
         /// Prints the figures as JSON.
         optional --json
     }
@@ -102,6 +104,7 @@
             scenario: &scenario,
             capacity,
             seed: flags.seed,
+            events: flags.events.clone(),
         };
         for mode in &modes {
             let figures = trial.run(mode).await?.figures;
--- a/examples/support/deployment_plan.rs
+++ b/examples/support/deployment_plan.rs
@@ -172,17 +172,21 @@
             non_idempotent: class.is_keyed,
             key_window_s: KEY_WINDOW_S,
         };
-        let route = |class: &ClassPlan| RoutePolicy {
-            service: self.entry(),
-            method: None,
-            path: format!("/{}", class.name),
-            class: class_name(class.name),
-        };
+        // A route counts for its service only, so each service of the chain needs its own.
+        let routes = self.services.iter().flat_map(|service| {
+            let service = service_name(service.name);
+            self.classes.iter().map(move |class| RoutePolicy {
+                service: service.clone(),
+                method: None,
+                path: format!("/{}", class.name),
+                class: class_name(class.name),
+            })
+        });
         let last = self.classes.last().expect("a plan has classes");
         PolicyDocument {
             deployment: self.name.into(),
             classes: self.classes.iter().map(class).collect(),
-            routes: self.classes.iter().map(route).collect(),
+            routes: routes.collect(),
             default_class: class_name(last.name),
             default_unsafe_class: None,
             retry: RetryPolicy {
