--- a/examples/overload.rs
+++ b/examples/overload.rs
@@ -131,7 +131,7 @@
     println!("    {}", classes.join("  "));
     let missed: Vec<&str> = figures.missed().collect();
     if missed.is_empty() {
-        println!("    all stated targets met");
+        println!("    all stated targets that apply met");
     } else {
         println!("    missed: {}", missed.join(", "));
     }
