--- a/src/claims/claim_limits.rs
+++ b/src/claims/claim_limits.rs
@@ -41,7 +41,7 @@
             row_answer_bytes: 1_024,
             waiting_repeats: 64,
             queued_rows: 2_048,
-            batch_rows: 256,
+            batch_rows: 512,
             commits_per_s: 15,
             commit_burst: 10,
             commit_time: Duration::from_secs(1),
