--- a/src/claims/row_upkeep.rs
+++ b/src/claims/row_upkeep.rs
@@ -111,20 +111,29 @@
             Some(_) = changes.join_next() => {}
             task = tasks.recv(), if changes.len() < MAX_CONCURRENT => {
                 let Some(task) = task else { break };
-                changes.spawn(change(path.clone(), task));
+                changes.spawn(end_task(path.clone(), task));
             }
         }
     }
     changes.join_all().await;
 }
 
-async fn change<S, T>(path: Arc<CommitPath<S, T>>, task: UpkeepTask)
+async fn end_task<S, T>(path: Arc<CommitPath<S, T>>, task: UpkeepTask)
 where
     S: TableStore,
     T: ClaimTransport,
 {
-    let row = task.upkeep.row(&path);
-    let service = &task.upkeep.key().service;
+    change(&path, &task.upkeep).await;
+    drop(task.guard);
+}
+
+async fn change<S, T>(path: &CommitPath<S, T>, upkeep: &RowUpkeep)
+where
+    S: TableStore,
+    T: ClaimTransport,
+{
+    let row = upkeep.row(path);
+    let service = &upkeep.key().service;
     if !row.is_valid(service) {
         return;
     }
