Claims take no slot, and services share the transactions out

Non-idempotent calls waited up to 67 ms at each of four hops for their batch, with a slot in hand there and at each hop above. Ruled out: the threshold and the front gate, which leave the lookups enough room.

A call is now checked against the guard, claimed, and only then queued for a slot.

--- a/src/admission/admission_guard.rs
+++ b/src/admission/admission_guard.rs
@@ -70,6 +70,24 @@
         }
     }
 
+    /// Refuses a call that [`offer`](Self::offer) would refuse now; takes no place.
+    ///
+    /// # Errors
+    /// The refusal that `offer` would give.
+    pub fn check<R: Rng + ?Sized>(
+        &mut self,
+        now: TimePoint,
+        request: &AdmissionRequest,
+        rng: &mut R,
+    ) -> Result<(), AdmissionRefusal> {
+        let Some(reason) = self.objection(now, request) else {
+            return Ok(());
+        };
+        let work = self.service.mean_time(request.priority.rank());
+        self.demand.note(request.priority, work);
+        Err(self.refusal(reason, rng))
+    }
+
     /// Decides on a new call.
     pub fn offer<R: Rng + ?Sized>(
         &mut self,
--- a/src/claims/claim_service.rs
+++ b/src/claims/claim_service.rs
@@ -30,6 +30,10 @@
 
 /// When a caller may come back if as many calls as allowed are open or queued.
 const FULL_RETRY: Duration = Duration::from_secs(1);
+/// Transactions of all services together, sustained, in 1/s.
+const SHARED_COMMITS_PER_S: u32 = 225;
+/// Transactions of one service, sustained, in 1/s.
+const MAX_COMMITS_PER_S: u32 = 75;
 /// Longest wait of a repeat for the end of a call that runs at another daemon.
 const MAX_HOLDER_WAIT: Duration = Duration::from_secs(60);
 
@@ -85,6 +89,13 @@
         self.shared.path.ring().set_members(service, members);
     }
 
+    /// Shares the transactions of the table service out over the services that claim.
+    pub async fn share_commits(&self, services: usize) {
+        let services = u32::try_from(services.max(1)).unwrap_or(u32::MAX);
+        let rate = (SHARED_COMMITS_PER_S / services).clamp(1, MAX_COMMITS_PER_S);
+        self.shared.path.set_commit_rate(rate).await;
+    }
+
     /// Decides a non-idempotent call before it is dispatched.
     ///
     /// Returns by the deadline of the call, except that a joined call is waited for by the caller
--- a/src/claims/commit_actor.rs
+++ b/src/claims/commit_actor.rs
@@ -34,6 +34,10 @@
     pub(super) rows: Vec<QueuedRow<ReplySender>>,
 }
 
+/// Transactions of one service, sustained, in 1/s.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SetCommitRate(pub(super) u32);
+
 /// The pause that the write rate asked for has ended.
 struct PauseEnded(ServiceName);
 
@@ -129,6 +133,14 @@
     }
 }
 
+impl<S: TableStore> Handler<SetCommitRate> for CommitActor<S> {
+    type Return = ();
+
+    async fn handle(&mut self, SetCommitRate(rate): SetCommitRate, _: &mut Context<Self>) {
+        self.limits.commits_per_s = rate;
+    }
+}
+
 impl<S: TableStore> Handler<PauseEnded> for CommitActor<S> {
     type Return = ();
 
--- a/src/claims/commit_path.rs
+++ b/src/claims/commit_path.rs
@@ -3,7 +3,7 @@
         BatcherRing, ClaimLimits, ClaimRow, ClaimTransport, CommitPlace, CommitRequest, OutageGate,
         QueuedRow, RingMember, RowOutcome, TransportError,
         claim_attempt::MAX_BATCHERS,
-        commit_actor::{CommitActor, CommitRows},
+        commit_actor::{CommitActor, CommitRows, SetCommitRate},
     },
     crate::{context::ServiceName, membership::MemberId, platform::TableStore, time::ProcessClock},
     rand::rngs::StdRng,
@@ -90,6 +90,12 @@
         Ok(outcome)
     }
 
+    /// Sets the sustained rate of the transactions of one service, in 1/s.
+    pub(super) async fn set_commit_rate(&self, rate: u32) {
+        // A stopped actor commits no more.
+        let _ = self.committer.send(SetCommitRate(rate)).await;
+    }
+
     /// Hands rows to the batcher of this daemon; one receiver a row.
     pub(super) async fn enqueue(
         &self,
--- a/src/claims/ledger_cell.rs
+++ b/src/claims/ledger_cell.rs
@@ -84,10 +84,7 @@
     /// of its key, and an answer that is not in its row is asked of this daemon.
     pub(super) fn keep_up(&self, upkeep: RowUpkeep) {
         let guard = PendingRow::new(&self.pending);
-        let _ = self.upkeep.try_send(UpkeepTask {
-            upkeep,
-            _guard: guard,
-        });
+        let _ = self.upkeep.try_send(UpkeepTask { upkeep, guard });
     }
 
     /// Ends once no row is to be written.
--- a/src/claims/row_upkeep.rs
+++ b/src/claims/row_upkeep.rs
@@ -45,7 +45,7 @@
 #[derive(Debug)]
 pub(super) struct UpkeepTask {
     pub(super) upkeep: RowUpkeep,
-    pub(super) _guard: PendingRow,
+    pub(super) guard: PendingRow,
 }
 
 /// Counts one row for as long as it lives.
--- a/src/daemon/admission_desk.rs
+++ b/src/daemon/admission_desk.rs
@@ -51,6 +51,12 @@
         })
     }
 
+    /// Refuses a call that would be refused now; takes no place.
+    pub(crate) fn check(&self, request: &AdmissionRequest) -> Result<(), AdmissionRefusal> {
+        let now = self.clock.now();
+        self.lock().guard.check(now, request, &mut rand::rng())
+    }
+
     /// Waits until the call may start; dropping the future gives the place in the queue up.
     pub(crate) async fn admit(
         self: &Arc<Self>,
--- a/src/daemon/call_entry.rs
+++ b/src/daemon/call_entry.rs
@@ -20,7 +20,7 @@
             AnswerBody, CallRefusal, CallRequest, RefusalKind, RequestError, parse_route,
             read_request, remove_hop_headers, remove_own_headers, set_header,
         },
-        policy::{ActivePolicy, ClassRule},
+        policy::ClassRule,
         retry::{RetryBudget, RunSafety},
         time::TimePoint,
     },
@@ -141,7 +141,7 @@
     let (mut head, body) = request.into_parts();
     let (service, path) = parse_route(&head.uri)
         .map_err(|error| CallRefusal::not_run(RefusalKind::BadRequest, error.to_string()))?;
-    if !state.routing().is_known(&service) && !is_named(&state.policy(), &service) {
+    if !state.routing().is_known(&service) && !state.policy().is_named(&service) {
         let detail = format!("no service {service} is announced or named by the policy");
         return Err(CallRefusal::not_run(RefusalKind::UnknownService, detail));
     }
@@ -161,11 +161,6 @@
     })
 }
 
-fn is_named(policy: &ActivePolicy, service: &ServiceName) -> bool {
-    let routes = &policy.document.routes;
-    routes.iter().any(|route| route.service == *service)
-}
-
 fn mint_context(state: &DaemonState, rule: &ClassRule, started: TimePoint) -> CallContext {
     let request = mint_request();
     CallContext {
--- a/src/daemon/claimed_call.rs
+++ b/src/daemon/claimed_call.rs
@@ -24,8 +24,9 @@
 
 /// Runs a non-idempotent call at most once for its key.
 ///
-/// The slot comes before the claim, so that a call that is refused for overload costs the table
-/// service nothing.
+/// A call that would be refused for overload is refused before its claim and costs the table service
+/// nothing; the slot comes after the claim, so that no slot stands idle while the table service
+/// commits.
 pub(crate) async fn run_claimed(
     call: GuardedCall,
     window: Duration,
@@ -34,17 +35,14 @@
     let context = call.context.clone();
     let request = claim_request(&call.request, &context, window)?;
     let service = call.request.service.clone();
-    let admitted = call.admit().await?;
+    call.check()?;
     let verdict = state.claims.begin(request).await;
     record_verdict(&state, &context, &service, &verdict);
     match verdict {
-        ClaimVerdict::Won(token) => dispatch_claimed(state, admitted, token).await,
+        // A refusal drops the token, which frees the key.
+        ClaimVerdict::Won(token) => dispatch_claimed(state, call.admit().await?, token).await,
         ClaimVerdict::Replay(answer) => Ok(replay(&state, &answer)),
-        ClaimVerdict::Joined(joined) => {
-            // A repeat that waits for the run takes no slot of its own.
-            drop(admitted);
-            join(&state, &context, joined).await
-        }
+        ClaimVerdict::Joined(joined) => join(&state, &context, joined).await,
         ClaimVerdict::Unknown(reason) => Err(unknown_refusal(reason)),
         ClaimVerdict::Mismatch => Err(mismatch_refusal()),
         ClaimVerdict::Unavailable { retry_after } => Err(unavailable_refusal(retry_after)),
--- a/src/daemon/guarded_call.rs
+++ b/src/daemon/guarded_call.rs
@@ -60,14 +60,15 @@
 pub(crate) type GuardAnswer = Response<AnswerBody<GuardHold>>;
 
 impl GuardedCall {
+    /// Refuses a call that would be refused a slot now.
+    pub(crate) fn check(&self) -> Result<(), CallRefusal> {
+        let checked = self.target.desk.check(&self.admission_request());
+        checked.map_err(|refusal| self.refuse(&refusal))
+    }
+
     /// Waits for a slot at the target.
     pub(crate) async fn admit(self) -> Result<AdmittedCall, CallRefusal> {
-        let request = AdmissionRequest {
-            priority: self.context.priority,
-            depth: self.context.depth,
-            deadline: self.context.deadline,
-        };
-        match self.target.desk.admit(request).await {
+        match self.target.desk.admit(self.admission_request()).await {
             Ok(ticket) => {
                 self.record_admitted();
                 let started = self.state.clock.now();
@@ -77,13 +78,23 @@
                     started,
                 })
             }
-            Err(refusal) => {
-                self.record_refused(&refusal);
-                Err(admission_refusal(&refusal, &self.request))
-            }
+            Err(refusal) => Err(self.refuse(&refusal)),
         }
     }
 
+    fn admission_request(&self) -> AdmissionRequest {
+        AdmissionRequest {
+            priority: self.context.priority,
+            depth: self.context.depth,
+            deadline: self.context.deadline,
+        }
+    }
+
+    fn refuse(&self, refusal: &AdmissionRefusal) -> CallRefusal {
+        self.record_refused(refusal);
+        admission_refusal(refusal, &self.request)
+    }
+
     fn record_admitted(&self) {
         self.state.events.record(EventKind::CallAdmitted {
             request: self.context.request,
--- a/src/daemon/member_watch.rs
+++ b/src/daemon/member_watch.rs
@@ -41,6 +41,8 @@
         let policy = policies.borrow_and_update().clone();
         let hash = policy.hash.as_u64();
         state.membership.policy_in_force(policy.version, hash).await;
+        let claiming = policy.claiming_services();
+        state.claims.share_commits(claiming).await;
         if let Some(target) = state.target.get() {
             let overload = policy.document.overload;
             target.desk.adjust(|guard, _| guard.set_policy(&overload));
--- a/src/policy/active_policy.rs
+++ b/src/policy/active_policy.rs
@@ -8,6 +8,7 @@
         context::{ClassName, ServiceName},
         jsonc::FieldError,
     },
+    std::collections::HashSet,
 };
 
 /// A policy in force, compiled for look-ups.
@@ -86,6 +87,18 @@
         self.routes.is_named(service)
     }
 
+    /// Services that have a route of a non-idempotent class.
+    #[must_use]
+    pub fn claiming_services(&self) -> usize {
+        let claims = |name: &ClassName| self.rule(name).is_some_and(|rule| rule.non_idempotent);
+        let routes = self.document.routes.iter();
+        let services: HashSet<&ServiceName> = routes
+            .filter(|route| claims(&route.class))
+            .map(|route| &route.service)
+            .collect();
+        services.len()
+    }
+
     /// The rule of a class by its name.
     #[must_use]
     pub fn rule(&self, name: &ClassName) -> Option<&ClassRule> {
