--- a/examples/claims_load.rs
+++ b/examples/claims_load.rs
@@ -196,7 +196,7 @@
     };
     let standin = PlatformStandin::start(([127, 0, 0, 1], 0).into(), mode).await?;
     let outcome = Arc::new(Mutex::new(LoadOutcome::new()?));
-    let guards = start_guards(plan, standin.address(), seed, &outcome)?;
+    let guards = start_guards(plan, standin.address(), seed, &outcome).await?;
     let end = Instant::now() + Duration::from_secs(seconds);
     let mut senders = JoinSet::new();
     for (index, guard) in guards.into_iter().enumerate() {
@@ -210,7 +210,7 @@
     Ok(())
 }
 
-fn start_guards(
+async fn start_guards(
     plan: LoadPlan,
     table: SocketAddr,
     seed: u64,
@@ -244,6 +244,7 @@
                 vec![*member]
             };
             service.set_members(name.clone(), ring);
+            service.share_commits(usize::from(plan.services)).await;
             peers.insert(member.mesh, service.clone());
             guards.push(Arc::new(LoadGuard {
                 service,
