--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -129,9 +129,12 @@
     let running = fixture.start(BROWSE);
     fixture.start(BROWSE);
     let browse = fixture.request(BROWSE);
+    let lower = CallPriority::from_u32(browse.priority.as_u32() - 1);
+    assert_eq!(lower.rank(), BROWSE);
     let deep = AdmissionRequest {
+        priority: lower,
         depth: 2,
-        ..fixture.request(BROWSE)
+        ..browse
     };
     let purchase = fixture.request(PURCHASE);
     let first = fixture.queue(browse);
--- a/tests/admission_targets.rs
+++ b/tests/admission_targets.rs
@@ -106,7 +106,11 @@
                 slowdown: DEEP_SLOWDOWN,
                 ..ScenarioPhase::new(PHASE, CALM_DEMAND / 2.0)
             };
-            check(&scenario, seed);
+            let goodput = check(&scenario, seed).goodput_percent;
+            assert!(
+                goodput >= GOODPUT_PERCENT,
+                "{slots} slots, seed {seed}: {goodput}"
+            );
         }
     }
 }
