--- a/examples/overload.rs
+++ b/examples/overload.rs
@@ -6,7 +6,7 @@
 use {
     anyhow::{Context, bail},
     banyantrestle::daemon::{DaemonOptions, DaemonPart},
-    std::str::FromStr,
+    std::{path::PathBuf, str::FromStr},
     strum::IntoEnumIterator,
     support::{
         DeploymentPlan, PressureKind, PressureScenario, RunFigures, TrialMode, TrialRun,
@@ -29,6 +29,10 @@
         optional --scenario name: String
         /// Only the runs with the whole protection on.
         optional --only-on
+        /// Prints why calls were refused and which keys were doubled.
+        optional --verbose
+        /// Folder for the events of all daemons at the end of each run.
+        optional --events folder: PathBuf
         /// Prints the figures as JSON.
         optional --json
     }
@@ -100,11 +104,12 @@
             scenario: &scenario,
             capacity,
             seed: flags.seed,
+            events: flags.events.clone(),
         };
         for mode in &modes {
             let figures = trial.run(mode).await?.figures;
             if !flags.json {
-                print(&figures);
+                print(&figures, flags.verbose);
             }
             runs.push(figures);
         }
@@ -112,8 +117,16 @@
     Ok(runs)
 }
 
-fn print(figures: &RunFigures) {
+fn print(figures: &RunFigures, is_verbose: bool) {
     println!("{}", figures.line());
+    if is_verbose {
+        for (reason, count) in &figures.reasons {
+            println!("    {count} refused: {reason}");
+        }
+        for runs in &figures.doubled_runs {
+            println!("    doubled: {runs}");
+        }
+    }
     let classes: Vec<String> = figures.classes.iter().map(ToString::to_string).collect();
     println!("    {}", classes.join("  "));
     let missed: Vec<&str> = figures.missed().collect();
--- a/src/claims/claim_service.rs
+++ b/src/claims/claim_service.rs
@@ -9,7 +9,7 @@
         commit_actor::{self, CommitActor},
         commit_path::CommitPath,
         ledger_cell::LedgerCell,
-        release_task,
+        row_upkeep,
         sweep_actor::{SWEEP_PERIOD, SweepActor},
     },
     crate::{
@@ -30,6 +30,10 @@
 
 /// When a caller may come back if as many calls as allowed are open or queued.
 const FULL_RETRY: Duration = Duration::from_secs(1);
+/// Transactions of all services together, sustained, in 1/s.
+const SHARED_COMMITS_PER_S: u32 = 225;
+/// Transactions of one service, sustained, in 1/s.
+const MAX_COMMITS_PER_S: u32 = 75;
 /// Longest wait of a repeat for the end of a call that runs at another daemon.
 const MAX_HOLDER_WAIT: Duration = Duration::from_secs(60);
 
@@ -68,8 +72,8 @@
         let committer = commit_actor::spawn(CommitActor::new(store, limits, clock));
         let path = CommitPath::new(identity.member, clock, limits, transport, committer, rng);
         let path = Arc::new(path);
-        tokio::spawn(release_task::run(path.clone(), receiver));
         let ledger = Arc::new(LedgerCell::new(limits, sender));
+        tokio::spawn(row_upkeep::run(path.clone(), receiver));
         let shared = ServiceShared {
             identity,
             ledger,
@@ -85,6 +89,13 @@
         self.shared.path.ring().set_members(service, members);
     }
 
+    /// Shares the transactions of the table service out over the services that claim.
+    pub async fn share_commits(&self, services: usize) {
+        let services = u32::try_from(services.max(1)).unwrap_or(u32::MAX);
+        let rate = (SHARED_COMMITS_PER_S / services).clamp(1, MAX_COMMITS_PER_S);
+        self.shared.path.set_commit_rate(rate).await;
+    }
+
     /// Decides a non-idempotent call before it is dispatched.
     ///
     /// Returns by the deadline of the call, except that a joined call is waited for by the caller
@@ -98,7 +109,8 @@
     /// Records the whole answer of a dispatched call.
     pub fn complete(&self, claim: RunningClaim, answer: RecordedAnswer) {
         if let Some(claim) = claim.take() {
-            claim.ledger.complete(claim.entry, answer);
+            let limit = self.shared.path.limits.row_answer_bytes;
+            claim.complete(answer, limit);
         }
     }
 
@@ -161,6 +173,13 @@
             .await
     }
 
+    /// Waits until the rows of ended calls are written, `limit` at most; true if all are.
+    ///
+    /// To be called in a graceful shutdown, after the last call.
+    pub async fn drain(&self, limit: Duration) -> bool {
+        timeout(limit, self.shared.ledger.kept_up()).await.is_ok()
+    }
+
     /// Deletes expired rows and forgets expired calls in the background.
     pub fn start_sweep(&self, store: S, timers: &TimerService) {
         let sweep = SweepActor::new(store, Arc::downgrade(&self.shared));
@@ -220,11 +239,7 @@
         }
         let (verdicts, verdict) = oneshot::channel();
         let driver = ClaimDriver::new(shared.clone(), entry, write_id, request);
-        tokio::spawn(async move {
-            let verdict = driver.run().await;
-            // A claim that nobody takes is released as it is dropped.
-            let _ = verdicts.send(verdict);
-        });
+        tokio::spawn(driver.run(verdicts));
         let failed = ClaimVerdict::Unknown(UnknownReason::RunFailed);
         verdict.await.unwrap_or(failed)
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -11,7 +11,9 @@
 
 mod active_policy;
 mod class_rule;
+mod fetch_plan;
 mod field_change;
+mod kept_versions;
 mod path_form;
 mod policy_accepted;
 mod policy_actor;
@@ -20,12 +22,14 @@
 mod policy_conflict;
 mod policy_document;
 mod policy_hash;
+mod policy_pack;
 mod policy_row;
 mod policy_service;
 mod policy_source;
 mod policy_table;
 mod poll_schedule;
 mod route_table;
+mod start_evidence;
 mod submit_error;
 mod version_tracker;
 mod versioned_policy;
@@ -33,6 +37,7 @@
 pub use {
     active_policy::ActivePolicy,
     class_rule::ClassRule,
+    fetch_plan::PolicyFetch,
     field_change::FieldChange,
     policy_accepted::PolicyAccepted,
     policy_check::{MAX_CLASSES, MAX_METHOD_LENGTH, MAX_ROUTE_PATH_LENGTH, MAX_ROUTES},
@@ -40,14 +45,14 @@
     policy_conflict::PolicyConflict,
     policy_document::{ClassPolicy, OverloadPolicy, PolicyDocument, RetryPolicy, RoutePolicy},
     policy_hash::PolicyHash,
+    policy_pack::{MAX_PACK_BYTES, PackError, PolicyPack},
     policy_row::{MAX_ROW_BYTES, POLICY_KEY, POLICY_TABLE},
     policy_service::{PolicyParts, PolicyService},
     policy_source::PolicySource,
     poll_schedule::{MIN_POLL_PERIOD, POLL_READS_PER_SECOND, PollSchedule},
+    start_evidence::{START_LISTEN, START_PATIENCE, START_PEERS},
     submit_error::SubmitError,
-    version_tracker::{
-        OfferVerdict, PeerReport, START_PATIENCE, START_PEERS, VersionReport, VersionTracker,
-    },
+    version_tracker::{OfferVerdict, PeerReport, VersionReport, VersionTracker},
     versioned_policy::VersionedPolicy,
 };
 
