Damaged and foreign traces end in an error or a report

Purpose: the decoder of traces under random bytes and random damage, 512 cases each. No fault found.

--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -2,6 +2,7 @@
 
 use {
     banyantrestle::replay::{self, MAX_LINE_BYTES, ReplayError},
+    proptest::{collection::vec, prelude::*, test_runner::RngSeed},
     std::{fs, path::PathBuf},
 };
 
@@ -118,3 +119,31 @@
     let error = replay::replay("t", text.as_bytes()).expect_err("too long");
     assert!(matches!(error, ReplayError::LongLine { line: 1, .. }));
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(9),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn foreign_bytes_end_in_an_error_or_a_report(bytes in vec(any::<u8>(), 0..512)) {
+        let _ = replay::replay("t", bytes.as_slice());
+    }
+
+    #[test]
+    fn a_damaged_trace_ends_in_an_error_or_a_report(
+        damage in vec((0_usize..512, any::<u8>()), 1..4),
+    ) {
+        let running = offer(10, 1, r#"[{"start":1}]"#);
+        let finish = r#"{"at_us":20,"event":{"finish":{"call":1,"kind":"success"}},"outcome":[]}"#;
+        let mut bytes = trace(&[HEADER, &running, finish]).into_bytes();
+        for (position, byte) in damage {
+            let index = position % bytes.len();
+            bytes[index] = byte;
+        }
+        let _ = replay::replay("t", bytes.as_slice());
+    }
+}
