--- a/src/daemon/daemon_process.rs
+++ b/src/daemon/daemon_process.rs
@@ -100,10 +100,11 @@
             table.clone(),
             transport.clone(),
             identity,
-            ClaimLimits::default(),
+            claim_limits(&settings.limits),
             clock,
             rand::make_rng(),
         );
+        claims.start_sweep(table.clone(), &timers);
         let policies = PolicyService::start(PolicyParts {
             table,
             source: transport,
@@ -283,6 +284,13 @@
     }
 }
 
+fn claim_limits(limits: &LimitSettings) -> ClaimLimits {
+    ClaimLimits {
+        row_answer_bytes: limits.row_answer_bytes,
+        ..ClaimLimits::default()
+    }
+}
+
 fn listener_limits(limits: &LimitSettings) -> ListenerLimits {
     ListenerLimits {
         header_bytes: limits.header_bytes,
--- a/src/daemon/daemon_shutdown.rs
+++ b/src/daemon/daemon_shutdown.rs
@@ -8,6 +8,8 @@
 
 /// Time for which work still arrives while leaving is spread.
 const LEAVE_GRACE: Duration = Duration::from_secs(2);
+/// Longest wait for the rows of ended calls.
+const CLAIM_TIME: Duration = Duration::from_secs(2);
 /// Time between two looks at what is in flight.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
@@ -39,6 +41,10 @@
         self.enter(DaemonPhase::Draining);
         drain_gate(&self.entry_gate).await;
         wait_until_empty(&self.state.work).await;
+        if !self.state.claims.drain(CLAIM_TIME).await {
+            slog::warn!(self.state.log, "answers of ended calls were not written";
+                "limit_ms" => CLAIM_TIME.as_millis());
+        }
         withdraw(&self.state, "daemon stopped").await;
         drain_gate(&self.service_gate).await;
     }
--- a/src/settings/daemon_settings.rs
+++ b/src/settings/daemon_settings.rs
@@ -91,6 +91,8 @@
     pub shutdown_s: u64,
     /// Time after which a mesh connection without an answer to PING is closed, in ms.
     pub silence_ms: u64,
+    /// Bytes of an answer to a non-idempotent call that is kept in the table service; 0 for none.
+    pub row_answer_bytes: usize,
     /// Events kept for the time line.
     pub events: usize,
 }
@@ -113,6 +115,7 @@
             connections: 4_096,
             shutdown_s: 60,
             silence_ms: 1_000,
+            row_answer_bytes: 1_024,
             events: 8_192,
         }
     }
--- a/src/settings/settings_check.rs
+++ b/src/settings/settings_check.rs
@@ -26,6 +26,7 @@
 const CONNECTIONS: RangeInclusive<u64> = 1..=65_536;
 const SHUTDOWNS_S: RangeInclusive<u64> = 1..=3_600;
 const SILENCES_MS: RangeInclusive<u64> = 100..=60_000;
+const ROW_ANSWER_BYTES: RangeInclusive<u64> = 0..=65_536;
 const EVENTS: RangeInclusive<u64> = 1..=100_000;
 
 impl DaemonSettings {
@@ -167,6 +168,8 @@
         self.size("limits.connections", limits.connections, &CONNECTIONS);
         self.range("limits.shutdown_s", limits.shutdown_s, &SHUTDOWNS_S);
         self.range("limits.silence_ms", limits.silence_ms, &SILENCES_MS);
+        let row_answer = limits.row_answer_bytes;
+        self.size("limits.row_answer_bytes", row_answer, &ROW_ANSWER_BYTES);
         self.size("limits.events", limits.events, &EVENTS);
     }
 }
