--- a/src/daemon/call_entry.rs
+++ b/src/daemon/call_entry.rs
@@ -1,37 +1,31 @@
 use {
     super::{
         active_calls::{ActiveCall, ChildCall},
+        call_intake::{fingerprint, read_call, run_safety},
         call_router::{CallRouter, RoutedAnswer, RoutedRefusal},
         daemon_options::DaemonPart,
         daemon_phase::DaemonPhase,
         daemon_state::{DaemonState, mint_call, mint_request},
+        entry_records::{record_answered, record_minted},
         in_flight_call::InFlightCall,
-        metrics_recorder::{count_answer, count_refusal},
+        metrics_recorder::count_refusal,
         permit_client::ask_permit,
         root_entry::RootEntry,
     },
     crate::{
-        claims::IDEMPOTENCY_KEY_HEADER,
         context::{
             CONTEXT_HEADER, CallContext, CallPriority, OUTCOME_HEADER, RunOutcome, ServiceName,
         },
-        events::EventKind,
-        net::{
-            AnswerBody, CallRefusal, CallRequest, RefusalKind, RequestError, parse_route,
-            read_request, remove_hop_headers, remove_own_headers, set_header,
-        },
+        net::{AnswerBody, CallRefusal, CallRequest, RefusalKind, set_header},
         policy::ClassRule,
-        retry::{RetryBudget, RunSafety},
+        retry::RetryBudget,
         time::TimePoint,
     },
-    http::{HeaderValue, Request, Response, header::CONTENT_LENGTH},
+    http::{Request, Response},
     hyper::body::Incoming,
-    rapidhash::fast::RapidHasher,
-    std::{hash::Hasher, sync::Arc, time::Duration},
+    std::{sync::Arc, time::Duration},
 };
 
-/// Longest time for a request body to arrive.
-const BODY_PATIENCE: Duration = Duration::from_secs(10);
 const DRAIN_RETRY: Duration = Duration::from_secs(1);
 const ROOM_RETRY: Duration = Duration::from_secs(1);
 
@@ -134,33 +128,6 @@
         .map_err(|refused| refused.refusal)
 }
 
-async fn read_call(
-    state: &DaemonState,
-    request: Request<Incoming>,
-) -> Result<CallRequest, CallRefusal> {
-    let (mut head, body) = request.into_parts();
-    let (service, path) = parse_route(&head.uri)
-        .map_err(|error| CallRefusal::not_run(RefusalKind::BadRequest, error.to_string()))?;
-    if !state.routing().is_known(&service) && !state.policy().is_named(&service) {
-        let detail = format!("no service {service} is announced or named by the policy");
-        return Err(CallRefusal::not_run(RefusalKind::UnknownService, detail));
-    }
-    let limit = state.settings.limits.request_buffer_bytes;
-    let body = read_request(body, limit, BODY_PATIENCE)
-        .await
-        .map_err(|error| body_refusal(&error))?;
-    remove_hop_headers(&mut head.headers);
-    remove_own_headers(&mut head.headers);
-    head.headers.remove(CONTENT_LENGTH);
-    Ok(CallRequest {
-        method: head.method,
-        service,
-        path,
-        headers: head.headers,
-        body,
-    })
-}
-
 fn mint_context(state: &DaemonState, rule: &ClassRule, started: TimePoint) -> CallContext {
     let request = mint_request();
     CallContext {
@@ -174,20 +141,6 @@
     }
 }
 
-fn run_safety(rule: &ClassRule, request: &CallRequest) -> Result<RunSafety, CallRefusal> {
-    if !rule.non_idempotent {
-        return Ok(RunSafety::Idempotent);
-    }
-    if request.headers.contains_key(IDEMPOTENCY_KEY_HEADER) {
-        return Ok(RunSafety::NonIdempotent);
-    }
-    let detail = format!(
-        "calls of class {} need the header {IDEMPOTENCY_KEY_HEADER}",
-        rule.name
-    );
-    Err(CallRefusal::not_run(RefusalKind::KeyMissing, detail))
-}
-
 /// Sheds at the front what a service down the chain would refuse.
 fn pass_gate(
     state: &DaemonState,
@@ -247,26 +200,6 @@
     Err(refusal.with_retry_after(ROOM_RETRY))
 }
 
-fn fingerprint(request: &CallRequest) -> u64 {
-    let mut hasher = RapidHasher::default();
-    let key = request
-        .headers
-        .get(IDEMPOTENCY_KEY_HEADER)
-        .map(HeaderValue::as_bytes);
-    let parts = [
-        request.method.as_str().as_bytes(),
-        request.service.as_str().as_bytes(),
-        request.path.as_str().as_bytes(),
-        key.unwrap_or_default(),
-        &request.body,
-    ];
-    for part in parts {
-        hasher.write_usize(part.len());
-        hasher.write(part);
-    }
-    hasher.finish()
-}
-
 fn finish(result: Result<EntryAnswer, CallRefusal>) -> EntryAnswer {
     match result {
         Ok(mut response) => {
@@ -286,51 +219,6 @@
     }
 }
 
-fn record_minted(state: &DaemonState, context: &CallContext, request: &CallRequest) {
-    state.events.record(EventKind::RequestMinted {
-        request: context.request,
-        call: context.call,
-        class: context.class.clone(),
-        priority: context.priority,
-        service: request.service.clone(),
-    });
-}
-
-fn record_answered(
-    state: &DaemonState,
-    context: &CallContext,
-    result: &Result<RoutedAnswer, RoutedRefusal>,
-    started: TimePoint,
-) {
-    let (status, outcome) = match result {
-        Ok(answer) => (answer.response.status(), RunOutcome::Run),
-        Err(refused) => (refused.refusal.status(), refused.refusal.outcome),
-    };
-    let elapsed = state.clock.now().since(started);
-    count_answer(
-        context.class.as_str(),
-        status.as_u16(),
-        outcome.into(),
-        elapsed,
-    );
-    state.events.record(EventKind::RequestAnswered {
-        request: context.request,
-        call: context.call,
-        status: status.as_u16(),
-        outcome,
-        elapsed_us: u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX),
-    });
-}
-
-fn body_refusal(error: &RequestError) -> CallRefusal {
-    let kind = match error {
-        RequestError::TooLarge { .. } => RefusalKind::BodyTooLarge,
-        RequestError::TooSlow { .. } => RefusalKind::BodyTimeout,
-        RequestError::Broken(_) => RefusalKind::BadRequest,
-    };
-    CallRefusal::not_run(kind, error.to_string())
-}
-
 fn context_refusal() -> CallRefusal {
     let detail = "the context belongs to no call that the target beside this daemon is running";
     CallRefusal::not_run(RefusalKind::ContextInvalid, detail)
--- /dev/null
+++ b/src/daemon/call_intake.rs
@@ -0,0 +1,95 @@
+use {
+    super::daemon_state::DaemonState,
+    crate::{
+        claims::IDEMPOTENCY_KEY_HEADER,
+        net::{
+            CallRefusal, CallRequest, RefusalKind, RequestError, parse_route, read_request,
+            remove_hop_headers, remove_own_headers,
+        },
+        policy::ClassRule,
+        retry::RunSafety,
+    },
+    http::{HeaderValue, Request, header::CONTENT_LENGTH},
+    hyper::body::Incoming,
+    rapidhash::fast::RapidHasher,
+    std::{hash::Hasher, time::Duration},
+};
+
+/// Longest time for a request body to arrive.
+const BODY_PATIENCE: Duration = Duration::from_secs(10);
+
+/// Reads a call whole and leaves out the headers that callers may not set.
+pub(super) async fn read_call(
+    state: &DaemonState,
+    request: Request<Incoming>,
+) -> Result<CallRequest, CallRefusal> {
+    let (mut head, body) = request.into_parts();
+    let (service, path) = parse_route(&head.uri)
+        .map_err(|error| CallRefusal::not_run(RefusalKind::BadRequest, error.to_string()))?;
+    if !state.routing().is_known(&service) && !state.policy().is_named(&service) {
+        let detail = format!("no service {service} is announced or named by the policy");
+        return Err(CallRefusal::not_run(RefusalKind::UnknownService, detail));
+    }
+    let limit = state.settings.limits.request_buffer_bytes;
+    let body = read_request(body, limit, BODY_PATIENCE)
+        .await
+        .map_err(|error| body_refusal(&error))?;
+    remove_hop_headers(&mut head.headers);
+    remove_own_headers(&mut head.headers);
+    head.headers.remove(CONTENT_LENGTH);
+    Ok(CallRequest {
+        method: head.method,
+        service,
+        path,
+        headers: head.headers,
+        body,
+    })
+}
+
+/// Whether the class of a call allows a second run; without a key it is refused if not.
+pub(super) fn run_safety(
+    rule: &ClassRule,
+    request: &CallRequest,
+) -> Result<RunSafety, CallRefusal> {
+    if !rule.non_idempotent {
+        return Ok(RunSafety::Idempotent);
+    }
+    if request.headers.contains_key(IDEMPOTENCY_KEY_HEADER) {
+        return Ok(RunSafety::NonIdempotent);
+    }
+    let detail = format!(
+        "calls of class {} need the header {IDEMPOTENCY_KEY_HEADER}",
+        rule.name
+    );
+    Err(CallRefusal::not_run(RefusalKind::KeyMissing, detail))
+}
+
+/// Hash of a call; calls that repeat each other have the same.
+pub(super) fn fingerprint(request: &CallRequest) -> u64 {
+    let mut hasher = RapidHasher::default();
+    let key = request
+        .headers
+        .get(IDEMPOTENCY_KEY_HEADER)
+        .map(HeaderValue::as_bytes);
+    let parts = [
+        request.method.as_str().as_bytes(),
+        request.service.as_str().as_bytes(),
+        request.path.as_str().as_bytes(),
+        key.unwrap_or_default(),
+        &request.body,
+    ];
+    for part in parts {
+        hasher.write_usize(part.len());
+        hasher.write(part);
+    }
+    hasher.finish()
+}
+
+fn body_refusal(error: &RequestError) -> CallRefusal {
+    let kind = match error {
+        RequestError::TooLarge { .. } => RefusalKind::BodyTooLarge,
+        RequestError::TooSlow { .. } => RefusalKind::BodyTimeout,
+        RequestError::Broken(_) => RefusalKind::BadRequest,
+    };
+    CallRefusal::not_run(kind, error.to_string())
+}
