--- /dev/null
+++ b/tests/cancellation.rs
@@ -0,0 +1,94 @@
+//! Work that nobody waits for any more is cancelled down the chain.
+
+use {
+    banyantrestle::{
+        context::ServiceName,
+        daemon::{Daemon, DaemonOptions},
+        policy::PolicyDocument,
+    },
+    standins::{
+        client::{CallClient, CallPath, CallRouter, OutboundCall},
+        deployment::{LOOPBACK, accept_policy, loopback_settings},
+        platform::{PlatformMode, PlatformStandin},
+        process::wait_until,
+        target::{RunLedger, TargetSettings, TargetStandin},
+    },
+    std::{net::SocketAddr, time::Duration},
+    tokio::{io::AsyncWriteExt, net::TcpStream},
+};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Far longer than any wait of these tests.
+const HANGING: Duration = Duration::from_secs(3_600);
+
+/// A policy under which no deadline passes during the test.
+fn patient_policy() -> PolicyDocument {
+    let mut document = PolicyDocument::initial();
+    for class in &mut document.classes {
+        class.deadline_ms = 600_000;
+    }
+    document
+}
+
+fn name(service: &str) -> ServiceName {
+    ServiceName::new(service).expect("a valid name")
+}
+
+async fn start_daemon(platform: SocketAddr) -> Daemon {
+    let settings = loopback_settings("akl-a", platform, &[]);
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    Daemon::start(settings, DaemonOptions::default(), log)
+        .await
+        .expect("a daemon")
+}
+
+async fn start_target(service: &str, daemon: &Daemon, service_time: Duration) -> TargetStandin {
+    let mut settings = TargetSettings::new(&name(service));
+    settings.service_mean = service_time;
+    settings.call_timeout = HANGING;
+    TargetStandin::beside(settings, daemon.listen().local, RunLedger::default())
+        .await
+        .expect("a target")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_goes_away_frees_every_target_of_the_chain() {
+    let platform = PlatformStandin::start(LOOPBACK, PlatformMode::uncapped())
+        .await
+        .expect("a platform");
+    accept_policy(platform.address(), &patient_policy())
+        .await
+        .expect("a policy in the table");
+    let front = start_daemon(platform.address()).await;
+    let back = start_daemon(platform.address()).await;
+    let catalogue = start_target("catalogue", &front, Duration::from_millis(1)).await;
+    let workshop = start_target("workshop", &back, HANGING).await;
+    for daemon in [&front, &back] {
+        daemon.ready().await;
+    }
+    let edge = front.listen().edge;
+    let client = CallClient::new(CallRouter::daemons(vec![edge]));
+    let probe = OutboundCall::get(&name("catalogue"), CallPath::new("call"), "1.1", PATIENCE);
+    let is_found = wait_until(PATIENCE, || async { client.call(&probe).await.is_whole() });
+    assert!(is_found.await, "{:?}", client.call(&probe).await);
+    let path = CallPath::new("call").with_via(vec![name("workshop")]);
+    let request =
+        format!("GET /catalogue/{path} HTTP/1.1\r\nhost: x\r\nstandin-attempt: 2.1\r\n\r\n");
+    // Until the edge knows the workshop, its call is refused and made again.
+    let reaches = wait_until(PATIENCE, || async {
+        let mut caller = TcpStream::connect(edge).await.expect("a connection");
+        caller.write_all(request.as_bytes()).await.expect("sent");
+        let is_running = wait_until(Duration::from_millis(500), || async {
+            workshop.in_flight() == 1
+        });
+        is_running.await
+    });
+    assert!(reaches.await, "the workshop was never called");
+    let is_free = wait_until(PATIENCE, || async {
+        workshop.in_flight() == 0 && catalogue.in_flight() == 0
+    });
+    assert!(
+        is_free.await,
+        "the workshop still runs a call that nobody waits for"
+    );
+}
