Queue before a target that hangs is refused at half of its time

Cause: a queue behind a target that ends no call had no departures to judge its delay by, so its calls waited until their deadlines. Now a call is dropped once none has left the target for half of the time it has.

--- a/src/admission/admission_guard.rs
+++ b/src/admission/admission_guard.rs
@@ -26,6 +26,8 @@
 const MAX_SOJOURN_TARGETS: u32 = 10;
 /// The same as a share of its time until the deadline: 1 in so many.
 const MAX_SOJOURN_SHARE: u32 = 4;
+/// Wait for a target that ends no call, as a share of the time until the deadline: 1 in so many.
+const STALL_SHARE: u32 = 2;
 /// Interval of a standing queue at least, against its target delay.
 const INTERVAL_TARGETS: u32 = 4;
 
@@ -38,6 +40,8 @@
     queue: Q,
     tickets: TicketTable,
     in_flight: u32,
+    /// When a call last left the target.
+    left: TimePoint,
     threshold: AdmissionThreshold,
     sojourn: SojournControl,
     demand: DemandTable,
@@ -59,6 +63,7 @@
             queue: Q::default(),
             tickets: TicketTable::default(),
             in_flight: 0,
+            left: now,
             threshold: AdmissionThreshold::new(now),
             sojourn: SojournControl::default(),
             demand: DemandTable::new(now),
@@ -137,6 +142,7 @@
             TicketState::Running { started } => {
                 self.in_flight -= 1;
                 self.drain.note_drained();
+                self.left = now;
                 let sample = ServiceSample {
                     started,
                     finished: now,
@@ -323,13 +329,21 @@
     fn overdue_reason(&self, now: TimePoint, ticket: &QueuedTicket) -> Option<RefusalReason> {
         if self.is_hopeless(now, ticket) {
             Some(RefusalReason::DeadlineTooNear)
-        } else if self.settings.sojourn == SojournMode::Controlled && self.is_starved(now, ticket) {
+        } else if self.settings.sojourn == SojournMode::Unbounded {
+            None
+        } else if self.is_starved(now, ticket) || self.is_stalled(now, ticket) {
             Some(RefusalReason::Sojourn)
         } else {
             None
         }
     }
 
+    /// Whether no call has left the target for a good part of the time that this one has.
+    fn is_stalled(&self, now: TimePoint, ticket: &QueuedTicket) -> bool {
+        let patience = ticket.queued.until(ticket.deadline) / STALL_SHARE;
+        now.since(self.left.max(ticket.queued)) > patience
+    }
+
     /// Whether a call has waited for long and calls of a higher class still go before it.
     fn is_starved(&self, now: TimePoint, ticket: &QueuedTicket) -> bool {
         let first = self.queue.first();
--- a/src/admission/gradient_limit.rs
+++ b/src/admission/gradient_limit.rs
@@ -236,10 +236,16 @@
 impl ConcurrencyLimit for GradientLimit {
     fn new(now: TimePoint, slots: u32) -> Self {
         let slots = f64::from(slots.max(1));
+        let limit = (slots / COLD_SHARE).max(COLD_LIMIT).min(slots);
+        let growth = if limit < slots {
+            LimitGrowth::Ramp
+        } else {
+            LimitGrowth::Probe
+        };
         Self {
             slots,
-            limit: (slots / COLD_SHARE).max(COLD_LIMIT).min(slots),
-            growth: LimitGrowth::Ramp,
+            limit,
+            growth,
             window: LatencyWindow::new(now),
             slow_windows: 0,
             held_windows: 0,
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -243,6 +243,26 @@
     );
 }
 
+#[test]
+fn a_target_that_hangs_gets_its_queue_refused_well_before_the_deadline() {
+    let mut fixture = GuardFixture::new();
+    fixture.start(PURCHASE);
+    fixture.start(PURCHASE);
+    let request = fixture.request(PURCHASE);
+    let key = fixture.queue(request);
+    let mut effects = Vec::new();
+    while effects.is_empty() && fixture.now < request.deadline {
+        fixture.tick();
+        effects = fixture.effects();
+    }
+    assert!(
+        matches!(effects[..], [GuardEffect::Drop(dropped, refusal)] if dropped == key
+            && refusal.reason == RefusalReason::Sojourn),
+        "{effects:?}"
+    );
+    assert!(fixture.now + RECOVERY < request.deadline);
+}
+
 #[test]
 fn a_cancelled_call_leaves_the_queue_without_effect() {
     let mut fixture = GuardFixture::new();
