--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -129,9 +129,12 @@
     let running = fixture.start(BROWSE);
     fixture.start(BROWSE);
     let browse = fixture.request(BROWSE);
+    let lower = CallPriority::from_u32(browse.priority.as_u32() - 1);
+    assert_eq!(lower.rank(), BROWSE);
     let deep = AdmissionRequest {
+        priority: lower,
         depth: 2,
-        ..fixture.request(BROWSE)
+        ..browse
     };
     let purchase = fixture.request(PURCHASE);
     let first = fixture.queue(browse);
@@ -240,6 +243,26 @@
     );
 }
 
+#[test]
+fn a_target_that_hangs_gets_its_queue_refused_well_before_the_deadline() {
+    let mut fixture = GuardFixture::new();
+    fixture.start(PURCHASE);
+    fixture.start(PURCHASE);
+    let request = fixture.request(PURCHASE);
+    let key = fixture.queue(request);
+    let mut effects = Vec::new();
+    while effects.is_empty() && fixture.now < request.deadline {
+        fixture.tick();
+        effects = fixture.effects();
+    }
+    assert!(
+        matches!(effects[..], [GuardEffect::Drop(dropped, refusal)] if dropped == key
+            && refusal.reason == RefusalReason::Sojourn),
+        "{effects:?}"
+    );
+    assert!(fixture.now + RECOVERY < request.deadline);
+}
+
 #[test]
 fn a_cancelled_call_leaves_the_queue_without_effect() {
     let mut fixture = GuardFixture::new();
