--- a/examples/capacity/line_fit.rs
+++ b/examples/capacity/line_fit.rs
@@ -53,6 +53,12 @@
         }
     }
 
+    /// The highest of the points.
+    pub fn highest(&self) -> f64 {
+        let values = self.points.iter().map(|point| point.value);
+        values.fold(0.0, f64::max)
+    }
+
     /// The line at another size.
     pub fn at(&self, members: usize) -> f64 {
         self.intercept + self.slope * as_float(members)
--- a/examples/capacity/report.rs
+++ b/examples/capacity/report.rs
@@ -50,8 +50,9 @@
         let policy_processor =
             self.fit_loopback("us a policy change", |run| run.policy_processor_us);
         let policy_rate = policy_bytes.at(TARGET_MEMBERS) * POLICY_CHANGES_PER_SECOND;
-        let policy_share =
-            policy_processor.at(TARGET_MEMBERS) / 1e6 * POLICY_CHANGES_PER_SECOND * 100.0;
+        // Too small for a slope; the highest point stands for all sizes.
+        let policy_processor_us = policy_processor.highest();
+        let policy_share = policy_processor_us / 1e6 * POLICY_CHANGES_PER_SECOND * 100.0;
         let line = |name, value, budget, unit| BudgetLine {
             name,
             value,
