--- a/src/daemon/member_watch.rs
+++ b/src/daemon/member_watch.rs
@@ -1,5 +1,5 @@
 use {
-    super::{daemon_phase::DaemonPhase, daemon_state::DaemonState},
+    super::{daemon_phase::DaemonPhase, daemon_state::DaemonState, member_changes::MemberChanges},
     crate::policy::PolicyHash,
     std::{collections::HashSet, sync::Arc},
 };
@@ -7,8 +7,12 @@
 /// Brings each change of the membership into the tables of the daemon.
 pub(crate) async fn follow_members(state: Arc<DaemonState>) {
     let mut views = state.membership.view();
+    let mut changes = MemberChanges::default();
     loop {
         let view = views.borrow_and_update().clone();
+        for event in changes.take_in(&view) {
+            state.events.record(event);
+        }
         let now = state.clock.now();
         let records = view.members.iter().map(AsRef::as_ref);
         state.routing().update(now, records);
@@ -37,6 +41,8 @@
         let policy = policies.borrow_and_update().clone();
         let hash = policy.hash.as_u64();
         state.membership.policy_in_force(policy.version, hash).await;
+        let claiming = policy.claiming_services();
+        state.claims.share_commits(claiming).await;
         if let Some(target) = state.target.get() {
             let overload = policy.document.overload;
             target.desk.adjust(|guard, _| guard.set_policy(&overload));
--- a/src/policy/active_policy.rs
+++ b/src/policy/active_policy.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        ClassRule, PolicyDocument, PolicyHash, VersionedPolicy,
+        ClassRule, PolicyDocument, PolicyHash, PolicyPack, VersionedPolicy,
         path_form::without_query,
         route_table::{ClassIndex, DefaultVerdicts, RouteTable, RouteVerdict},
     },
@@ -8,6 +8,7 @@
         context::{ClassName, ServiceName},
         jsonc::FieldError,
     },
+    std::collections::HashSet,
 };
 
 /// A policy in force, compiled for look-ups.
@@ -16,6 +17,7 @@
     pub version: u64,
     pub hash: PolicyHash,
     pub document: PolicyDocument,
+    pack: PolicyPack,
     rules: Vec<ClassRule>,
     routes: RouteTable,
 }
@@ -38,6 +40,7 @@
 
     fn compile_checked(policy: VersionedPolicy) -> Self {
         let hash = policy.hash();
+        let pack = PolicyPack::new(&policy).unwrap_or_default();
         let document = policy.document;
         let verdict = |name: &ClassName| {
             let position = document.class_position(name).unwrap_or_default();
@@ -58,6 +61,7 @@
         Self {
             version: policy.version,
             hash,
+            pack,
             rules: rules
                 .map(|(class, rank)| ClassRule::new(class, rank))
                 .collect(),
@@ -83,6 +87,18 @@
         self.routes.is_named(service)
     }
 
+    /// Services that have a route of a non-idempotent class.
+    #[must_use]
+    pub fn claiming_services(&self) -> usize {
+        let claims = |name: &ClassName| self.rule(name).is_some_and(|rule| rule.non_idempotent);
+        let routes = self.document.routes.iter();
+        let services: HashSet<&ServiceName> = routes
+            .filter(|route| claims(&route.class))
+            .map(|route| &route.service)
+            .collect();
+        services.len()
+    }
+
     /// The rule of a class by its name.
     #[must_use]
     pub fn rule(&self, name: &ClassName) -> Option<&ClassRule> {
@@ -97,6 +113,12 @@
 
     /// The policy as it travels between daemons.
     #[must_use]
+    pub const fn pack(&self) -> &PolicyPack {
+        &self.pack
+    }
+
+    /// Version and document.
+    #[must_use]
     pub fn to_versioned(&self) -> VersionedPolicy {
         VersionedPolicy {
             version: self.version,
