Keys are claimed at every hop, and streams say nothing of a target's speed

A call with a key that serves a request of a non-idempotent class is claimed, whatever its own route says: with routes for the first service only, one key had run twice deeper in the chain when a data centre was lost. Seen failing with the route alone: a_key_is_claimed_below_the_service_that_the_policy_names.

The end of a streamed answer is set by its reader, so it is no sample of the target's latency. Seen failing with the sample taken: the_pace_of_a_reader_is_not_taken_for_that_of_the_target.

--- a/src/admission/admission_guard.rs
+++ b/src/admission/admission_guard.rs
@@ -149,8 +149,10 @@
                     rank: ticket.request.priority.rank(),
                     kind,
                 };
-                self.service.observe(&sample);
-                self.limit.observe(&sample);
+                if kind != CompletionKind::Streamed {
+                    self.service.observe(&sample);
+                    self.limit.observe(&sample);
+                }
             }
         }
         self.start_queued(now, rng);
--- a/src/admission/ticket_table.rs
+++ b/src/admission/ticket_table.rs
@@ -33,6 +33,8 @@
     Failure,
     /// The caller went away or its deadline passed.
     Cancelled,
+    /// The reader of a long answer set the pace, so it says nothing of the target's.
+    Streamed,
 }
 
 /// Where a ticket stands.
--- a/src/daemon/call_entry.rs
+++ b/src/daemon/call_entry.rs
@@ -76,7 +76,7 @@
         request.method.as_str(),
         request.path.as_str(),
     );
-    let safety = run_safety(rule, &request)?;
+    let safety = run_safety(rule, None, &request)?;
     let context = mint_context(state, rule, started);
     record_minted(state, &context, &request);
     pass_gate(state, &context, &request)?;
@@ -112,7 +112,7 @@
         request.method.as_str(),
         request.path.as_str(),
     );
-    let safety = run_safety(rule, &request)?;
+    let safety = run_safety(rule, policy.rule(&context.class), &request)?;
     pass_repeat(state, parent, &context, &request).await?;
     let router = CallRouter::new(state, &request, &context, safety);
     // Nobody waits for the answer once the parent has ended.
--- a/src/daemon/call_intake.rs
+++ b/src/daemon/call_intake.rs
@@ -46,17 +46,23 @@
     })
 }
 
-/// Whether the class of a call allows a second run; without a key it is refused if not.
+/// Whether a call may run twice; one that may not is refused without a key.
+///
+/// A call with a key that serves a request of a non-idempotent class may not either, whatever its
+/// own route says.
 pub(super) fn run_safety(
     rule: &ClassRule,
+    request_rule: Option<&ClassRule>,
     request: &CallRequest,
 ) -> Result<RunSafety, CallRefusal> {
+    let is_keyed = request.headers.contains_key(IDEMPOTENCY_KEY_HEADER);
+    let serves_non_idempotent = request_rule.is_some_and(|rule| rule.non_idempotent);
+    if is_keyed && (rule.non_idempotent || serves_non_idempotent) {
+        return Ok(RunSafety::NonIdempotent);
+    }
     if !rule.non_idempotent {
         return Ok(RunSafety::Idempotent);
     }
-    if request.headers.contains_key(IDEMPOTENCY_KEY_HEADER) {
-        return Ok(RunSafety::NonIdempotent);
-    }
     let detail = format!(
         "calls of class {} need the header {IDEMPOTENCY_KEY_HEADER}",
         rule.name
--- a/src/daemon/guarded_call.rs
+++ b/src/daemon/guarded_call.rs
@@ -228,10 +228,10 @@
         match end {
             StreamEnd::Whole => {
                 self.connection.release();
-                self.ticket.finish(CompletionKind::Success);
+                self.ticket.finish(CompletionKind::Streamed);
             }
             StreamEnd::Broken => self.ticket.finish(CompletionKind::Failure),
-            StreamEnd::Abandoned => self.ticket.finish(CompletionKind::Cancelled),
+            StreamEnd::Abandoned => self.ticket.finish(CompletionKind::Streamed),
         }
     }
 }
--- a/src/daemon/mesh_service.rs
+++ b/src/daemon/mesh_service.rs
@@ -82,8 +82,11 @@
         request.method.as_str(),
         request.path.as_str(),
     );
-    if rule.non_idempotent || is_claimed {
+    if rule.non_idempotent {
         run_claimed(call, rule.key_window).await
+    } else if is_claimed {
+        let class = policy.rule(&call.context.class).unwrap_or(rule);
+        run_claimed(call, class.key_window).await
     } else {
         call.admit().await?.dispatch().await
     }
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -223,6 +223,20 @@
     ));
 }
 
+#[test]
+fn the_pace_of_a_reader_is_not_taken_for_that_of_the_target() {
+    let mut fixture = GuardFixture::new();
+    let key = fixture.start(PURCHASE);
+    fixture.pass(Duration::from_secs(8));
+    fixture.finish(key, CompletionKind::Streamed);
+    let request = AdmissionRequest {
+        deadline: fixture.now + Duration::from_secs(1),
+        ..fixture.request(PURCHASE)
+    };
+    let verdict = fixture.offer_request(request);
+    assert!(matches!(verdict, AdmissionVerdict::Start(_)), "{verdict:?}");
+}
+
 #[test]
 fn a_queued_call_past_its_deadline_is_dropped_with_an_answer() {
     let mut fixture = GuardFixture::new();
--- /dev/null
+++ b/tests/chain_claims.rs
@@ -0,0 +1,81 @@
+//! Keys are claimed at every hop of a non-idempotent request.
+
+use {
+    banyantrestle::{
+        context::ServiceName,
+        daemon::{Daemon, DaemonOptions},
+        platform::{HttpTable, TableStore},
+        policy::PolicyDocument,
+    },
+    serde_json::json,
+    standins::{
+        client::{CallClient, CallPath, CallResult, CallRouter, OutboundCall},
+        deployment::{LOOPBACK, accept_policy, loopback_settings},
+        platform::{PlatformMode, PlatformStandin},
+        process::wait_until,
+        target::{RunLedger, TargetSettings, TargetStandin},
+    },
+    std::{net::SocketAddr, time::Duration},
+};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn name(service: &str) -> ServiceName {
+    ServiceName::new(service).expect("a valid name")
+}
+
+/// Only the first service of the chain has a route of the non-idempotent class.
+fn front_policy() -> PolicyDocument {
+    let document = json!({
+        "deployment": "test",
+        "classes": [
+            {"name": "purchase", "weight": 100, "deadline_ms": 20_000, "non_idempotent": true},
+            {"name": "browse", "weight": 1, "deadline_ms": 20_000},
+        ],
+        "routes": [{"service": "billing", "path": "/buy", "class": "purchase"}],
+        "default_class": "browse",
+        "retry": {"per_request": 3, "ratio_percent": 10},
+    });
+    serde_json::from_value(document).expect("a policy")
+}
+
+async fn start_pair(service: &str, platform: SocketAddr) -> (Daemon, TargetStandin) {
+    let settings = loopback_settings("akl-a", platform, &[]);
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let daemon = Daemon::start(settings, DaemonOptions::default(), log)
+        .await
+        .expect("a daemon");
+    daemon.ready().await;
+    let settings = TargetSettings::new(&name(service));
+    let target = TargetStandin::beside(settings, daemon.listen().local, RunLedger::default())
+        .await
+        .expect("a target");
+    (daemon, target)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_is_claimed_below_the_service_that_the_policy_names() {
+    let platform = PlatformStandin::start(LOOPBACK, PlatformMode::uncapped())
+        .await
+        .expect("a platform");
+    accept_policy(platform.address(), &front_policy())
+        .await
+        .expect("a policy in the table");
+    let (front, _billing) = start_pair("billing", platform.address()).await;
+    let (_back, _depot) = start_pair("depot", platform.address()).await;
+    let client = CallClient::new(CallRouter::daemons(vec![front.listen().edge]));
+    let path = || CallPath::new("browse").with_via(vec![name("depot")]);
+    let probe = OutboundCall::get(&name("billing"), path(), "1.1", PATIENCE);
+    let is_found = wait_until(PATIENCE, || async { client.call(&probe).await.is_whole() });
+    assert!(is_found.await, "{:?}", client.call(&probe).await);
+    let path = CallPath::new("buy").with_via(vec![name("depot")]);
+    let buy = OutboundCall::get(&name("billing"), path, "2.1", PATIENCE).keyed("order-1");
+    assert_eq!(client.call(&buy).await, CallResult::Whole);
+    let table = HttpTable::new(platform.address(), PATIENCE);
+    let rows = table.scan("claims", "", 10).await.expect("rows");
+    let services: Vec<&str> = rows
+        .iter()
+        .filter_map(|row| row.key.split('/').next())
+        .collect();
+    assert_eq!(services, ["billing", "depot"]);
+}
