--- a/examples/support/run_figures.rs
+++ b/examples/support/run_figures.rs
@@ -119,7 +119,7 @@
             goodput: f64::from(completed) / possible,
             weighted_goodput: self.weighted_goodput(span, room),
             highest_class: self.highest_class(span),
-            most_retries: runs.most_repeats,
+            most_retries: runs.most_service_repeats,
             wasted: share(wasted, runs.started),
             doubled_keys: runs.doubled_keys,
             doubled_runs: self.doubled_runs(),
--- a/standins/src/target/run_ledger.rs
+++ b/standins/src/target/run_ledger.rs
@@ -58,6 +58,8 @@
     pub cancelled: u64,
     /// Most runs of one attempt beyond one at each service.
     pub most_repeats: u32,
+    /// Largest number of runs after the first at one service, of one attempt.
+    pub most_service_repeats: u32,
     /// Keys that were started more than once.
     pub doubled_keys: u64,
     /// Starts by service and key.
@@ -155,6 +157,8 @@
             report.started += runs.started();
             report.finished += u64::from(runs.finished);
             report.most_repeats = report.most_repeats.max(runs.repeats());
+            let service_repeats = runs.service_repeats();
+            report.most_service_repeats = report.most_service_repeats.max(service_repeats);
         }
         report.cancelled = report.started.saturating_sub(report.finished);
         let doubled = report.keys.values().filter(|starts| **starts > 1);
@@ -180,11 +184,16 @@
         self.services.values().copied().map(u64::from).sum()
     }
 
+    fn repeats(&self) -> u32 {
+        let repeats = self.services.values().map(|starts| starts - 1);
+        repeats.sum()
+    }
+
     /// Runs after the first at the service that ran the attempt most often.
     ///
     /// In a chain without fan-out a retry, wherever it is made, adds one run at most to each
     /// service, and one to each below it. So this is the least number of retries that were made.
-    fn repeats(&self) -> u32 {
+    fn service_repeats(&self) -> u32 {
         let repeats = self.services.values().map(|starts| starts - 1);
         repeats.max().unwrap_or_default()
     }
--- a/standins/tests/targets.rs
+++ b/standins/tests/targets.rs
@@ -121,6 +121,7 @@
     let report = chain.ledger.report();
     assert_eq!(report.started, 3 + 9 + 27);
     assert_eq!(report.most_repeats, 2 + 8 + 26);
+    assert_eq!(report.most_service_repeats, 26);
 }
 
 #[tokio::test]
