Answers of the edge name their request, and what was shed at the front is counted

Read as an operator: the handbook starts from a request id, which no answer carried; a request that the front gate refused had neither a record of its answer nor a count in the metrics; released claims and cancelled calls had events that nothing recorded. A timeout at the target closes its idle connections.

Identities in hexadecimal digits share one macro, which three types had written out.

--- a/src/context/hex_id.rs
+++ b/src/context/hex_id.rs
@@ -31,6 +31,69 @@
     fn from_number(value: u64) -> Self;
 }
 
+/// Reads exactly so many hexadecimal digits.
+pub(crate) fn parse_hex(text: &str, digits: usize) -> Option<u128> {
+    let is_exact = text.len() == digits && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    if !is_exact {
+        return None;
+    }
+    u128::from_str_radix(text, 16).ok()
+}
+
+/// Text and serde of an identity that wraps a number: digits in text formats, a number in binary ones.
+macro_rules! impl_hex_id {
+    ($name:ident, $number:ty, $digits:literal) => {
+        impl $name {
+            #[doc = concat!("Parses ", stringify!($digits), " hexadecimal digits.")]
+            #[must_use]
+            pub fn parse(text: &str) -> Option<Self> {
+                let number = $crate::context::parse_hex(text, $digits)?;
+                <$number>::try_from(number).ok().map(Self)
+            }
+        }
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                write!(formatter, "{:0width$x}", self.0, width = $digits)
+            }
+        }
+
+        impl $crate::context::HexId for $name {
+            const EXPECTED: &'static str = concat!(stringify!($digits), " hexadecimal digits");
+
+            fn parse_digits(text: &str) -> Option<Self> {
+                Self::parse(text)
+            }
+
+            fn from_number(value: u64) -> Self {
+                Self(value.into())
+            }
+        }
+
+        impl serde::Serialize for $name {
+            fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                if serializer.is_human_readable() {
+                    serializer.collect_str(self)
+                } else {
+                    self.0.serialize(serializer)
+                }
+            }
+        }
+
+        impl<'de> serde::Deserialize<'de> for $name {
+            fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                if deserializer.is_human_readable() {
+                    $crate::context::deserialize_text(deserializer)
+                } else {
+                    <$number>::deserialize(deserializer).map(Self)
+                }
+            }
+        }
+    };
+}
+
+pub(crate) use impl_hex_id;
+
 /// Reads digits, or a plain number as a recorded trace may hold it.
 pub(crate) fn deserialize_text<'de, I, D>(deserializer: D) -> Result<I, D::Error>
 where
--- a/src/context/mod.rs
+++ b/src/context/mod.rs
@@ -13,7 +13,7 @@
 mod run_outcome;
 mod service_name;
 
-pub(crate) use hex_id::{HexId, deserialize_text};
+pub(crate) use hex_id::{HexId, deserialize_text, impl_hex_id, parse_hex};
 
 pub use {
     call_context::{CONTEXT_HEADER, CallContext, MAX_CONTEXT_LENGTH, MAX_DEPTH},
--- a/src/daemon/call_entry.rs
+++ b/src/daemon/call_entry.rs
@@ -6,7 +6,7 @@
         daemon_options::DaemonPart,
         daemon_phase::DaemonPhase,
         daemon_state::{DaemonState, mint_call, mint_request},
-        entry_records::{record_answered, record_minted},
+        entry_records::{record_answered, record_cancelled, record_minted},
         in_flight_call::InFlightCall,
         metrics_recorder::count_refusal,
         permit_client::ask_permit,
@@ -16,9 +16,9 @@
         context::{
             CONTEXT_HEADER, CallContext, CallPriority, OUTCOME_HEADER, RunOutcome, ServiceName,
         },
-        net::{AnswerBody, CallRefusal, CallRequest, RefusalKind, set_header},
+        net::{AnswerBody, CallRefusal, CallRequest, REQUEST_HEADER, RefusalKind, set_header},
         policy::ClassRule,
-        retry::RetryBudget,
+        retry::{RetryBudget, RunSafety},
         time::TimePoint,
     },
     http::{Request, Response},
@@ -31,10 +31,28 @@
 
 pub(crate) type EntryAnswer = Response<AnswerBody<InFlightCall>>;
 
+/// A user request that has entered.
+struct EnteredRequest {
+    request: CallRequest,
+    context: CallContext,
+    safety: RunSafety,
+    /// Retries across the whole chain.
+    retries: u32,
+}
+
 /// Answers a caller from outside.
 pub(crate) async fn serve_edge(state: Arc<DaemonState>, request: Request<Incoming>) -> EntryAnswer {
-    let result = enter(&state, request).await;
-    finish(result)
+    let started = state.clock.now();
+    let entered = match enter(&state, request, started).await {
+        Ok(entered) => entered,
+        Err(refusal) => return finish(Err(refusal)),
+    };
+    let result = run_entered(&state, &entered).await;
+    record_answered(&state, &entered.context, &result, started);
+    let mut answer = finish(into_answer(result));
+    let id = entered.context.request.to_string();
+    set_header(answer.headers_mut(), REQUEST_HEADER, &id);
+    answer
 }
 
 /// Answers the target beside the daemon, which calls on.
@@ -42,33 +60,30 @@
     state: Arc<DaemonState>,
     request: Request<Incoming>,
 ) -> EntryAnswer {
-    let result = match request.headers().get(CONTEXT_HEADER) {
-        None => enter(&state, request).await,
-        Some(value) => {
-            let parent = value
-                .to_str()
-                .ok()
-                .and_then(|text| CallContext::decode(text, state.clock.now()))
-                .and_then(|context| state.active.get(context.request, context.call));
-            match parent {
-                Some(parent) => descend(&state, &parent, request).await,
-                None => Err(context_refusal()),
-            }
-        }
+    let Some(value) = request.headers().get(CONTEXT_HEADER) else {
+        return serve_edge(state, request).await;
     };
-    finish(result)
+    let parent = value
+        .to_str()
+        .ok()
+        .and_then(|text| CallContext::decode(text, state.clock.now()))
+        .and_then(|context| state.active.get(context.request, context.call));
+    match parent {
+        Some(parent) => finish(descend(&state, &parent, request).await),
+        None => finish(Err(context_refusal())),
+    }
 }
 
 /// A call from outside becomes a request of its own.
 async fn enter(
-    state: &Arc<DaemonState>,
+    state: &DaemonState,
     request: Request<Incoming>,
-) -> Result<EntryAnswer, CallRefusal> {
+    started: TimePoint,
+) -> Result<EnteredRequest, CallRefusal> {
     if state.phase() >= DaemonPhase::Draining {
         let refusal = CallRefusal::not_run(RefusalKind::Draining, "this daemon is leaving");
         return Err(refusal.with_retry_after(DRAIN_RETRY));
     }
-    let started = state.clock.now();
     let request = read_call(state, request).await?;
     let policy = state.policy();
     let rule = policy.classify(
@@ -79,20 +94,32 @@
     let safety = run_safety(rule, None, &request)?;
     let context = mint_context(state, rule, started);
     record_minted(state, &context, &request);
-    pass_gate(state, &context, &request)?;
-    let budget = RetryBudget::new(policy.document.retry.per_request, context.deadline);
-    let Some(root) = RootEntry::open(state, context.request, budget) else {
+    Ok(EnteredRequest {
+        request,
+        context,
+        safety,
+        retries: policy.document.retry.per_request,
+    })
+}
+
+async fn run_entered(
+    state: &Arc<DaemonState>,
+    entered: &EnteredRequest,
+) -> Result<RoutedAnswer, RoutedRefusal> {
+    let EnteredRequest {
+        request, context, ..
+    } = entered;
+    pass_gate(state, context, request)?;
+    let budget = RetryBudget::new(entered.retries, context.deadline);
+    let root = RootEntry::open(state, context.request, budget).ok_or_else(|| {
         let detail = "too many requests are in flight at this daemon";
         let refusal = CallRefusal::not_run(RefusalKind::TooManyRequests, detail);
-        return Err(refusal.with_retry_after(ROOM_RETRY));
-    };
-    let router = CallRouter::new(state, &request, &context, safety).with_root(root);
+        refusal.with_retry_after(ROOM_RETRY)
+    })?;
+    let router = CallRouter::new(state, request, context, entered.safety).with_root(root);
     let result = router.run().await;
-    note_gate(state, &context, &request.service, &result);
-    record_answered(state, &context, &result, started);
+    note_gate(state, context, &request.service, &result);
     result
-        .map(|answer| answer.response)
-        .map_err(|refused| refused.refusal)
 }
 
 /// A call of the target becomes part of the request that it serves.
@@ -118,11 +145,18 @@
     // Nobody waits for the answer once the parent has ended.
     let result = tokio::select! {
         result = router.run() => result,
-        () = parent.cancelled.cancelled() => return Err(cancelled_refusal(&request.service)),
+        () = parent.cancelled.cancelled() => {
+            record_cancelled(state, &context, "the calling call has ended");
+            return Err(cancelled_refusal(&request.service));
+        }
     };
     if let Some(threshold) = chain_threshold(&result) {
         parent.note_threshold(threshold);
     }
+    into_answer(result)
+}
+
+fn into_answer(result: Result<RoutedAnswer, RoutedRefusal>) -> Result<EntryAnswer, CallRefusal> {
     result
         .map(|answer| answer.response)
         .map_err(|refused| refused.refusal)
--- a/src/daemon/call_router.rs
+++ b/src/daemon/call_router.rs
@@ -41,6 +41,15 @@
     pub(crate) load: Option<LoadNote>,
 }
 
+impl From<CallRefusal> for RoutedRefusal {
+    fn from(refusal: CallRefusal) -> Self {
+        Self {
+            refusal,
+            load: None,
+        }
+    }
+}
+
 /// One call on its way to a target of its service.
 #[derive(Debug)]
 pub(crate) struct CallRouter<'a> {
@@ -113,7 +122,7 @@
         let now = self.state.clock.now();
         let service = &self.request.service;
         if now >= self.context.deadline {
-            return Err(plain(deadline_refusal(service.as_str())));
+            return Err(RoutedRefusal::from(deadline_refusal(service.as_str())));
         }
         let priority = self.state.shed_priority(self.context.priority);
         let table = self.state.routing();
@@ -125,14 +134,14 @@
         match verdict {
             PickVerdict::Target(key) => match table.get(key) {
                 Some(entry) => Ok((key, entry.mesh())),
-                None => Err(plain(no_target(service.as_str()))),
+                None => Err(RoutedRefusal::from(no_target(service.as_str()))),
             },
             PickVerdict::Shed { retry_after } => {
                 let detail = format!("every target of {service} admits higher priorities only");
                 let refusal = CallRefusal::not_run(RefusalKind::Overload, detail);
-                Err(plain(refusal.with_retry_after(retry_after)))
+                Err(RoutedRefusal::from(refusal.with_retry_after(retry_after)))
             }
-            PickVerdict::NoTarget => Err(plain(no_target(service.as_str()))),
+            PickVerdict::NoTarget => Err(RoutedRefusal::from(no_target(service.as_str()))),
         }
     }
 
@@ -151,16 +160,21 @@
             Err(MeshFailure::NotSent(error)) => {
                 in_flight.end(CallEnd::Unreachable);
                 let refusal = CallRefusal::not_run(RefusalKind::NoTarget, error.to_string());
-                Err(plain(refusal.with_retry_after(NO_TARGET_RETRY)))
+                Err(RoutedRefusal::from(
+                    refusal.with_retry_after(NO_TARGET_RETRY),
+                ))
             }
             Err(MeshFailure::Broken(error)) => {
                 in_flight.end(CallEnd::Broken);
-                Err(plain(broken(error.to_string())))
+                Err(RoutedRefusal::from(broken(error.to_string())))
             }
             Err(MeshFailure::TimedOut(error)) => {
                 in_flight.end(CallEnd::Abandoned);
                 let kind = RefusalKind::DeadlineExceeded;
-                Err(plain(CallRefusal::unknown(kind, error.to_string())))
+                Err(RoutedRefusal::from(CallRefusal::unknown(
+                    kind,
+                    error.to_string(),
+                )))
             }
         }
     }
@@ -175,7 +189,9 @@
         let load = parse_load(response.headers());
         let Some(outcome) = parse_outcome(response.headers()) else {
             in_flight.end(CallEnd::Broken);
-            return Err(plain(broken(format!("{peer} answers without an outcome"))));
+            return Err(RoutedRefusal::from(broken(format!(
+                "{peer} answers without an outcome"
+            ))));
         };
         let in_flight = in_flight.with_load(load);
         if outcome == RunOutcome::Run {
@@ -209,13 +225,13 @@
             }
             Ok(Err(error)) => {
                 in_flight.end(CallEnd::Broken);
-                return Err(plain(broken(error.to_string())));
+                return Err(RoutedRefusal::from(broken(error.to_string())));
             }
             Err(_) => {
                 in_flight.end(CallEnd::Abandoned);
                 let detail = "deadline passed before the answer was whole";
                 let refusal = CallRefusal::unknown(RefusalKind::DeadlineExceeded, detail);
-                return Err(plain(refusal));
+                return Err(RoutedRefusal::from(refusal));
             }
         };
         let response = Response::from_parts(head, body);
@@ -312,13 +328,6 @@
     headers.get(OUTCOME_HEADER)?.to_str().ok()?.parse().ok()
 }
 
-fn plain(refusal: CallRefusal) -> RoutedRefusal {
-    RoutedRefusal {
-        refusal,
-        load: None,
-    }
-}
-
 fn broken(detail: String) -> CallRefusal {
     CallRefusal::unknown(RefusalKind::AnswerBroken, detail)
 }
--- a/src/daemon/claimed_call.rs
+++ b/src/daemon/claimed_call.rs
@@ -39,8 +39,14 @@
     let verdict = state.claims.begin(request).await;
     record_verdict(&state, &context, &service, &verdict);
     match verdict {
-        // A refusal drops the token, which frees the key.
-        ClaimVerdict::Won(token) => dispatch_claimed(state, call.admit().await?, token).await,
+        ClaimVerdict::Won(token) => match call.admit().await {
+            Ok(admitted) => dispatch_claimed(state, admitted, token).await,
+            Err(refusal) => {
+                state.claims.release(token);
+                record_released(&state, &context, &service);
+                Err(refusal)
+            }
+        },
         ClaimVerdict::Replay(answer) => Ok(replay(&state, &answer)),
         ClaimVerdict::Joined(joined) => join(&state, &context, joined).await,
         ClaimVerdict::Unknown(reason) => Err(unknown_refusal(reason)),
@@ -193,6 +199,14 @@
     CallRefusal::not_run(RefusalKind::ClaimUnavailable, detail).with_retry_after(retry_after)
 }
 
+fn record_released(state: &DaemonState, context: &CallContext, service: &ServiceName) {
+    state.events.record(EventKind::ClaimReleased {
+        request: context.request,
+        call: context.call,
+        service: service.clone(),
+    });
+}
+
 fn record_verdict(
     state: &DaemonState,
     context: &CallContext,
--- a/src/daemon/entry_records.rs
+++ b/src/daemon/entry_records.rs
@@ -49,3 +49,12 @@
         elapsed_us: u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX),
     });
 }
+
+/// Records that nobody waits any more for what a call has called.
+pub(super) fn record_cancelled(state: &DaemonState, context: &CallContext, reason: &'static str) {
+    state.events.record(EventKind::CallCancelled {
+        request: context.request,
+        call: context.call,
+        reason: reason.into(),
+    });
+}
--- a/src/net/header_names.rs
+++ b/src/net/header_names.rs
@@ -10,6 +10,8 @@
 pub(crate) const LOAD_HEADER: &str = "banyantrestle-load";
 /// Authentication tag of a call between daemons.
 pub(crate) const TAG_HEADER: &str = "banyantrestle-tag";
+/// Id of the user request, on its final answer.
+pub(crate) const REQUEST_HEADER: &str = "banyantrestle-request";
 /// Why a call was refused.
 pub(crate) const REASON_HEADER: &str = "banyantrestle-reason";
 /// The router holds the call for non-idempotent, whatever the policy of the guard says.
--- a/src/net/mesh_wire.rs
+++ b/src/net/mesh_wire.rs
@@ -1,4 +1,7 @@
-use crate::auth::{SharedKey, TAG_LENGTH};
+use crate::{
+    auth::{SharedKey, TAG_LENGTH},
+    context::parse_hex,
+};
 
 /// Paths of messages between daemons; no service name starts with a dot.
 pub(crate) const MESH_PREFIX: &str = "/.banyantrestle/";
@@ -10,7 +13,6 @@
 const CALL_PURPOSE: &str = "mesh-call";
 const MESSAGE_PURPOSE: &str = "mesh-message";
 const LINE_END: u8 = b'\n';
-const HEX_RADIX: u32 = 16;
 
 /// Tag of a call: its method, path and context.
 pub(crate) fn call_tag(
@@ -55,12 +57,7 @@
 }
 
 fn decode_tag(text: &str) -> Option<[u8; TAG_LENGTH]> {
-    let is_exact =
-        text.len() == 2 * TAG_LENGTH && text.bytes().all(|byte| byte.is_ascii_hexdigit());
-    if !is_exact {
-        return None;
-    }
-    let value = u128::from_str_radix(text, HEX_RADIX).ok()?;
+    let value = parse_hex(text, 2 * TAG_LENGTH)?;
     Some(value.to_be_bytes())
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,8 +19,8 @@
     answer_reader::{AnswerPrefix, read_answer},
     call_request::{CallRequest, parse_route},
     header_names::{
-        CLAIM_HEADER, LOAD_HEADER, TAG_HEADER, clean_answer_headers, remove_hop_headers,
-        remove_length, remove_own_headers, set_header,
+        CLAIM_HEADER, LOAD_HEADER, REQUEST_HEADER, TAG_HEADER, clean_answer_headers,
+        remove_hop_headers, remove_length, remove_own_headers, set_header,
     },
     listener::{ConnectionGate, ListenerLimits, bind, serve_http, serve_mesh},
     mesh_pool::{MeshFailure, MeshPool},
@@ -35,3 +35,6 @@
     call_refusal::{CallRefusal, RefusalKind},
     header_names::PROBLEM_TYPE,
 };
+
+#[cfg(test)]
+mod tests;
--- a/src/net/target_pool.rs
+++ b/src/net/target_pool.rs
@@ -77,7 +77,11 @@
                     Some(message) => request = message,
                     None => return Err(SendFailure::Broken(self.error(error.into_error()))),
                 },
-                Err(_) => return Err(SendFailure::TimedOut(self.error("deadline passed"))),
+                Err(_) => {
+                    // What has silenced one connection may have silenced those that are idle.
+                    self.close_idle();
+                    return Err(SendFailure::TimedOut(self.error("deadline passed")));
+                }
             }
         }
     }
@@ -116,6 +120,11 @@
         idle.pop()
     }
 
+    fn close_idle(&self) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.clear();
+    }
+
     async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, StepError> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.target))
             .await
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -284,6 +284,7 @@
     let answer = exchange(edge, forged).await;
     assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
     assert!(answer.contains("banyantrestle-outcome: run"), "{answer}");
+    assert!(answer.contains("banyantrestle-request: "), "{answer}");
     let events = exchange(
         deployment.daemon.listen().admin,
         "GET /events?since=0&limit=1000 HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n",
