One piece of code where two stood: send failures, field checks, classification

The pools to daemons and to the target had the same three failures each; the checks of settings and of policies collected field errors in the same way; three places classified a call from its parts.

--- a/src/daemon/call_entry.rs
+++ b/src/daemon/call_entry.rs
@@ -86,11 +86,7 @@
     }
     let request = read_call(state, request).await?;
     let policy = state.policy();
-    let rule = policy.classify(
-        &request.service,
-        request.method.as_str(),
-        request.path.as_str(),
-    );
+    let rule = request.rule(&policy);
     let safety = run_safety(rule, None, &request)?;
     let context = mint_context(state, rule, started);
     record_minted(state, &context, &request);
@@ -134,11 +130,7 @@
         return Err(CallRefusal::not_run(RefusalKind::ChainTooDeep, detail));
     };
     let policy = state.policy();
-    let rule = policy.classify(
-        &request.service,
-        request.method.as_str(),
-        request.path.as_str(),
-    );
+    let rule = request.rule(&policy);
     let safety = run_safety(rule, policy.rule(&context.class), &request)?;
     pass_repeat(state, parent, &context, &request).await?;
     let router = CallRouter::new(state, &request, &context, safety);
--- a/src/daemon/call_router.rs
+++ b/src/daemon/call_router.rs
@@ -11,7 +11,7 @@
         events::EventKind,
         net::{
             AnswerBody, AnswerPrefix, CLAIM_HEADER, CallRefusal, CallRequest, LOAD_HEADER,
-            MeshFailure, RefusalKind, TAG_HEADER, call_tag, clean_answer_headers, encode_tag,
+            RefusalKind, SendFailure, TAG_HEADER, call_tag, clean_answer_headers, encode_tag,
             read_answer, remove_length, set_header,
         },
         retry::{AttemptRecord, RunSafety},
@@ -157,18 +157,18 @@
         let message = self.mesh_request(&context, peer);
         match self.state.mesh.send(peer, message, deadline).await {
             Ok(response) => self.read_response(peer, in_flight, response).await,
-            Err(MeshFailure::NotSent(error)) => {
+            Err(SendFailure::NotSent(error)) => {
                 in_flight.end(CallEnd::Unreachable);
                 let refusal = CallRefusal::not_run(RefusalKind::NoTarget, error.to_string());
                 Err(RoutedRefusal::from(
                     refusal.with_retry_after(NO_TARGET_RETRY),
                 ))
             }
-            Err(MeshFailure::Broken(error)) => {
+            Err(SendFailure::Broken(error)) => {
                 in_flight.end(CallEnd::Broken);
                 Err(RoutedRefusal::from(broken(error.to_string())))
             }
-            Err(MeshFailure::TimedOut(error)) => {
+            Err(SendFailure::TimedOut(error)) => {
                 in_flight.end(CallEnd::Abandoned);
                 let kind = RefusalKind::DeadlineExceeded;
                 Err(RoutedRefusal::from(CallRefusal::unknown(
--- a/src/daemon/mesh_client.rs
+++ b/src/daemon/mesh_client.rs
@@ -3,7 +3,7 @@
         auth::SharedKey,
         error::{ProcessStep, StepError},
         net::{
-            AnswerPrefix, MeshFailure, MeshPool, TAG_HEADER, encode_tag, message_tag, read_answer,
+            AnswerPrefix, MeshPool, SendFailure, TAG_HEADER, encode_tag, message_tag, read_answer,
         },
     },
     bytes::Bytes,
@@ -46,7 +46,7 @@
     let response = mesh
         .send(peer, request, deadline)
         .await
-        .map_err(MeshFailure::into_error)?;
+        .map_err(SendFailure::into_error)?;
     let status = response.status();
     if status != StatusCode::OK {
         return Err(error(format!("{path} answered {status}")));
--- a/src/daemon/mesh_service.rs
+++ b/src/daemon/mesh_service.rs
@@ -76,12 +76,7 @@
         token,
     };
     let policy = state.policy();
-    let request = &call.request;
-    let rule = policy.classify(
-        &request.service,
-        request.method.as_str(),
-        request.path.as_str(),
-    );
+    let rule = call.request.rule(&policy);
     if rule.non_idempotent {
         run_claimed(call, rule.key_window).await
     } else if is_claimed {
--- a/src/jsonc/mod.rs
+++ b/src/jsonc/mod.rs
@@ -6,6 +6,7 @@
 
 mod document_error;
 mod document_text;
+mod field_check;
 mod field_error;
 
 pub use {
@@ -13,3 +14,5 @@
     document_text::{DocumentText, MAX_DOCUMENT_BYTES},
     field_error::FieldError,
 };
+
+pub(crate) use field_check::FieldCheck;
--- a/src/net/call_request.rs
+++ b/src/net/call_request.rs
@@ -1,5 +1,8 @@
 use {
-    crate::context::{NameError, ServiceName},
+    crate::{
+        context::{NameError, ServiceName},
+        policy::{ActivePolicy, ClassRule},
+    },
     bytes::Bytes,
     http::{HeaderMap, Method, Uri, uri::PathAndQuery},
     thiserror::Error,
@@ -19,6 +22,13 @@
     pub(crate) body: Bytes,
 }
 
+impl CallRequest {
+    /// What the policy says of the call.
+    pub(crate) fn rule<'a>(&self, policy: &'a ActivePolicy) -> &'a ClassRule {
+        policy.classify(&self.service, self.method.as_str(), self.path.as_str())
+    }
+}
+
 /// Why a path names no service.
 #[derive(Debug, Error)]
 pub(crate) enum RouteError {
--- a/src/net/mesh_pool.rs
+++ b/src/net/mesh_pool.rs
@@ -1,4 +1,5 @@
 use {
+    super::send_failure::SendFailure,
     crate::error::{ProcessStep, StepError},
     bytes::Bytes,
     http::{Request, Response},
@@ -29,25 +30,6 @@
 /// Far above one stream's window, so that a slow reader of one answer holds up no other.
 const CONNECTION_WINDOW_BYTES: u32 = 64 * 1024 * 1024;
 
-/// Why a call between daemons has no answer.
-#[derive(Debug)]
-pub(crate) enum MeshFailure {
-    /// No byte of the call was sent.
-    NotSent(StepError),
-    /// The peer may have received the call.
-    Broken(StepError),
-    /// The deadline passed while the call was out.
-    TimedOut(StepError),
-}
-
-impl MeshFailure {
-    pub(crate) fn into_error(self) -> StepError {
-        match self {
-            Self::NotSent(error) | Self::Broken(error) | Self::TimedOut(error) => error,
-        }
-    }
-}
-
 /// Connections to other daemons, one HTTP/2 connection each.
 #[derive(Debug)]
 pub(crate) struct MeshPool {
@@ -78,7 +60,7 @@
         peer: SocketAddr,
         request: Request<Full<Bytes>>,
         deadline: Instant,
-    ) -> Result<Response<Incoming>, MeshFailure> {
+    ) -> Result<Response<Incoming>, SendFailure> {
         let mut request = request;
         // A connection may close between the choice and the first byte; the call is then returned.
         for _ in 0..2 {
@@ -92,32 +74,32 @@
                         self.retire(peer, connection.id).await;
                         request = message;
                     }
-                    None => return Err(MeshFailure::Broken(call_error(peer, error.into_error()))),
+                    None => return Err(SendFailure::Broken(call_error(peer, error.into_error()))),
                 },
                 Err(_) => {
                     self.retire(peer, connection.id).await;
-                    return Err(MeshFailure::TimedOut(call_error(peer, "deadline passed")));
+                    return Err(SendFailure::TimedOut(call_error(peer, "deadline passed")));
                 }
             }
         }
-        Err(MeshFailure::NotSent(call_error(peer, "connection closed")))
+        Err(SendFailure::NotSent(call_error(peer, "connection closed")))
     }
 
     async fn connection(
         &self,
         peer: SocketAddr,
         deadline: Instant,
-    ) -> Result<MeshConnection, MeshFailure> {
+    ) -> Result<MeshConnection, SendFailure> {
         let slot = self.slot(peer);
         let mut slot = timeout_at(deadline, slot.lock())
             .await
-            .map_err(|_| MeshFailure::NotSent(call_error(peer, "deadline passed")))?;
+            .map_err(|_| SendFailure::NotSent(call_error(peer, "deadline passed")))?;
         if let Some(connection) = slot.as_ref()
             && !connection.sender.is_closed()
         {
             return Ok(connection.clone());
         }
-        let connection = self.connect(peer).await.map_err(MeshFailure::NotSent)?;
+        let connection = self.connect(peer).await.map_err(SendFailure::NotSent)?;
         *slot = Some(connection.clone());
         Ok(connection)
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,6 +12,7 @@
 mod mesh_pool;
 mod mesh_wire;
 mod request_reader;
+mod send_failure;
 mod target_pool;
 
 pub(crate) use {
@@ -23,13 +24,14 @@
         remove_hop_headers, remove_length, remove_own_headers, set_header,
     },
     listener::{ConnectionGate, ListenerLimits, bind, serve_http, serve_mesh},
-    mesh_pool::{MeshFailure, MeshPool},
+    mesh_pool::MeshPool,
     mesh_wire::{
         ANSWER_PATH, CLAIMS_PATH, MESH_PREFIX, PERMIT_PATH, POLICY_PATH, call_tag, encode_tag,
         is_valid_call_tag, is_valid_message_tag, message_tag,
     },
     request_reader::{RequestError, read_request},
-    target_pool::{SendFailure, TargetConnection, TargetPool},
+    send_failure::SendFailure,
+    target_pool::{TargetConnection, TargetPool},
 };
 pub use {
     call_refusal::{CallRefusal, RefusalKind},
--- /dev/null
+++ b/src/net/send_failure.rs
@@ -0,0 +1,20 @@
+use crate::error::StepError;
+
+/// Why a call to a daemon or a target has no answer.
+#[derive(Debug)]
+pub(crate) enum SendFailure {
+    /// No byte of the call was sent.
+    NotSent(StepError),
+    /// The peer may have received the call.
+    Broken(StepError),
+    /// The deadline passed while the call was out.
+    TimedOut(StepError),
+}
+
+impl SendFailure {
+    pub(crate) fn into_error(self) -> StepError {
+        match self {
+            Self::NotSent(error) | Self::Broken(error) | Self::TimedOut(error) => error,
+        }
+    }
+}
--- a/src/net/target_pool.rs
+++ b/src/net/target_pool.rs
@@ -1,4 +1,5 @@
 use {
+    super::send_failure::SendFailure,
     crate::error::{ProcessStep, StepError},
     bytes::Bytes,
     http::{Request, Response},
@@ -24,17 +25,6 @@
 /// Idle connections that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 256;
 
-/// Why a call to the target has no answer.
-#[derive(Debug)]
-pub(crate) enum SendFailure {
-    /// No byte of the call was sent.
-    NotSent(StepError),
-    /// The target may have received the call.
-    Broken(StepError),
-    /// The deadline passed while the call was out.
-    TimedOut(StepError),
-}
-
 /// HTTP/1.1 connections to the target beside the daemon.
 #[derive(Debug)]
 pub(crate) struct TargetPool {
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        AnswerBody, ConnectionGate, ListenerLimits, MeshFailure, MeshPool, NoHold, bind, serve_mesh,
+        AnswerBody, ConnectionGate, ListenerLimits, MeshPool, NoHold, SendFailure, bind, serve_mesh,
     },
     bytes::Bytes,
     http::{Request, Response},
@@ -47,7 +47,7 @@
     pool: &MeshPool,
     peer: SocketAddr,
     text: &'static str,
-) -> Result<Bytes, MeshFailure> {
+) -> Result<Bytes, SendFailure> {
     let request = Request::post(format!("http://{peer}/x"))
         .body(Full::new(Bytes::from_static(text.as_bytes())))
         .expect("a request");
@@ -67,7 +67,7 @@
     assert_eq!(first.expect("an answer"), "first");
     relay.silence();
     let lost = exchange(&pool, relay.address(), "lost").await;
-    assert!(matches!(lost, Err(MeshFailure::Broken(_))), "{lost:?}");
+    assert!(matches!(lost, Err(SendFailure::Broken(_))), "{lost:?}");
     let next = exchange(&pool, relay.address(), "next").await;
     assert_eq!(next.expect("an answer over a new connection"), "next");
 }
--- a/src/policy/policy_check.rs
+++ b/src/policy/policy_check.rs
@@ -1,10 +1,10 @@
 use {
     super::{ClassPolicy, PolicyDocument, RoutePolicy, path_form::is_plain},
     crate::{
-        context::{ClassName, ServiceName},
-        jsonc::FieldError,
+        context::ClassName,
+        jsonc::{FieldCheck, FieldError},
     },
-    std::{collections::HashSet, fmt::Display, ops::RangeInclusive},
+    std::{collections::HashSet, ops::RangeInclusive},
 };
 
 /// Classes of the longest policy.
@@ -31,58 +31,40 @@
     /// One error for each value out of its bounds.
     pub fn check(&self) -> Result<(), Vec<FieldError>> {
         let mut check = PolicyCheck::default();
-        check.deployment(&self.deployment);
+        check.fields.name("deployment", &self.deployment);
         check.classes(&self.classes);
         check.default_classes(self);
         check.routes(self);
         check.bounds(self);
-        if check.errors.is_empty() {
-            Ok(())
-        } else {
-            Err(check.errors)
-        }
+        check.fields.finish()
     }
 }
 
 #[derive(Default)]
 struct PolicyCheck {
-    errors: Vec<FieldError>,
+    fields: FieldCheck,
 }
 
 impl PolicyCheck {
-    fn fail(&mut self, field: impl Into<String>, message: impl Display) {
-        self.errors.push(FieldError::new(field, message));
-    }
-
-    fn range(&mut self, field: impl Into<String>, value: u64, range: &RangeInclusive<u64>) {
-        if !range.contains(&value) {
-            let (start, end) = (range.start(), range.end());
-            self.fail(field, format_args!("{value} is not {start} to {end}"));
-        }
-    }
-
-    fn deployment(&mut self, deployment: &str) {
-        if ServiceName::new(deployment).is_err() {
-            self.fail("deployment", "is not 1 to 64 of a-z, 0-9, - and _");
-        }
-    }
-
     fn classes(&mut self, classes: &[ClassPolicy]) {
         let count = classes.len();
         if !(1..=MAX_CLASSES).contains(&count) {
             let message = format_args!("{count} classes are not 1 to {MAX_CLASSES}");
-            self.fail("classes", message);
+            self.fields.fail("classes", message);
         }
         let mut names = HashSet::new();
         for (position, class) in classes.iter().take(MAX_CLASSES).enumerate() {
             let field = |name| format!("classes[{position}].{name}");
             if !names.insert(&class.name) {
                 let message = format_args!("class {} stands twice", class.name);
-                self.fail(field("name"), message);
+                self.fields.fail(field("name"), message);
             }
-            self.range(field("weight"), class.weight.into(), &WEIGHTS);
-            self.range(field("deadline_ms"), class.deadline_ms, &DEADLINES_MS);
-            self.range(field("key_window_s"), class.key_window_s, &KEY_WINDOWS_S);
+            self.fields
+                .range(field("weight"), class.weight.into(), &WEIGHTS);
+            self.fields
+                .range(field("deadline_ms"), class.deadline_ms, &DEADLINES_MS);
+            self.fields
+                .range(field("key_window_s"), class.key_window_s, &KEY_WINDOWS_S);
         }
     }
 
@@ -95,7 +77,8 @@
 
     fn class(&mut self, document: &PolicyDocument, field: impl Into<String>, name: &ClassName) {
         if document.class_position(name).is_none() {
-            self.fail(field, format_args!("there is no class {name}"));
+            self.fields
+                .fail(field, format_args!("there is no class {name}"));
         }
     }
 
@@ -104,7 +87,7 @@
         let count = routes.len();
         if count > MAX_ROUTES {
             let message = format_args!("{count} routes are over {MAX_ROUTES}");
-            self.fail("routes", message);
+            self.fields.fail("routes", message);
             return;
         }
         for (position, route) in routes.iter().enumerate() {
@@ -119,7 +102,7 @@
                 .position(|other| covers(other, route));
             if let Some(earlier) = earlier {
                 let message = format_args!("never matches, since routes[{earlier}] matches first");
-                self.fail(field("path"), message);
+                self.fields.fail(field("path"), message);
             }
         }
     }
@@ -127,11 +110,11 @@
     fn path(&mut self, field: String, path: &str) {
         if path.len() > MAX_ROUTE_PATH_LENGTH {
             let message = format_args!("longer than {MAX_ROUTE_PATH_LENGTH} bytes");
-            self.fail(field, message);
+            self.fields.fail(field, message);
         } else if !is_plain(&path.to_lowercase()) {
             let message = "does not start with /, or has an empty or dot segment, \
                            or a character outside a-z A-Z 0-9 - _ . ~ /";
-            self.fail(field, message);
+            self.fields.fail(field, message);
         }
     }
 
@@ -139,7 +122,7 @@
         let is_name = method.bytes().all(|byte| byte.is_ascii_uppercase());
         if !is_name || !(1..=MAX_METHOD_LENGTH).contains(&method.len()) {
             let message = format_args!("is not 1 to {MAX_METHOD_LENGTH} of A-Z");
-            self.fail(field, message);
+            self.fields.fail(field, message);
         }
     }
 
@@ -150,13 +133,17 @@
         let ratio = retry.ratio_percent.into();
         let target = overload.queue_target_ms;
         let interval = overload.queue_interval_ms;
-        self.range("retry.per_request", per_request, &RETRIES_PER_REQUEST);
-        self.range("retry.ratio_percent", ratio, &RETRY_RATIOS_PERCENT);
-        self.range("overload.queue_target_ms", target, &QUEUE_TARGETS_MS);
-        self.range("overload.queue_interval_ms", interval, &QUEUE_INTERVALS_MS);
+        self.fields
+            .range("retry.per_request", per_request, &RETRIES_PER_REQUEST);
+        self.fields
+            .range("retry.ratio_percent", ratio, &RETRY_RATIOS_PERCENT);
+        self.fields
+            .range("overload.queue_target_ms", target, &QUEUE_TARGETS_MS);
+        self.fields
+            .range("overload.queue_interval_ms", interval, &QUEUE_INTERVALS_MS);
         if interval < target {
             let message = format_args!("{interval} is less than queue_target_ms, {target}");
-            self.fail("overload.queue_interval_ms", message);
+            self.fields.fail("overload.queue_interval_ms", message);
         }
     }
 }
--- a/src/settings/settings_check.rs
+++ b/src/settings/settings_check.rs
@@ -1,9 +1,8 @@
 use {
     super::{DaemonSettings, LimitSettings, ListenSettings},
-    crate::{context::ServiceName, jsonc::FieldError},
+    crate::jsonc::{FieldCheck, FieldError},
     std::{
         collections::HashSet,
-        fmt::Display,
         net::{IpAddr, SocketAddr},
         ops::RangeInclusive,
     },
@@ -36,59 +35,44 @@
     /// One error for each value out of its bounds.
     pub fn check(&self) -> Result<(), Vec<FieldError>> {
         let mut check = SettingsCheck::default();
-        check.name("region", &self.region);
-        check.name("data_centre", &self.data_centre);
+        check.fields.name("region", &self.region);
+        check.fields.name("data_centre", &self.data_centre);
         check.listeners(&self.listen);
         check.platform(self);
         check.peers(&self.peers);
         check.secret("shared_secret", &self.shared_secret);
         check.secret("admin_token", &self.admin_token);
         if self.shared_secret == self.admin_token {
-            check.fail("admin_token", "is the same as shared_secret");
+            check
+                .fields
+                .fail("admin_token", "is the same as shared_secret");
         }
         if !LOG_LEVELS.contains(&self.log.level.as_str()) {
             let levels = LOG_LEVELS.join(", ");
-            check.fail("log.level", format_args!("is not one of {levels}"));
+            check
+                .fields
+                .fail("log.level", format_args!("is not one of {levels}"));
         }
         check.limits(&self.limits);
-        if check.errors.is_empty() {
-            Ok(())
-        } else {
-            Err(check.errors)
-        }
+        check.fields.finish()
     }
 }
 
 #[derive(Default)]
 struct SettingsCheck {
-    errors: Vec<FieldError>,
+    fields: FieldCheck,
 }
 
 impl SettingsCheck {
-    fn fail(&mut self, field: impl Into<String>, message: impl Display) {
-        self.errors.push(FieldError::new(field, message));
-    }
-
-    fn name(&mut self, field: &str, name: &str) {
-        if ServiceName::new(name).is_err() {
-            self.fail(field, "is not 1 to 64 of a-z, 0-9, - and _");
-        }
-    }
-
-    fn range(&mut self, field: &str, value: u64, range: &RangeInclusive<u64>) {
-        if !range.contains(&value) {
-            let (start, end) = (range.start(), range.end());
-            self.fail(field, format_args!("{value} is not {start} to {end}"));
-        }
-    }
-
     fn size(&mut self, field: &str, value: usize, range: &RangeInclusive<u64>) {
-        self.range(field, u64::try_from(value).unwrap_or(u64::MAX), range);
+        self.fields
+            .range(field, u64::try_from(value).unwrap_or(u64::MAX), range);
     }
 
     fn listeners(&mut self, listen: &ListenSettings) {
         if !listen.local.ip().is_loopback() {
-            self.fail("listen.local", "is not a loopback address");
+            self.fields
+                .fail("listen.local", "is not a loopback address");
         }
         for (field, address) in [
             ("listen.mesh", listen.mesh),
@@ -96,7 +80,8 @@
             ("listen.admin", listen.admin),
         ] {
             if address.ip().is_unspecified() {
-                self.fail(field, "other daemons need the address of this VM");
+                self.fields
+                    .fail(field, "other daemons need the address of this VM");
             }
         }
         self.clashes(listen);
@@ -117,7 +102,7 @@
                 .find(|(_, other)| is_clash(*address, *other));
             if let Some((other, _)) = earlier {
                 let message = format_args!("port {} is that of listen.{other}", address.port());
-                self.fail(format!("listen.{name}"), message);
+                self.fields.fail(format!("listen.{name}"), message);
             }
         }
     }
@@ -126,19 +111,22 @@
         let platform = &settings.platform;
         self.remote("platform.address", platform.address);
         let timeout = platform.timeout_ms;
-        self.range("platform.timeout_ms", timeout, &PLATFORM_TIMEOUTS_MS);
+        self.fields
+            .range("platform.timeout_ms", timeout, &PLATFORM_TIMEOUTS_MS);
     }
 
     fn remote(&mut self, field: &str, address: SocketAddr) {
         if address.port() == 0 || address.ip().is_unspecified() {
-            self.fail(field, format_args!("{address} cannot be reached"));
+            self.fields
+                .fail(field, format_args!("{address} cannot be reached"));
         }
     }
 
     fn peers(&mut self, peers: &[SocketAddr]) {
         let count = peers.len();
         if count > MAX_PEERS {
-            self.fail("peers", format_args!("{count} peers are over {MAX_PEERS}"));
+            self.fields
+                .fail("peers", format_args!("{count} peers are over {MAX_PEERS}"));
         }
         for (position, peer) in peers.iter().take(MAX_PEERS).enumerate() {
             self.remote(&format!("peers[{position}]"), *peer);
@@ -149,12 +137,13 @@
         let characters: HashSet<char> = secret.chars().collect();
         if !(MIN_SECRET_LENGTH..=MAX_SECRET_LENGTH).contains(&secret.len()) {
             let message = format_args!("is not {MIN_SECRET_LENGTH} to {MAX_SECRET_LENGTH} bytes");
-            self.fail(field, message);
+            self.fields.fail(field, message);
         } else if characters.len() < MIN_SECRET_CHARACTERS {
             let message = format_args!("has fewer than {MIN_SECRET_CHARACTERS} characters");
-            self.fail(field, message);
+            self.fields.fail(field, message);
         } else if !secret.bytes().all(|byte| byte.is_ascii_graphic()) {
-            self.fail(field, "has a character that is not printable ASCII");
+            self.fields
+                .fail(field, "has a character that is not printable ASCII");
         }
     }
 
@@ -164,10 +153,13 @@
         self.size("limits.header_bytes", limits.header_bytes, &HEADER_BYTES);
         self.size("limits.request_buffer_bytes", request, &BUFFER_BYTES);
         self.size("limits.answer_buffer_bytes", answer, &BUFFER_BYTES);
-        self.range("limits.header_timeout_ms", timeout, &HEADER_TIMEOUTS_MS);
+        self.fields
+            .range("limits.header_timeout_ms", timeout, &HEADER_TIMEOUTS_MS);
         self.size("limits.connections", limits.connections, &CONNECTIONS);
-        self.range("limits.shutdown_s", limits.shutdown_s, &SHUTDOWNS_S);
-        self.range("limits.silence_ms", limits.silence_ms, &SILENCES_MS);
+        self.fields
+            .range("limits.shutdown_s", limits.shutdown_s, &SHUTDOWNS_S);
+        self.fields
+            .range("limits.silence_ms", limits.silence_ms, &SILENCES_MS);
         let row_answer = limits.row_answer_bytes;
         self.size("limits.row_answer_bytes", row_answer, &ROW_ANSWER_BYTES);
         self.size("limits.events", limits.events, &EVENTS);
