--- a/examples/claims_load.rs
+++ b/examples/claims_load.rs
@@ -15,7 +15,7 @@
         },
         context::{RequestId, ServiceName},
         membership::MemberId,
-        platform::HttpTable,
+        table::HttpTable,
         time::{ProcessClock, TimePoint},
     },
     hdrhistogram::Histogram,
--- a/src/claims/batch_progress.rs
+++ b/src/claims/batch_progress.rs
@@ -1,6 +1,6 @@
 use {
     super::{ClaimRow, RowOutcome},
-    crate::platform::{TableError, TableRow, WriteResult},
+    crate::table::{TableError, TableRow, WriteResult},
     std::time::Duration,
 };
 
--- a/src/claims/claim_driver.rs
+++ b/src/claims/claim_driver.rs
@@ -5,7 +5,7 @@
         TransportError, UnknownReason, WriteId, claim_service::ServiceShared,
         claim_token::OpenClaim, row_upkeep::RowUpkeep,
     },
-    crate::platform::TableStore,
+    crate::table::TableStore,
     std::{sync::Arc, time::Duration},
     tokio::{
         sync::oneshot,
--- a/src/claims/claim_record.rs
+++ b/src/claims/claim_record.rs
@@ -1,6 +1,6 @@
 use {
     super::{AnswerText, BodyFingerprint, WriteId},
-    crate::{context::RequestId, membership::MemberId, platform::TableRow},
+    crate::{context::RequestId, membership::MemberId, table::TableRow},
     serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error},
     std::net::SocketAddr,
 };
--- a/src/claims/claim_row.rs
+++ b/src/claims/claim_row.rs
@@ -2,7 +2,7 @@
     super::{HeldClaim, WriteId, claim_key::row_prefix},
     crate::{
         context::ServiceName,
-        platform::{TableRow, TableWrite, WriteCondition, WriteResult},
+        table::{TableRow, TableWrite, WriteCondition, WriteResult},
     },
     serde::{Deserialize, Serialize},
 };
--- a/src/claims/claim_service.rs
+++ b/src/claims/claim_service.rs
@@ -15,7 +15,7 @@
     crate::{
         context::ServiceName,
         membership::MemberId,
-        platform::TableStore,
+        table::TableStore,
         time::{ProcessClock, TimerService},
     },
     metrics::counter,
--- a/src/claims/commit_actor.rs
+++ b/src/claims/commit_actor.rs
@@ -3,7 +3,7 @@
         BatchProgress, BatchStep, ClaimLimits, ClaimRow, CommitQueue, QueueStep, QueuedRow,
         RowOutcome, claim_row::CLAIMS_TABLE,
     },
-    crate::{context::ServiceName, platform::TableStore, time::ProcessClock},
+    crate::{context::ServiceName, table::TableStore, time::ProcessClock},
     metrics::{counter, histogram},
     std::{collections::HashMap, time::Duration},
     tokio::{
--- a/src/claims/commit_path.rs
+++ b/src/claims/commit_path.rs
@@ -5,7 +5,7 @@
         claim_attempt::MAX_BATCHERS,
         commit_actor::{CommitActor, CommitRows, SetCommitRate},
     },
-    crate::{context::ServiceName, membership::MemberId, platform::TableStore, time::ProcessClock},
+    crate::{context::ServiceName, membership::MemberId, table::TableStore, time::ProcessClock},
     rand::rngs::StdRng,
     std::{
         sync::{Mutex, MutexGuard, PoisonError},
--- a/src/claims/expiry_sweep.rs
+++ b/src/claims/expiry_sweep.rs
@@ -2,7 +2,7 @@
     super::{ClaimRecord, claim_row::CLAIMS_TABLE},
     crate::{
         membership::MemberId,
-        platform::{TableRow, TableWrite, WriteCondition},
+        table::{TableRow, TableWrite, WriteCondition},
     },
     std::{mem, net::SocketAddr, time::Duration},
 };
--- a/src/claims/row_upkeep.rs
+++ b/src/claims/row_upkeep.rs
@@ -12,7 +12,7 @@
         ClaimKey, ClaimRow, ClaimTransport, CommitPlace, RowChange, RowOutcome, WriteId,
         commit_path::CommitPath,
     },
-    crate::platform::TableStore,
+    crate::table::TableStore,
     std::{sync::Arc, time::Duration},
     tokio::{
         select,
--- a/src/claims/sweep_actor.rs
+++ b/src/claims/sweep_actor.rs
@@ -2,7 +2,7 @@
     super::{CLAIMS_TABLE, ClaimTransport, ExpirySweep, claim_service::ServiceShared, row_prefix},
     crate::{
         context::ServiceName,
-        platform::TableStore,
+        table::TableStore,
         time::{TimePoint, TimerTick},
     },
     metrics::counter,
--- a/src/daemon/daemon_process.rs
+++ b/src/daemon/daemon_process.rs
@@ -25,11 +25,11 @@
         events::{EventKind, EventLog},
         membership::{MemberId, MembershipHandle, MembershipSettings},
         net::{ConnectionGate, ListenerLimits, MeshPool, serve_http, serve_mesh},
-        platform::HttpTable,
         policy::{PolicyParts, PolicyService},
         retry::RootTable,
         routing::{RouterPlace, TargetTable},
         settings::{DaemonSettings, LimitSettings, ListenSettings},
+        table::HttpTable,
         time::{ProcessClock, TimerService},
     },
     std::{
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -40,5 +40,7 @@
     daemon_process::Daemon,
 };
 
+pub(crate) use metrics_recorder::process_recorder;
+
 #[cfg(test)]
 mod tests;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,10 +29,12 @@
 pub mod jsonc;
 pub mod membership;
 pub mod net;
-pub mod platform;
+
 pub mod policy;
 pub mod replay;
 pub mod retry;
 pub mod routing;
 pub mod settings;
+pub mod sidecar;
+pub mod table;
 pub mod time;
--- a/src/membership/bootstrap_task.rs
+++ b/src/membership/bootstrap_task.rs
@@ -5,7 +5,7 @@
     },
     crate::{
         error::{ProcessStep, StepError},
-        platform::{TableRow, TableStore, TableWrite, WriteCondition},
+        table::{TableRow, TableStore, TableWrite, WriteCondition},
         time::ProcessClock,
     },
     serde::{Deserialize, Serialize},
--- a/src/membership/membership_handle.rs
+++ b/src/membership/membership_handle.rs
@@ -12,7 +12,7 @@
     },
     crate::{
         error::StepError,
-        platform::TableStore,
+        table::TableStore,
         time::{ProcessClock, TimerService},
     },
     slog::{Logger, info},
@@ -125,6 +125,15 @@
         let _ = self.actor.send(SetTarget(None)).await;
     }
 
+    /// Takes the gossip addresses that the settings now name.
+    pub async fn set_peers(&self, peers: Vec<SocketAddr>) {
+        let contacts = SetContacts {
+            source: ContactSource::Settings,
+            addresses: peers,
+        };
+        let _ = self.actor.send(contacts).await;
+    }
+
     /// Notes that a policy version is in force here, and offers it to the others.
     pub async fn policy_in_force(&self, version: u64, hash: u64) {
         let _ = self.actor.send(EnforcePolicy { version, hash }).await;
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -4,7 +4,7 @@
     http::{Request, Response},
     hyper::{
         body::{Body, Incoming},
-        server::conn::http2,
+        server::conn::{http1, http2},
         service::{Service, service_fn},
     },
     hyper_util::{
@@ -87,7 +87,7 @@
         .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX))
         .keep_alive_interval(limits.header_timeout)
         .keep_alive_timeout(limits.header_timeout);
-    accept(listener, limits, gate, move |stream| {
+    accept(listener, limits.connections, gate, move |stream| {
         let service = call_service(handler.clone());
         builder
             .serve_connection(TokioIo::new(stream), service)
@@ -96,6 +96,32 @@
     .await;
 }
 
+/// Serves HTTP/1.1 until the gate closes; `limits` holds for connections from then on.
+pub(crate) async fn serve_http1<L, F, R, B>(
+    listener: TcpListener,
+    limits: L,
+    gate: ConnectionGate,
+    handler: F,
+) where
+    L: Fn() -> ListenerLimits,
+    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let connections = limits().connections;
+    accept(listener, connections, gate, move |stream| {
+        let limits = limits();
+        http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.header_timeout)
+            .max_headers(MAX_HEADERS)
+            .max_buf_size(limits.header_bytes.max(8 * 1024))
+            .serve_connection(TokioIo::new(stream), call_service(handler.clone()))
+    })
+    .await;
+}
+
 /// Serves h2 with PINGs between daemons until the gate closes.
 pub(crate) async fn serve_mesh<F, R, B>(
     listener: TcpListener,
@@ -117,7 +143,7 @@
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .keep_alive_interval(limits.silence / 2)
         .keep_alive_timeout(limits.silence / 2);
-    accept(listener, limits, gate, move |stream| {
+    accept(listener, limits.connections, gate, move |stream| {
         let service = call_service(handler.clone());
         builder.serve_connection(TokioIo::new(stream), service)
     })
@@ -143,16 +169,12 @@
     })
 }
 
-async fn accept<F, C>(
-    listener: TcpListener,
-    limits: ListenerLimits,
-    gate: ConnectionGate,
-    connect: F,
-) where
+async fn accept<F, C>(listener: TcpListener, connections: usize, gate: ConnectionGate, connect: F)
+where
     F: Fn(TcpStream) -> C,
     C: GracefulConnection + Send + 'static,
 {
-    let permits = Arc::new(Semaphore::new(limits.connections));
+    let permits = Arc::new(Semaphore::new(connections));
     loop {
         let permit = permits.clone().acquire_owned().await;
         let accepted = tokio::select! {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -23,7 +23,7 @@
         CLAIM_HEADER, LOAD_HEADER, REQUEST_HEADER, TAG_HEADER, clean_answer_headers,
         remove_hop_headers, remove_length, remove_own_headers, set_header,
     },
-    listener::{ConnectionGate, ListenerLimits, bind, serve_http, serve_mesh},
+    listener::{ConnectionGate, ListenerLimits, bind, serve_http, serve_http1, serve_mesh},
     mesh_pool::MeshPool,
     mesh_wire::{
         ANSWER_PATH, CLAIMS_PATH, MESH_PREFIX, PERMIT_PATH, POLICY_PATH, call_tag, encode_tag,
--- a/src/net/target_pool.rs
+++ b/src/net/target_pool.rs
@@ -24,15 +24,24 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Idle connections that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 256;
+/// Time for which an idle connection is kept where the target names none.
+const IDLE_TIME: Duration = Duration::from_secs(3_600);
 
 /// HTTP/1.1 connections to the target beside the daemon.
 #[derive(Debug)]
 pub(crate) struct TargetPool {
     target: SocketAddr,
-    idle: Mutex<Vec<SendRequest<Full<Bytes>>>>,
+    idle: Mutex<Vec<IdleConnection>>,
     permits: Arc<Semaphore>,
 }
 
+#[derive(Debug)]
+struct IdleConnection {
+    sender: SendRequest<Full<Bytes>>,
+    /// When the target may close it.
+    expires: Instant,
+}
+
 /// A connection that one call uses; closed on drop unless it is released.
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
@@ -105,12 +114,20 @@
         None
     }
 
+    /// The connection that was used last, if it has not expired.
     fn pop_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.pop()
+        let now = Instant::now();
+        while let Some(connection) = idle.pop() {
+            if connection.expires > now {
+                return Some(connection.sender);
+            }
+        }
+        None
     }
 
-    fn close_idle(&self) {
+    /// Closes all idle connections.
+    pub(crate) fn close_idle(&self) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.clear();
     }
@@ -147,13 +164,21 @@
 
     /// Gives the connection back after a whole answer.
     pub(crate) fn release(self) {
+        self.release_for(IDLE_TIME);
+    }
+
+    /// Gives the connection back for as long as the target leaves it open.
+    pub(crate) fn release_for(self, idle_time: Duration) {
         let mut idle = self
             .pool
             .idle
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         if idle.len() < MAX_IDLE_CONNECTIONS && !self.sender.is_closed() {
-            idle.push(self.sender);
+            idle.push(IdleConnection {
+                sender: self.sender,
+                expires: Instant::now() + idle_time,
+            });
         }
     }
 }
--- a/src/policy/policy_actor.rs
+++ b/src/policy/policy_actor.rs
@@ -9,7 +9,7 @@
     crate::{
         error::{ProcessStep, StepError},
         events::{EventKind, EventLog, EventReason},
-        platform::TableStore,
+        table::TableStore,
         time::{ProcessClock, TimerTick},
     },
     metrics::{counter, gauge},
--- a/src/policy/policy_commit.rs
+++ b/src/policy/policy_commit.rs
@@ -7,7 +7,7 @@
     crate::{
         error::{ProcessStep, StepError},
         jsonc::FieldError,
-        platform::{TableStore, TableWrite},
+        table::{TableStore, TableWrite},
     },
     rand::Rng,
     std::time::Duration,
--- a/src/policy/policy_row.rs
+++ b/src/policy/policy_row.rs
@@ -2,7 +2,7 @@
     super::{PolicyDocument, VersionedPolicy},
     crate::{
         error::{ProcessStep, StepError},
-        platform::{TableRow, TableWrite, WriteCondition},
+        table::{TableRow, TableWrite, WriteCondition},
     },
     rand::{Rng, RngExt},
     serde::{Deserialize, Serialize},
--- a/src/policy/policy_service.rs
+++ b/src/policy/policy_service.rs
@@ -12,7 +12,7 @@
     crate::{
         error::{ProcessStep, StepError},
         events::EventLog,
-        platform::TableStore,
+        table::TableStore,
         time::{ProcessClock, TimerService},
     },
     slog::Logger,
--- a/src/policy/policy_table.rs
+++ b/src/policy/policy_table.rs
@@ -2,7 +2,7 @@
     super::{POLICY_KEY, POLICY_TABLE, policy_row::PolicyRow},
     crate::{
         error::{ProcessStep, StepError},
-        platform::{TableError, TableStore, TableWrite, WriteResult},
+        table::{TableError, TableStore, TableWrite, WriteResult},
     },
     std::{future::Future, time::Duration},
     tokio::time::timeout,
--- /dev/null
+++ b/src/sidecar/front_admission.rs
@@ -0,0 +1,138 @@
+use {
+    super::{ServiceValve, TreeCost},
+    crate::{context::ServiceName, time::TimePoint},
+    std::{collections::HashMap, time::Duration},
+};
+
+/// Weight of the newest request in the mean cost of a route.
+const COST_WEIGHT: f64 = 0.05;
+/// Requests of a route after which its mean cost counts the newest at that weight.
+const FIRST_REQUESTS: u32 = 20;
+/// Routes with a row of their own.
+const MAX_ROUTES: usize = 4_096;
+/// Services with a valve of their own.
+const MAX_SERVICES: usize = 1_024;
+
+/// What requests of one route cost on average.
+#[derive(Clone, Debug, Default)]
+struct RouteCost {
+    rank: u8,
+    requests: u32,
+    /// Slot seconds for each service.
+    services: Vec<(ServiceName, f64)>,
+}
+
+/// Decides at the front of a chain which requests may start.
+///
+/// Answers carry back what a request cost at each service and how loaded the service is. While a
+/// service is loaded, the requests that reach it are admitted in the order of their rank up to a
+/// rate, and the rest is refused before any of it has run. What is admitted is carried through.
+#[derive(Clone, Debug, Default)]
+pub struct FrontAdmission {
+    routes: HashMap<String, RouteCost>,
+    valves: HashMap<ServiceName, ServiceValve>,
+}
+
+/// A request that was refused at the front.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FrontRefusal {
+    /// Service that has no room.
+    pub service: ServiceName,
+    pub pressure: f64,
+    /// Slot seconds a second that the front admits for it.
+    pub rate: f64,
+    /// Time until there is room again.
+    pub wait: Duration,
+}
+
+impl FrontAdmission {
+    /// Decides on one request.
+    ///
+    /// # Errors
+    /// A service that the request would reach has no room for its rank.
+    pub fn admit(&mut self, now: TimePoint, route: &str, rank: u8) -> Result<(), FrontRefusal> {
+        let Some(cost) = self.routes.get_mut(route) else {
+            return Ok(());
+        };
+        cost.rank = rank;
+        let cost = cost.clone();
+        for (service, seconds) in &cost.services {
+            let lowest = self.lowest_rank(service).unwrap_or(rank);
+            let Some(valve) = self.valves.get_mut(service) else {
+                continue;
+            };
+            if !valve.is_open(rank.saturating_sub(lowest)) {
+                valve.note_refusal(now);
+                return Err(FrontRefusal {
+                    service: service.clone(),
+                    pressure: valve.pressure(),
+                    rate: valve.rate().unwrap_or_default(),
+                    wait: valve.wait_for(*seconds),
+                });
+            }
+        }
+        for (service, seconds) in &cost.services {
+            if let Some(valve) = self.valves.get_mut(service) {
+                valve.admit(*seconds);
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes what an answer carried back; the cost counts only if the request ended well.
+    pub fn note(&mut self, now: TimePoint, route: &str, rank: u8, tree: &TreeCost, is_whole: bool) {
+        for cost in tree.services() {
+            if let Some(valve) = self.valves.get_mut(&cost.service) {
+                valve.note_pressure(now, cost.pressure);
+            } else if self.valves.len() < MAX_SERVICES {
+                let valve = ServiceValve::new(now);
+                self.valves.insert(cost.service.clone(), valve);
+            }
+        }
+        if is_whole && (self.routes.len() < MAX_ROUTES || self.routes.contains_key(route)) {
+            let row = self.routes.entry(route.to_owned()).or_default();
+            row.rank = rank;
+            row.observe(tree);
+        }
+    }
+
+    /// The valve of a service, if answers have told of it.
+    #[must_use]
+    pub fn valve(&self, service: &ServiceName) -> Option<&ServiceValve> {
+        self.valves.get(service)
+    }
+
+    pub fn tick(&mut self, now: TimePoint) {
+        for valve in self.valves.values_mut() {
+            valve.tick(now);
+        }
+    }
+
+    /// Lowest rank among the routes that reach a service.
+    fn lowest_rank(&self, service: &ServiceName) -> Option<u8> {
+        let routes = self.routes.values();
+        let reaching = routes.filter(|cost| cost.services.iter().any(|(name, _)| name == service));
+        reaching.map(|cost| cost.rank).min()
+    }
+}
+
+impl RouteCost {
+    fn observe(&mut self, tree: &TreeCost) {
+        self.requests = (self.requests + 1).min(FIRST_REQUESTS);
+        let weight = COST_WEIGHT.max(1.0 / f64::from(self.requests));
+        for (_, seconds) in &mut self.services {
+            *seconds *= 1.0 - weight;
+        }
+        for cost in tree.services() {
+            let seconds = cost.slot_time.as_secs_f64() * weight;
+            let known = self
+                .services
+                .iter_mut()
+                .find(|(name, _)| *name == cost.service);
+            match known {
+                Some((_, mean)) => *mean += seconds,
+                None => self.services.push((cost.service.clone(), seconds)),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/sidecar/hop_outcome.rs
@@ -0,0 +1,80 @@
+use {
+    super::{AttemptEnd, TargetLoad, TreeCost, slot_desk::AnswerHold},
+    crate::net::AnswerBody,
+    http::Response,
+    strum::{Display, EnumString, IntoStaticStr},
+};
+
+/// Header by which a sidecar says that an answer is not the target's.
+pub(crate) const OUTCOME_HEADER: &str = "bt-outcome";
+
+pub(crate) type RelayBody = AnswerBody<AnswerHold>;
+
+/// Why a call brought no answer of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum HopFailure {
+    /// No target of the service is known.
+    NoTarget,
+    /// The sidecar can't be reached.
+    Unreachable,
+    /// The connection between the sidecars broke while the call was out.
+    HopBroken,
+    /// The target beside the sidecar is not there, of another service, or leaving.
+    TargetClosed,
+    QueueFull,
+    TargetStalled,
+    DeadlineTooNear,
+    /// The service has had as many repeats as it may get.
+    NoRepeats,
+    /// The target can't be connected to.
+    ConnectFailed,
+    /// The target says that it did not run the call.
+    Shed,
+    /// The connection to the target broke while the call was out.
+    TargetBroken,
+    /// The answer is not whole, not the target's, or of another call.
+    BadAnswer,
+}
+
+impl HopFailure {
+    /// What is known of the call after this failure.
+    pub(crate) const fn attempt_end(self) -> AttemptEnd {
+        match self {
+            Self::NoTarget
+            | Self::Unreachable
+            | Self::TargetClosed
+            | Self::QueueFull
+            | Self::TargetStalled
+            | Self::DeadlineTooNear
+            | Self::ConnectFailed => AttemptEnd::NotSent,
+            Self::NoRepeats => AttemptEnd::NoRepeats,
+            Self::Shed => AttemptEnd::Shed,
+            Self::HopBroken | Self::TargetBroken | Self::BadAnswer => AttemptEnd::Unknown,
+        }
+    }
+}
+
+/// What an offer of a call to a target brought.
+#[derive(Debug)]
+pub(crate) struct HopOutcome {
+    pub(crate) result: Result<Response<RelayBody>, HopFailure>,
+    /// Cost of the call and of all calls below it.
+    pub(crate) tree: TreeCost,
+    pub(crate) load: Option<TargetLoad>,
+}
+
+impl HopOutcome {
+    /// Whether the call made calls of its own that were answered.
+    pub(crate) fn has_calls_below(&self) -> bool {
+        self.tree.services().len() > 1
+    }
+
+    pub(crate) fn failed(failure: HopFailure) -> Self {
+        Self {
+            result: Err(failure),
+            tree: TreeCost::default(),
+            load: None,
+        }
+    }
+}
--- /dev/null
+++ b/src/sidecar/load_report.rs
@@ -0,0 +1,43 @@
+use {super::TargetLoad, std::time::Duration};
+
+/// Header that carries the load of a target back to the daemons that call it.
+pub(crate) const LOAD_HEADER: &str = "bt-load";
+
+const PERCENT: f64 = 100.0;
+const STALLED_FLAG: &str = "s";
+
+impl TargetLoad {
+    /// The header value.
+    #[must_use]
+    pub fn encode(&self) -> String {
+        format!(
+            "{};{};{};{};{:.0};{}",
+            self.running,
+            self.waiting,
+            self.limit,
+            self.service_time.as_micros(),
+            self.failure_share * PERCENT,
+            if self.is_stalled { STALLED_FLAG } else { "" },
+        )
+    }
+
+    /// Reads a header value; `None` if a field can't be read.
+    #[must_use]
+    pub fn decode(text: &str) -> Option<Self> {
+        let mut fields = text.split(';');
+        let running = fields.next()?.parse().ok()?;
+        let waiting = fields.next()?.parse().ok()?;
+        let limit: u32 = fields.next()?.parse().ok()?;
+        let service_time = Duration::from_micros(fields.next()?.parse().ok()?);
+        let failures: u32 = fields.next()?.parse().ok()?;
+        let is_stalled = fields.next()? == STALLED_FLAG;
+        (limit > 0 && fields.next().is_none()).then(|| Self {
+            running,
+            waiting,
+            limit,
+            service_time,
+            failure_share: f64::from(failures) / PERCENT,
+            is_stalled,
+        })
+    }
+}
--- /dev/null
+++ b/src/sidecar/outbound_service.rs
@@ -0,0 +1,318 @@
+use {
+    super::{
+        AttemptHistory, HopContext, MAX_HOPS, NextStep, PlatformDialect, RouteRule, TreeCost,
+        decision_log::LineWeight,
+        final_answer::{FinalReason, final_answer},
+        forward_call::{ForwardCall, header_text, request_host},
+        hop_outcome::{HopFailure, RelayBody},
+        peer_call::offer,
+        running_calls::RunningCall,
+        sidecar_state::{SidecarPhase, SidecarState},
+    },
+    crate::{
+        net::{RequestError, read_request},
+        sidecar::AttemptEnd,
+        time::TimePoint,
+    },
+    http::{
+        HeaderValue, Request, Response,
+        header::{CONNECTION, CONTENT_LENGTH},
+        request::Parts,
+    },
+    hyper::body::{Body, Incoming},
+    rand::RngExt,
+    std::{sync::Arc, time::Duration},
+    tokio::time::timeout_at,
+};
+
+/// When to come back if nothing is known of the room there will be.
+const DEFAULT_RETRY: Duration = Duration::from_millis(300);
+/// Part of the latency objective of a route over which refused callers come back.
+const RETRY_SPREAD: f64 = 0.5;
+const MIN_RETRY: Duration = Duration::from_millis(40);
+
+/// A request that entered here, with what was decided of it.
+struct RootCall<'a> {
+    call: &'a ForwardCall,
+    rule: &'a RouteRule,
+    parent: Option<Arc<RunningCall>>,
+    context: HopContext,
+}
+
+/// Answers callers on the VM and the target's own calls.
+pub(crate) async fn serve_outbound<D: PlatformDialect>(
+    state: Arc<SidecarState<D>>,
+    request: Request<Incoming>,
+) -> Response<RelayBody> {
+    let _token = state.work.token();
+    let arrived = state.clock.now();
+    let mut response = answer(&state, request, arrived).await;
+    if state.phase() >= SidecarPhase::Leaving {
+        let headers = response.headers_mut();
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    let status = response.status().as_u16().to_string();
+    let elapsed = state.clock.now().since(arrived);
+    metrics::histogram!("banyantrestle_outbound_seconds", "status" => status).record(elapsed);
+    response
+}
+
+async fn answer<D: PlatformDialect>(
+    state: &Arc<SidecarState<D>>,
+    request: Request<Incoming>,
+    arrived: TimePoint,
+) -> Response<RelayBody> {
+    let names = state.dialect.headers();
+    let (head, body) = request.into_parts();
+    let id = header_text(&head.headers, &names.request_id).unwrap_or_default();
+    let id = id.to_owned();
+    let refuse = |reason, wait| {
+        note_final(state, &id, reason);
+        final_answer(reason, &id, wait, names)
+    };
+    let Some(plan) = state.plan() else {
+        return refuse(FinalReason::NoPlan, Some(DEFAULT_RETRY));
+    };
+    let path = head.uri.path();
+    let Some(rule) = plan.find(request_host(&head), path).cloned() else {
+        return refuse(FinalReason::NoRoute, None);
+    };
+    let parent = state.running.parent_of(&id);
+    let deadline = deadline_of(state, &head, &rule, parent.as_deref(), arrived);
+    let limit = plan.limits.body_bytes;
+    if is_too_large(&head, limit) {
+        return refuse(FinalReason::BodyTooLarge, None);
+    }
+    let is_empty = body.is_end_stream();
+    let body = if is_empty {
+        Ok(bytes::Bytes::new())
+    } else {
+        read_request(body, limit, arrived.until(deadline)).await
+    };
+    let body = match body {
+        Ok(body) => body,
+        Err(RequestError::TooLarge { .. }) => return refuse(FinalReason::BodyTooLarge, None),
+        Err(RequestError::TooSlow { .. } | RequestError::Broken(_)) => {
+            return refuse(FinalReason::BodyLate, None);
+        }
+    };
+    let call = ForwardCall::new(head, body, names);
+    let Some(context) = context_of(state, &rule, parent.as_deref(), arrived, deadline) else {
+        return refuse(FinalReason::TooDeep, None);
+    };
+    if parent.is_none()
+        && let Err(refusal) = state.admission().admit(arrived, &rule.name, rule.rank)
+    {
+        if state.log.has_room(LineWeight::Trouble) {
+            slog::info!(state.log.logger, "refused at the front"; "request" => &id,
+                "route" => &rule.name, "rank" => rule.rank, "service" => %refusal.service,
+                "pressure" => refusal.pressure, "rate" => refusal.rate,
+                "wait_ms" => refusal.wait.as_millis());
+        }
+        metrics::counter!("banyantrestle_front_refusals_total", "route" => rule.name.clone())
+            .increment(1);
+        let wait = retry_after(&rule, refusal.wait);
+        return final_answer(FinalReason::NoRoom, &id, Some(wait), names);
+    }
+    let root = RootCall {
+        call: &call,
+        rule: &rule,
+        parent,
+        context,
+    };
+    let over = state.clock.instant_of(deadline);
+    let mut phase = state.phase.subscribe();
+    let ending = phase.wait_for(|phase| *phase == SidecarPhase::Ending);
+    tokio::select! {
+        result = timeout_at(over, carry(state, root)) => match result {
+            Ok(Ok(response)) => response,
+            Ok(Err(reason)) => {
+                let wait = (reason == FinalReason::NotRun)
+                    .then(|| retry_after(&rule, DEFAULT_RETRY));
+                refuse(reason, wait)
+            }
+            Err(_) => refuse(FinalReason::TimeOver, None),
+        },
+        _ = ending => refuse(FinalReason::Unknown, None),
+    }
+}
+
+/// Offers a request to one target after the other until one answers.
+async fn carry<D: PlatformDialect>(
+    state: &Arc<SidecarState<D>>,
+    root: RootCall<'_>,
+) -> Result<Response<RelayBody>, FinalReason> {
+    let RootCall {
+        call,
+        rule,
+        parent,
+        mut context,
+    } = root;
+    let mut history = AttemptHistory::default();
+    let mut tried = Vec::new();
+    let mut failed_answer = None;
+    loop {
+        context.attempt = history.arrivals();
+        let now = state.clock.now();
+        let chosen = {
+            let mut peers = state.peers();
+            peers.choose(now, &context.service, &tried, &mut rand::rng())
+        };
+        let Some(mesh) = chosen else {
+            note_attempt(state, call, &context, None, HopFailure::NoTarget.into());
+            return match failed_answer {
+                Some(response) => Ok(response),
+                None if history.is_unrun() => Err(FinalReason::NotRun),
+                None => Err(FinalReason::Unknown),
+            };
+        };
+        let outcome = offer(state, call, &context, mesh).await;
+        let is_whole = is_success(&outcome.result);
+        note_tree(state, rule, parent.as_deref(), &outcome.tree, is_whole);
+        let has_calls_below = outcome.has_calls_below();
+        let end = match outcome.result {
+            Ok(response) if !response.status().is_server_error() || has_calls_below => {
+                note_answer(state, call, &context, mesh, response.status().as_u16());
+                return Ok(response);
+            }
+            Ok(response) => {
+                note_attempt(state, call, &context, Some(mesh), "target-error");
+                failed_answer = Some(response);
+                AttemptEnd::FailedRun
+            }
+            Err(failure) => {
+                note_attempt(state, call, &context, Some(mesh), failure.into());
+                failure.attempt_end()
+            }
+        };
+        tried.push(mesh);
+        let left = state.clock.now().until(context.deadline);
+        match history.next_step(end, rule.is_idempotent(), rule.max_attempts, left) {
+            NextStep::Offer => {}
+            NextStep::RefuseUnrun => return Err(FinalReason::NotRun),
+            NextStep::FailUnknown => return Err(FinalReason::Unknown),
+            NextStep::PassFailure => return failed_answer.ok_or(FinalReason::Unknown),
+        }
+    }
+}
+
+fn is_success(result: &Result<Response<RelayBody>, HopFailure>) -> bool {
+    let response = result.as_ref().ok();
+    response.is_some_and(|response| response.status().is_success())
+}
+
+/// The earliest of what the caller, the route and the call above allow.
+fn deadline_of<D: PlatformDialect>(
+    state: &SidecarState<D>,
+    head: &Parts,
+    rule: &RouteRule,
+    parent: Option<&RunningCall>,
+    arrived: TimePoint,
+) -> TimePoint {
+    let names = state.dialect.headers();
+    let text = header_text(&head.headers, &names.deadline_ms);
+    let millis = text.and_then(|text| text.parse().ok());
+    let own = millis.map_or(rule.timeout, Duration::from_millis);
+    let deadline = arrived + own.min(rule.timeout);
+    parent.map_or(deadline, |parent| deadline.min(parent.context.deadline))
+}
+
+fn context_of<D: PlatformDialect>(
+    state: &SidecarState<D>,
+    rule: &RouteRule,
+    parent: Option<&RunningCall>,
+    arrived: TimePoint,
+    deadline: TimePoint,
+) -> Option<HopContext> {
+    let service = rule.service_at(rand::rng().random())?.clone();
+    let above = parent.map(|parent| &parent.context);
+    let depth = above.map_or(0, |above| above.depth + 1);
+    (depth <= MAX_HOPS).then(|| HopContext {
+        service,
+        caller: state.settings.service.clone(),
+        rank: above.map_or(rule.rank, |above| above.rank),
+        root_start: above.map_or(arrived, |above| above.root_start),
+        deadline,
+        depth,
+        attempt: 0,
+        is_inherited_repeat: above.is_some_and(HopContext::is_repeat),
+        is_idempotent: rule.is_idempotent(),
+    })
+}
+
+fn is_too_large(head: &Parts, limit: usize) -> bool {
+    let length = header_text(&head.headers, &CONTENT_LENGTH);
+    let length: Option<usize> = length.and_then(|text| text.parse().ok());
+    length.is_some_and(|length| length > limit)
+}
+
+fn note_tree<D: PlatformDialect>(
+    state: &SidecarState<D>,
+    rule: &RouteRule,
+    parent: Option<&RunningCall>,
+    tree: &TreeCost,
+    is_whole: bool,
+) {
+    match parent {
+        Some(parent) => parent.note_cost(tree),
+        None => {
+            let now = state.clock.now();
+            let mut admission = state.admission();
+            admission.note(now, &rule.name, rule.rank, tree, is_whole);
+        }
+    }
+}
+
+/// When a refused caller finds room, spread so that callers do not come back together.
+fn retry_after(rule: &RouteRule, wait: Duration) -> Duration {
+    let spread = rule.latency_objective.mul_f64(RETRY_SPREAD);
+    let wait = wait.clamp(MIN_RETRY, spread.max(MIN_RETRY));
+    wait + spread.mul_f64(rand::rng().random())
+}
+
+fn note_final<D: PlatformDialect>(state: &SidecarState<D>, id: &str, reason: FinalReason) {
+    metrics::counter!("banyantrestle_final_answers_total", "reason" => reason.to_string())
+        .increment(1);
+    if state.log.has_room(LineWeight::Trouble) {
+        let version = state.plan().map_or(0, |plan| plan.version);
+        slog::info!(state.log.logger, "ended here"; "request" => id,
+            "reason" => %reason, "plan_version" => version);
+    }
+}
+
+fn note_attempt<D: PlatformDialect>(
+    state: &SidecarState<D>,
+    call: &ForwardCall,
+    context: &HopContext,
+    mesh: Option<std::net::SocketAddr>,
+    outcome: &'static str,
+) {
+    if state.log.has_room(LineWeight::Trouble) {
+        let peer = mesh.map_or_else(String::new, |mesh| mesh.to_string());
+        slog::info!(state.log.logger, "attempt failed"; "request" => &call.id,
+            "service" => %context.service, "peer" => peer, "attempt" => context.attempt,
+            "rank" => context.rank, "depth" => context.depth,
+            "left_ms" => state.clock.now().until(context.deadline).as_millis(),
+            "outcome" => outcome);
+    }
+}
+
+fn note_answer<D: PlatformDialect>(
+    state: &SidecarState<D>,
+    call: &ForwardCall,
+    context: &HopContext,
+    mesh: std::net::SocketAddr,
+    status: u16,
+) {
+    let weight = if status >= 500 {
+        LineWeight::Trouble
+    } else {
+        LineWeight::Routine
+    };
+    if state.log.has_room(weight) {
+        slog::info!(state.log.logger, "answered"; "request" => &call.id,
+            "service" => %context.service, "peer" => %mesh, "attempt" => context.attempt,
+            "rank" => context.rank, "depth" => context.depth, "status" => status,
+            "elapsed_ms" => state.clock.now().since(context.root_start).as_millis());
+    }
+}
--- /dev/null
+++ b/src/sidecar/peer_call.rs
@@ -0,0 +1,160 @@
+use {
+    super::{
+        HopContext, PeerEnd, PlatformDialect, TargetLoad, TreeCost,
+        forward_call::ForwardCall,
+        hop_outcome::{HopFailure, HopOutcome, OUTCOME_HEADER},
+        hop_service::run_here,
+        load_report::LOAD_HEADER,
+        sidecar_state::SidecarState,
+        tree_cost::TREE_HEADER,
+    },
+    crate::{
+        context::ServiceName,
+        net::{AnswerBody, AnswerPrefix, SendFailure, read_answer},
+    },
+    http::{HeaderMap, Response},
+    hyper::body::Incoming,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Bytes of an answer that are read before the first of them goes on.
+pub(crate) const WHOLE_ANSWER_BYTES: usize = 256 * 1024;
+/// Time beyond the deadline after which the pool gives a call up by itself; its caller has ended
+/// it by then.
+const POOL_SLACK: Duration = Duration::from_secs(1);
+
+/// A call that counts as out at a peer; ends as abandoned on drop.
+struct PeerPlace<'a, D: PlatformDialect> {
+    state: &'a SidecarState<D>,
+    service: &'a ServiceName,
+    mesh: SocketAddr,
+    is_ended: bool,
+}
+
+impl<D: PlatformDialect> PeerPlace<'_, D> {
+    fn end(&mut self, end: PeerEnd, load: Option<TargetLoad>) {
+        self.is_ended = true;
+        let now = self.state.clock.now();
+        let mut peers = self.state.peers();
+        peers.finish(now, self.service, self.mesh, end, load);
+    }
+}
+
+impl<D: PlatformDialect> Drop for PeerPlace<'_, D> {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            self.end(PeerEnd::Abandoned, None);
+        }
+    }
+}
+
+/// Offers a call to the target beside the sidecar at `mesh`, which was chosen for it.
+pub(crate) async fn offer<D: PlatformDialect>(
+    state: &Arc<SidecarState<D>>,
+    call: &ForwardCall,
+    context: &HopContext,
+    mesh: SocketAddr,
+) -> HopOutcome {
+    let mut place = PeerPlace {
+        state,
+        service: &context.service,
+        mesh,
+        is_ended: false,
+    };
+    let outcome = if mesh == state.settings.listen.mesh {
+        run_here(state, call, context).await
+    } else {
+        send(state, call, context, mesh).await
+    };
+    place.end(peer_end(&outcome), outcome.load);
+    outcome
+}
+
+fn peer_end(outcome: &HopOutcome) -> PeerEnd {
+    match &outcome.result {
+        // A failure below the target says nothing of the target.
+        Ok(response) if response.status().is_server_error() && !outcome.has_calls_below() => {
+            PeerEnd::Failed
+        }
+        Ok(_) => PeerEnd::Answered,
+        Err(HopFailure::Unreachable | HopFailure::HopBroken) => PeerEnd::Unreachable,
+        Err(
+            HopFailure::NoTarget
+            | HopFailure::TargetClosed
+            | HopFailure::TargetStalled
+            | HopFailure::ConnectFailed,
+        ) => PeerEnd::Refused,
+        Err(HopFailure::QueueFull | HopFailure::DeadlineTooNear | HopFailure::NoRepeats) => {
+            PeerEnd::Abandoned
+        }
+        Err(HopFailure::Shed | HopFailure::TargetBroken | HopFailure::BadAnswer) => PeerEnd::Failed,
+    }
+}
+
+async fn send<D: PlatformDialect>(
+    state: &SidecarState<D>,
+    call: &ForwardCall,
+    context: &HopContext,
+    mesh: SocketAddr,
+) -> HopOutcome {
+    let request = match call.to_hop(context, state.clock.now()) {
+        Ok(request) => request,
+        Err(error) => {
+            slog::warn!(state.log.logger, "request can't be passed on";
+                "request" => &call.id, "error" => %error);
+            return HopOutcome::failed(HopFailure::NoTarget);
+        }
+    };
+    let deadline = state.clock.instant_of(context.deadline) + POOL_SLACK;
+    match state.mesh.send(mesh, request, deadline).await {
+        Ok(response) => read_outcome(state, response, context).await,
+        Err(failure) => {
+            let kind = match failure {
+                SendFailure::NotSent(_) => HopFailure::Unreachable,
+                SendFailure::Broken(_) | SendFailure::TimedOut(_) => HopFailure::HopBroken,
+            };
+            slog::info!(state.log.logger, "hop failed";
+                "request" => &call.id, "peer" => %mesh, "failure" => %kind,
+                "error" => %failure.into_error());
+            HopOutcome::failed(kind)
+        }
+    }
+}
+
+async fn read_outcome<D: PlatformDialect>(
+    state: &SidecarState<D>,
+    response: Response<Incoming>,
+    context: &HopContext,
+) -> HopOutcome {
+    let (mut head, body) = response.into_parts();
+    let tree = take_text(&mut head.headers, TREE_HEADER);
+    let load = take_text(&mut head.headers, LOAD_HEADER);
+    let failure = take_text(&mut head.headers, OUTCOME_HEADER);
+    let tree = tree.map_or_else(TreeCost::default, |text| TreeCost::decode(&text));
+    let load = load.and_then(|text| TargetLoad::decode(&text));
+    let result = match failure {
+        Some(text) => Err(text.parse().unwrap_or(HopFailure::HopBroken)),
+        None => match read_answer(body, WHOLE_ANSWER_BYTES).await {
+            Ok(AnswerPrefix::Whole { data, trailers }) => Ok(Response::from_parts(
+                head,
+                AnswerBody::whole(data, trailers),
+            )),
+            Ok(AnswerPrefix::Longer { prefix, rest }) => {
+                let deadline = state.clock.instant_of(context.deadline);
+                let body = AnswerBody::stream(prefix, rest, deadline, None);
+                Ok(Response::from_parts(head, body))
+            }
+            Err(error) => {
+                slog::info!(state.log.logger, "answer broke off between sidecars";
+                    "service" => %context.service, "error" => %error);
+                Err(HopFailure::HopBroken)
+            }
+        },
+    };
+    HopOutcome { result, tree, load }
+}
+
+fn take_text(headers: &mut HeaderMap, name: &'static str) -> Option<String> {
+    let value = headers.remove(name)?;
+    value.to_str().ok().map(str::to_owned)
+}
--- /dev/null
+++ b/src/sidecar/peer_table.rs
@@ -0,0 +1,260 @@
+use {
+    super::TargetLoad,
+    crate::{
+        context::ServiceName,
+        membership::{MemberRecord, MemberState, MemberView},
+        time::TimePoint,
+    },
+    rand::{Rng, RngExt},
+    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Targets that are compared for one call.
+const SAMPLES: usize = 3;
+/// Time that a call to another data centre takes longer, with the cost of its bytes.
+const REMOTE_PENALTY: Duration = Duration::from_millis(4);
+/// Service time of a target that has reported none.
+const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(30);
+/// Age from which a reported load no longer counts.
+const LOAD_EXPIRY: Duration = Duration::from_millis(600);
+/// Time for which a peer that can't be reached is passed over.
+const FIRST_BACKOFF: Duration = Duration::from_millis(500);
+const LAST_BACKOFF: Duration = Duration::from_secs(4);
+/// Time for which a target that has refused calls as leaving or stalled is passed over.
+const REFUSAL_BACKOFF: Duration = Duration::from_millis(300);
+/// Weight of the newest call in a peer's share of failures.
+const FAILURE_WEIGHT: f64 = 0.1;
+/// Power of the share of answered calls that a target's weight goes by.
+const RELIABILITY_POWER: i32 = 3;
+const LEAST_RELIABILITY: f64 = 0.05;
+/// Part of its weight that a target has at its first call, and the time until it has all of it.
+const FIRST_WEIGHT: f64 = 0.25;
+const RAMP_SPAN: Duration = Duration::from_secs(3);
+
+/// How a call to a peer ended, as its caller saw it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum PeerEnd {
+    Answered,
+    /// The target failed or the answer broke off.
+    Failed,
+    /// Refused before it ran, since the target is leaving, gone or stalled.
+    Refused,
+    /// The daemon of the target can't be reached.
+    Unreachable,
+    /// The caller went away.
+    Abandoned,
+}
+
+/// What is known of the target beside one peer.
+#[derive(Clone, Debug)]
+struct PeerEntry {
+    mesh: SocketAddr,
+    is_local_zone: bool,
+    is_suspect: bool,
+    slots: u32,
+    known_since: TimePoint,
+    load: Option<TargetLoad>,
+    load_at: TimePoint,
+    /// Own calls that are out, and those that were when the load was reported.
+    in_flight: u32,
+    in_flight_reported: u32,
+    failure_share: f64,
+    backoff: Duration,
+    passed_over_until: TimePoint,
+}
+
+/// Chooses the target that is expected to end a call first.
+#[derive(Clone, Debug)]
+pub struct PeerTable {
+    data_centre: Arc<str>,
+    services: HashMap<ServiceName, Vec<PeerEntry>>,
+}
+
+impl PeerTable {
+    #[must_use]
+    pub fn new(data_centre: Arc<str>) -> Self {
+        Self {
+            data_centre,
+            services: HashMap::new(),
+        }
+    }
+
+    /// Takes the members as they are now; what is known of targets that stay is kept.
+    pub fn update(&mut self, now: TimePoint, view: &MemberView) {
+        let mut known = std::mem::take(&mut self.services);
+        let is_first = known.is_empty();
+        for record in view.members.iter().filter(|record| record.takes_work()) {
+            let Some(target) = &record.target else {
+                continue;
+            };
+            let kept = known.get_mut(&target.service).and_then(|entries| {
+                let index = entries.iter().position(|entry| entry.mesh == record.mesh)?;
+                Some(entries.swap_remove(index))
+            });
+            let fresh = || PeerEntry::new(record, &self.data_centre, now, is_first);
+            let mut entry = kept.unwrap_or_else(fresh);
+            entry.slots = target.slots;
+            entry.is_suspect = record.state == MemberState::Suspect;
+            let entries = self.services.entry(target.service.clone()).or_default();
+            entries.push(entry);
+        }
+    }
+
+    /// Targets of a service.
+    #[must_use]
+    pub fn count(&self, service: &ServiceName) -> usize {
+        self.services.get(service).map_or(0, Vec::len)
+    }
+
+    /// Chooses a target that is not in `tried` and counts the call as out.
+    pub fn choose<R: Rng>(
+        &mut self,
+        now: TimePoint,
+        service: &ServiceName,
+        tried: &[SocketAddr],
+        rng: &mut R,
+    ) -> Option<SocketAddr> {
+        let entries = self.services.get_mut(service)?;
+        let untried = |entry: &&mut PeerEntry| !tried.contains(&entry.mesh);
+        let mut candidates: Vec<&mut PeerEntry> = entries.iter_mut().filter(untried).collect();
+        if candidates.iter().any(|entry| entry.is_usable(now)) {
+            candidates.retain(|entry| entry.is_usable(now));
+        }
+        let weights: Vec<f64> = candidates.iter().map(|entry| entry.weight(now)).collect();
+        let total: f64 = weights.iter().sum();
+        let mut best: Option<(usize, f64)> = None;
+        for _ in 0..SAMPLES {
+            let index = sample(&weights, total, rng)?;
+            let finish = candidates[index].expected_finish(now);
+            if best.is_none_or(|(_, least)| finish < least) {
+                best = Some((index, finish));
+            }
+        }
+        let entry = &mut candidates[best?.0];
+        entry.in_flight += 1;
+        Some(entry.mesh)
+    }
+
+    /// Ends a call that [`Self::choose`] has counted.
+    pub fn finish(
+        &mut self,
+        now: TimePoint,
+        service: &ServiceName,
+        mesh: SocketAddr,
+        end: PeerEnd,
+        load: Option<TargetLoad>,
+    ) {
+        let entries = self.services.get_mut(service);
+        let entry = entries.and_then(|all| all.iter_mut().find(|entry| entry.mesh == mesh));
+        if let Some(entry) = entry {
+            entry.finish(now, end, load);
+        }
+    }
+}
+
+impl PeerEntry {
+    fn new(record: &MemberRecord, data_centre: &str, now: TimePoint, is_first: bool) -> Self {
+        Self {
+            mesh: record.mesh,
+            is_local_zone: *record.data_centre == *data_centre,
+            is_suspect: false,
+            slots: 0,
+            // Targets that were there before this daemon need no ramp.
+            known_since: if is_first { TimePoint::ORIGIN } else { now },
+            load: None,
+            load_at: now,
+            in_flight: 0,
+            in_flight_reported: 0,
+            failure_share: 0.0,
+            backoff: Duration::ZERO,
+            passed_over_until: TimePoint::ORIGIN,
+        }
+    }
+
+    fn is_usable(&self, now: TimePoint) -> bool {
+        let is_stalled = self.fresh_load(now).is_some_and(|load| load.is_stalled);
+        now >= self.passed_over_until && !self.is_suspect && !is_stalled
+    }
+
+    fn fresh_load(&self, now: TimePoint) -> Option<&TargetLoad> {
+        let is_fresh = now.since(self.load_at) < LOAD_EXPIRY;
+        self.load.as_ref().filter(|_| is_fresh)
+    }
+
+    fn service_time(&self) -> Duration {
+        let reported = self.load.as_ref().map(|load| load.service_time);
+        let known = reported.filter(|span| !span.is_zero());
+        known.unwrap_or(DEFAULT_SERVICE_TIME)
+    }
+
+    fn limit(&self) -> f64 {
+        let reported = self.load.as_ref().map(|load| load.limit);
+        f64::from(reported.unwrap_or(self.slots).max(1))
+    }
+
+    fn reliability(&self, now: TimePoint) -> f64 {
+        let reported = self.fresh_load(now).map_or(0.0, |load| load.failure_share);
+        (1.0 - self.failure_share.max(reported)).max(LEAST_RELIABILITY)
+    }
+
+    /// Calls that the target ends in a second, less where it fails or is new.
+    fn weight(&self, now: TimePoint) -> f64 {
+        let rate = self.limit() / self.service_time().as_secs_f64();
+        let age = now.since(self.known_since).as_secs_f64() / RAMP_SPAN.as_secs_f64();
+        let ramp = age.clamp(FIRST_WEIGHT, 1.0);
+        rate * ramp * self.reliability(now).powi(RELIABILITY_POWER)
+    }
+
+    /// Seconds until one more call is expected to end.
+    fn expected_finish(&self, now: TimePoint) -> f64 {
+        let reported = self
+            .fresh_load(now)
+            .map_or(0, |load| load.running + load.waiting);
+        let since = self.in_flight.saturating_sub(self.in_flight_reported);
+        let ahead = f64::from(reported.saturating_add(since).max(self.in_flight));
+        let service = self.service_time().as_secs_f64();
+        let wait = (ahead + 1.0 - self.limit()).max(0.0) * service / self.limit();
+        // Nearly full targets work more slowly and their slots free late.
+        let crowding = 1.0 + 0.25 * (ahead / self.limit()).min(1.0);
+        let penalty = if self.is_local_zone {
+            0.0
+        } else {
+            REMOTE_PENALTY.as_secs_f64()
+        };
+        (wait + service * crowding + penalty) / self.reliability(now)
+    }
+
+    fn finish(&mut self, now: TimePoint, end: PeerEnd, load: Option<TargetLoad>) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if let Some(load) = load {
+            self.load = Some(load);
+            self.load_at = now;
+            self.in_flight_reported = self.in_flight;
+        }
+        match end {
+            PeerEnd::Answered => {
+                self.failure_share -= self.failure_share * FAILURE_WEIGHT;
+                self.backoff = Duration::ZERO;
+            }
+            PeerEnd::Failed => self.failure_share += (1.0 - self.failure_share) * FAILURE_WEIGHT,
+            PeerEnd::Refused => self.passed_over_until = now + REFUSAL_BACKOFF,
+            PeerEnd::Unreachable => {
+                self.backoff = (self.backoff * 2).clamp(FIRST_BACKOFF, LAST_BACKOFF);
+                self.passed_over_until = now + self.backoff;
+            }
+            PeerEnd::Abandoned => {}
+        }
+    }
+}
+
+/// An index, each as likely as its weight says.
+fn sample<R: Rng>(weights: &[f64], total: f64, rng: &mut R) -> Option<usize> {
+    let mut point = rng.random::<f64>() * total;
+    for (index, weight) in weights.iter().enumerate() {
+        point -= weight;
+        if point < 0.0 {
+            return Some(index);
+        }
+    }
+    weights.len().checked_sub(1)
+}
--- /dev/null
+++ b/src/sidecar/repeat_rule.rs
@@ -0,0 +1,90 @@
+use std::time::Duration;
+
+/// Targets that one call is offered to at most, those included that refused it unrun.
+const MAX_OFFERS: u32 = 4;
+/// Time without which another offer is not worth its while.
+const LEAST_TIME: Duration = Duration::from_millis(15);
+
+/// How one offer of a call to a target ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// Refused before it reached the target.
+    NotSent,
+    /// The target refused it and did not run it.
+    Shed,
+    /// The target may have run it.
+    Unknown,
+    /// The target ran it and failed it by itself.
+    FailedRun,
+    /// No room for repeats is left.
+    NoRepeats,
+}
+
+/// What to do after an offer that brought no usable answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NextStep {
+    Offer,
+    /// Answer that the call has not run.
+    RefuseUnrun,
+    /// Answer that the outcome is not known.
+    FailUnknown,
+    /// Pass the target's own failure on.
+    PassFailure,
+}
+
+/// The offers of one call so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AttemptHistory {
+    offers: u32,
+    /// Offers that reached a target.
+    arrivals: u32,
+    /// Offers that may have run.
+    runs: u32,
+    has_failure: bool,
+}
+
+impl AttemptHistory {
+    /// Offers that reached a target, for the context of the next one.
+    #[must_use]
+    pub fn arrivals(&self) -> u8 {
+        u8::try_from(self.arrivals).unwrap_or(u8::MAX)
+    }
+
+    /// Whether the call has not run anywhere.
+    #[must_use]
+    pub const fn is_unrun(&self) -> bool {
+        self.runs == 0
+    }
+
+    /// Takes the end of an offer and decides on the next.
+    pub fn next_step(
+        &mut self,
+        end: AttemptEnd,
+        is_idempotent: bool,
+        max_attempts: u32,
+        time_left: Duration,
+    ) -> NextStep {
+        self.offers += 1;
+        match end {
+            AttemptEnd::NotSent | AttemptEnd::NoRepeats => {}
+            AttemptEnd::Shed => self.arrivals += 1,
+            AttemptEnd::Unknown | AttemptEnd::FailedRun => {
+                self.arrivals += 1;
+                self.runs += 1;
+            }
+        }
+        self.has_failure |= end == AttemptEnd::FailedRun;
+        let may_run = self.runs == 0 || is_idempotent && self.runs < max_attempts;
+        let is_worth =
+            end != AttemptEnd::NoRepeats && self.offers < MAX_OFFERS && time_left > LEAST_TIME;
+        if may_run && is_worth {
+            NextStep::Offer
+        } else if self.has_failure {
+            NextStep::PassFailure
+        } else if self.is_unrun() {
+            NextStep::RefuseUnrun
+        } else {
+            NextStep::FailUnknown
+        }
+    }
+}
--- /dev/null
+++ b/src/sidecar/route_plan.rs
@@ -0,0 +1,80 @@
+use {
+    super::RouteRule,
+    crate::context::ServiceName,
+    std::{collections::HashMap, sync::Arc, time::Duration},
+};
+
+/// What a caller may send, and how long it may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    pub header_bytes: usize,
+    pub body_bytes: usize,
+    /// Time for the header of one request.
+    pub header_timeout: Duration,
+    /// Time for which a connection may be idle.
+    pub idle_timeout: Duration,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1024,
+            body_bytes: 1024 * 1024,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// One version of the operator's configuration, ready for look-ups.
+#[derive(Clone, Debug, Default)]
+pub struct RoutePlan {
+    pub version: u64,
+    pub limits: CallerLimits,
+    services: Vec<ServiceName>,
+    hosts: HashMap<String, HashMap<String, Arc<RouteRule>>>,
+}
+
+impl RoutePlan {
+    #[must_use]
+    pub fn new(
+        version: u64,
+        limits: CallerLimits,
+        services: Vec<ServiceName>,
+        rules: impl IntoIterator<Item = RouteRule>,
+    ) -> Self {
+        let mut hosts: HashMap<String, HashMap<String, Arc<RouteRule>>> = HashMap::new();
+        for rule in rules {
+            let prefixes = hosts.entry(rule.host.to_ascii_lowercase()).or_default();
+            prefixes.insert(rule.prefix.clone(), Arc::new(rule));
+        }
+        Self {
+            version,
+            limits,
+            services,
+            hosts,
+        }
+    }
+
+    /// The rule of the host with the longest prefix of `path`; a port in `host` is passed over.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let prefixes = match self.hosts.get(name) {
+            Some(prefixes) => prefixes,
+            None => self.hosts.get(&name.to_ascii_lowercase())?,
+        };
+        let ends = path.rmatch_indices('/').map(|(index, _)| index + 1);
+        ends.filter_map(|end| prefixes.get(&path[..end])).next()
+    }
+
+    #[must_use]
+    pub fn is_service(&self, service: &ServiceName) -> bool {
+        self.services.contains(service)
+    }
+
+    /// All rules, in no order.
+    pub fn rules(&self) -> impl Iterator<Item = &Arc<RouteRule>> {
+        self.hosts.values().flat_map(HashMap::values)
+    }
+}
--- /dev/null
+++ b/src/sidecar/route_rule.rs
@@ -0,0 +1,57 @@
+use {crate::context::ServiceName, std::time::Duration};
+
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatSafety {
+    Idempotent,
+    /// Runs at most once for each attempt of its caller.
+    NonIdempotent,
+}
+
+/// One service of a split, and its share of the requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SplitPart {
+    pub service: ServiceName,
+    pub weight: u32,
+}
+
+/// One route of the operator's configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RouteRule {
+    pub name: String,
+    pub host: String,
+    /// Begins and ends with a slash.
+    pub prefix: String,
+    pub safety: RepeatSafety,
+    /// Longest time that a caller is kept waiting.
+    pub timeout: Duration,
+    /// Time within which an answer is worth most.
+    pub latency_objective: Duration,
+    /// Targets that one attempt of a caller may run on.
+    pub max_attempts: u32,
+    /// Rank of the class; higher is served longer.
+    pub rank: u8,
+    /// At least one part.
+    pub split: Vec<SplitPart>,
+}
+
+impl RouteRule {
+    #[must_use]
+    pub fn is_idempotent(&self) -> bool {
+        self.safety == RepeatSafety::Idempotent
+    }
+
+    /// The service at `point`, from 0 to 1, of the split laid end to end.
+    #[must_use]
+    pub fn service_at(&self, point: f64) -> Option<&ServiceName> {
+        let total: u32 = self.split.iter().map(|part| part.weight).sum();
+        let mut rest = point * f64::from(total);
+        for part in &self.split {
+            rest -= f64::from(part.weight);
+            if rest < 0.0 {
+                return Some(&part.service);
+            }
+        }
+        self.split.last().map(|part| &part.service)
+    }
+}
--- /dev/null
+++ b/src/sidecar/running_calls.rs
@@ -0,0 +1,94 @@
+use {
+    super::{HopContext, TreeCost},
+    std::{
+        collections::HashMap,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+    },
+};
+
+/// Separates the id of a call from the part that its caller added for a call of its own.
+const PART_SEPARATOR: char = '.';
+/// Parts that are taken off an id at most to find the call that it belongs to.
+const MAX_PARTS: usize = 4;
+
+/// A call that the target runs now.
+#[derive(Debug)]
+pub(crate) struct RunningCall {
+    pub(crate) context: HopContext,
+    /// What the calls below it have cost so far.
+    tree: Mutex<TreeCost>,
+}
+
+impl RunningCall {
+    pub(crate) fn note_cost(&self, tree: &TreeCost) {
+        self.tree().merge(tree);
+    }
+
+    pub(crate) fn cost(&self) -> TreeCost {
+        self.tree().clone()
+    }
+
+    fn tree(&self) -> MutexGuard<'_, TreeCost> {
+        self.tree.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Calls that the target runs, by the id that it was given with each.
+///
+/// A target hands on no header of ours, but the ids of its own calls begin with the id of the call
+/// that they are made for. So the daemon beside it, which started that call, knows its context.
+#[derive(Debug, Default)]
+pub(crate) struct RunningCalls {
+    calls: Mutex<HashMap<String, Arc<RunningCall>>>,
+}
+
+/// A place in the table; removed on drop.
+#[derive(Debug)]
+pub(crate) struct RunningPlace {
+    table: Arc<RunningCalls>,
+    id: String,
+    pub(crate) call: Arc<RunningCall>,
+}
+
+impl RunningCalls {
+    pub(crate) fn insert(self: &Arc<Self>, id: &str, context: HopContext) -> RunningPlace {
+        let call = Arc::new(RunningCall {
+            context,
+            tree: Mutex::default(),
+        });
+        self.calls().insert(id.to_owned(), call.clone());
+        RunningPlace {
+            table: self.clone(),
+            id: id.to_owned(),
+            call,
+        }
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.calls().is_empty()
+    }
+
+    /// The running call that a call of this id is made for.
+    pub(crate) fn parent_of(&self, id: &str) -> Option<Arc<RunningCall>> {
+        let calls = self.calls();
+        let cuts = id.rmatch_indices(PART_SEPARATOR).take(MAX_PARTS);
+        let mut parents = cuts.filter_map(|(index, _)| calls.get(&id[..index]));
+        parents.next().cloned()
+    }
+
+    fn calls(&self) -> MutexGuard<'_, HashMap<String, Arc<RunningCall>>> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for RunningPlace {
+    fn drop(&mut self) {
+        let mut calls = self.table.calls();
+        let is_own = calls
+            .get(&self.id)
+            .is_some_and(|call| Arc::ptr_eq(call, &self.call));
+        if is_own {
+            calls.remove(&self.id);
+        }
+    }
+}
--- /dev/null
+++ b/src/sidecar/service_valve.rs
@@ -0,0 +1,135 @@
+use {crate::time::TimePoint, std::time::Duration};
+
+/// Pressure that fronts hold a loaded service at: full slots and a short queue.
+const TARGET_PRESSURE: f64 = 1.15;
+/// Pressure from which a front begins to limit what it admits.
+const CLOSING_PRESSURE: f64 = 1.35;
+/// Pressure under which a front stops to limit.
+const OPENING_PRESSURE: f64 = 0.9;
+/// Highest pressure that the rate answers to; the queue behind it tells no more.
+const MAX_PRESSURE: f64 = 3.0;
+/// Change of the rate per second for a pressure that is off by one, as an exponent.
+const RATE_GAIN: f64 = 0.9;
+/// Part of the admitted work that remains when a front begins to limit.
+const FIRST_SHARE: f64 = 0.8;
+/// Work that may be admitted at once, as time at the current rate.
+const BURST_SPAN: f64 = 0.15;
+/// Debt that each step of rank above the lowest may run up, as time at the current rate.
+const DEBT_SPAN: f64 = 0.25;
+/// Time over which admitted work is averaged.
+const ADMITTED_MEMORY: Duration = Duration::from_millis(600);
+/// Time over which reported pressure is averaged.
+const PRESSURE_MEMORY: Duration = Duration::from_millis(150);
+/// Time after which a pressure that nobody confirms begins to fade.
+const REPORT_HOLD: Duration = Duration::from_millis(400);
+/// Growth of the rate beyond what is admitted, while nothing is refused.
+const HEADROOM: f64 = 1.5;
+/// Time without a refusal after which a front may stop to limit.
+const QUIET_SPAN: Duration = Duration::from_millis(1_500);
+
+/// What one front admits of the work for one loaded service, in slot seconds a second.
+///
+/// A front knows the cost of a request before it has run, so a surge of callers changes what is
+/// refused and not what is admitted. The rate follows the pressure that answers carry back.
+#[derive(Clone, Debug)]
+pub struct ServiceValve {
+    pressure: f64,
+    reported: TimePoint,
+    /// Slot seconds a second; `None` while nothing is limited.
+    rate: Option<f64>,
+    tokens: f64,
+    admitted: f64,
+    ticked: TimePoint,
+    refused: TimePoint,
+}
+
+impl ServiceValve {
+    #[must_use]
+    pub fn new(now: TimePoint) -> Self {
+        Self {
+            pressure: 0.0,
+            reported: now,
+            rate: None,
+            tokens: 0.0,
+            admitted: 0.0,
+            ticked: now,
+            refused: now,
+        }
+    }
+
+    /// Slot seconds a second, while the service is held back.
+    #[must_use]
+    pub fn rate(&self) -> Option<f64> {
+        self.rate
+    }
+
+    #[must_use]
+    pub fn pressure(&self) -> f64 {
+        self.pressure
+    }
+
+    pub fn note_pressure(&mut self, now: TimePoint, pressure: f64) {
+        let elapsed = now.since(self.reported).as_secs_f64();
+        let kept = (-elapsed / PRESSURE_MEMORY.as_secs_f64()).exp().min(0.97);
+        self.pressure = self.pressure * kept + pressure * (1.0 - kept);
+        self.reported = now;
+    }
+
+    /// Whether a request so many ranks above the lowest may pass.
+    #[must_use]
+    pub fn is_open(&self, rank_step: u8) -> bool {
+        self.rate.is_none_or(|rate| {
+            let debt = rate * DEBT_SPAN * f64::from(rank_step);
+            self.tokens > -debt
+        })
+    }
+
+    pub fn admit(&mut self, slot_seconds: f64) {
+        self.admitted += slot_seconds / ADMITTED_MEMORY.as_secs_f64();
+        if self.rate.is_some() {
+            self.tokens -= slot_seconds;
+        }
+    }
+
+    pub fn note_refusal(&mut self, now: TimePoint) {
+        self.refused = now;
+    }
+
+    /// Time until one request of this cost has room.
+    #[must_use]
+    pub fn wait_for(&self, slot_seconds: f64) -> Duration {
+        let Some(rate) = self.rate else {
+            return Duration::ZERO;
+        };
+        let missing = (slot_seconds - self.tokens).max(0.0);
+        Duration::try_from_secs_f64(missing / rate).unwrap_or(Duration::MAX)
+    }
+
+    pub fn tick(&mut self, now: TimePoint) {
+        let elapsed = now.since(self.ticked).as_secs_f64().min(1.0);
+        self.ticked = now;
+        self.admitted *= (-elapsed / ADMITTED_MEMORY.as_secs_f64()).exp();
+        if now.since(self.reported) > REPORT_HOLD {
+            self.pressure *= (-elapsed / REPORT_HOLD.as_secs_f64()).exp();
+        }
+        let Some(rate) = self.rate else {
+            if self.pressure > CLOSING_PRESSURE && self.admitted > 0.0 {
+                self.rate = Some(self.admitted * FIRST_SHARE);
+                self.tokens = 0.0;
+            }
+            return;
+        };
+        let is_quiet = now.since(self.refused) > QUIET_SPAN;
+        if is_quiet && self.pressure < OPENING_PRESSURE {
+            self.rate = None;
+            return;
+        }
+        let error = TARGET_PRESSURE - self.pressure.min(MAX_PRESSURE);
+        let mut rate = rate * (RATE_GAIN * error * elapsed).exp();
+        if is_quiet {
+            rate = rate.min(self.admitted * HEADROOM).max(f64::MIN_POSITIVE);
+        }
+        self.rate = Some(rate);
+        self.tokens = (self.tokens + rate * elapsed).min(rate * BURST_SPAN);
+    }
+}
--- /dev/null
+++ b/src/sidecar/sidecar_daemon.rs
@@ -0,0 +1,248 @@
+use {
+    super::{
+        FrontAdmission, PeerTable, PlanSource, PlatformDialect, RepeatBudget, SidecarSettings,
+        TargetRegister,
+        admin_calls::{expire_target, serve_admin, serve_readiness},
+        decision_log::DecisionLog,
+        hop_service::serve_hop,
+        outbound_service::serve_outbound,
+        plan_watch::{follow_gossip, follow_store},
+        running_calls::RunningCalls,
+        sidecar_state::{SidecarPhase, SidecarState, TargetSlot},
+    },
+    crate::{
+        auth::SharedKey,
+        daemon::process_recorder,
+        error::StepError,
+        membership::{MemberId, MembershipHandle, MembershipSettings},
+        net::{ConnectionGate, ListenerLimits, MeshPool, bind, serve_http1, serve_mesh},
+        table::TableStore,
+        time::{BootClock, ProcessClock, TimerService},
+    },
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{
+        net::TcpListener,
+        sync::watch,
+        time::{interval, sleep},
+    },
+    tokio_util::task::TaskTracker,
+};
+
+/// Time between two rounds of admission.
+const ADMISSION_TICK: Duration = Duration::from_millis(50);
+/// Time between two looks at whether the target is lost.
+const EXPIRY_TICK: Duration = Duration::from_millis(500);
+/// Time after the configuration at which a sidecar serves even if it knows no target yet.
+const LONELY_START: Duration = Duration::from_secs(2);
+/// Time between two looks at whether the sidecar can serve.
+const START_CHECK: Duration = Duration::from_millis(50);
+/// Silence after which a connection between sidecars is taken for dead.
+const MESH_SILENCE: Duration = Duration::from_millis(1_200);
+/// Silence after which a sidecar closes a connection that another has opened.
+const ACCEPTED_SILENCE: Duration = Duration::from_secs(20);
+const OUTBOUND_CONNECTIONS: usize = 2_500;
+const INNER_CONNECTIONS: usize = 1_000;
+const INNER_HEADER_BYTES: usize = 64 * 1024;
+const INNER_HEADER_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A running sidecar.
+#[derive(Debug)]
+pub struct SidecarDaemon<D> {
+    pub(super) state: Arc<SidecarState<D>>,
+    /// Connections of callers and of the target.
+    pub(super) outbound_gate: ConnectionGate,
+    /// Connections of other sidecars and of the platform.
+    pub(super) inner_gate: ConnectionGate,
+}
+
+struct SidecarSockets {
+    outbound: TcpListener,
+    mesh: TcpListener,
+    readiness: TcpListener,
+    admin: TcpListener,
+}
+
+impl<D: PlatformDialect> SidecarDaemon<D> {
+    /// Binds the listeners and starts all parts.
+    ///
+    /// # Errors
+    /// A listener cannot be bound.
+    pub async fn start<S: PlanSource, T: TableStore>(
+        settings: SidecarSettings,
+        dialect: D,
+        source: S,
+        table: T,
+        logger: slog::Logger,
+    ) -> Result<Self, StepError> {
+        let clock = BootClock::start();
+        let steady = ProcessClock::start();
+        let timers = TimerService::new(steady);
+        let sockets = SidecarSockets {
+            outbound: bind(settings.listen.outbound).await?,
+            mesh: bind(settings.listen.mesh).await?,
+            readiness: bind(settings.listen.readiness).await?,
+            admin: bind(settings.listen.admin).await?,
+        };
+        let membership = MembershipHandle::start(
+            membership_settings(&settings, steady),
+            table,
+            timers,
+            steady,
+            logger.clone(),
+        )?;
+        let now = clock.now();
+        let register = TargetRegister::new(settings.service.clone(), settings.beat_interval);
+        let state = Arc::new(SidecarState {
+            clock,
+            dialect,
+            log: DecisionLog::new(logger, clock),
+            membership,
+            mesh: MeshPool::new(MESH_SILENCE),
+            running: Arc::new(RunningCalls::default()),
+            work: TaskTracker::new(),
+            recorder: process_recorder(),
+            phase: watch::Sender::new(SidecarPhase::Starting),
+            plan: watch::Sender::new(None),
+            peers: Mutex::new(PeerTable::new(settings.data_centre.as_str().into())),
+            admission: Mutex::new(FrontAdmission::default()),
+            target: Mutex::new(TargetSlot {
+                register,
+                live: None,
+            }),
+            repeats: Mutex::new(RepeatBudget::new(settings.repeats, now)),
+            settings,
+        });
+        let daemon = Self {
+            state,
+            outbound_gate: ConnectionGate::default(),
+            inner_gate: ConnectionGate::default(),
+        };
+        daemon.spawn_systems(source, timers);
+        daemon.spawn_listeners(sockets);
+        Ok(daemon)
+    }
+
+    /// Takes the gossip addresses of sidecars that the settings now name.
+    pub async fn set_peers(&self, peers: Vec<SocketAddr>) {
+        self.state.membership.set_peers(peers).await;
+    }
+
+    fn spawn_systems<S: PlanSource>(&self, source: S, timers: TimerService) {
+        tokio::spawn(follow_store(self.state.clone(), source));
+        tokio::spawn(follow_gossip(self.state.clone()));
+        tokio::spawn(follow_members(self.state.clone()));
+        tokio::spawn(become_ready(self.state.clone()));
+        tokio::spawn(watch_target(self.state.clone()));
+        let state = Arc::downgrade(&self.state);
+        timers.run(ADMISSION_TICK, move |_| {
+            let Some(state) = state.upgrade() else {
+                return false;
+            };
+            let now = state.clock.now();
+            state.admission().tick(now);
+            true
+        });
+    }
+
+    fn spawn_listeners(&self, sockets: SidecarSockets) {
+        let state = self.state.clone();
+        let limits = move || outbound_limits(&state);
+        let state = self.state.clone();
+        let outbound = move |request| serve_outbound(state.clone(), request);
+        let gate = self.outbound_gate.clone();
+        tokio::spawn(serve_http1(sockets.outbound, limits, gate, outbound));
+        let state = self.state.clone();
+        let mesh = move |request| serve_hop(state.clone(), request);
+        let gate = || self.inner_gate.clone();
+        tokio::spawn(serve_mesh(sockets.mesh, inner_limits(), gate(), mesh));
+        let state = self.state.clone();
+        let readiness = move |request| serve_readiness(state.clone(), request);
+        tokio::spawn(serve_http1(
+            sockets.readiness,
+            inner_limits,
+            gate(),
+            readiness,
+        ));
+        let state = self.state.clone();
+        let admin = move |request| serve_admin(state.clone(), request);
+        tokio::spawn(serve_http1(sockets.admin, inner_limits, gate(), admin));
+    }
+}
+
+/// The idle time bounds the wait for the next header too, since both are one wait to the server.
+fn outbound_limits<D: PlatformDialect>(state: &SidecarState<D>) -> ListenerLimits {
+    let limits = state.plan().map(|plan| plan.limits).unwrap_or_default();
+    ListenerLimits {
+        header_bytes: limits.header_bytes,
+        header_timeout: limits.idle_timeout,
+        connections: OUTBOUND_CONNECTIONS,
+        silence: ACCEPTED_SILENCE,
+    }
+}
+
+fn inner_limits() -> ListenerLimits {
+    ListenerLimits {
+        header_bytes: INNER_HEADER_BYTES,
+        header_timeout: INNER_HEADER_TIMEOUT,
+        connections: INNER_CONNECTIONS,
+        silence: ACCEPTED_SILENCE,
+    }
+}
+
+fn membership_settings(settings: &SidecarSettings, clock: ProcessClock) -> MembershipSettings {
+    MembershipSettings {
+        id: MemberId {
+            address: settings.listen.gossip,
+            started_ms: clock.wall_ms(),
+        },
+        region: settings.region.clone(),
+        data_centre: settings.data_centre.clone(),
+        mesh: settings.listen.mesh,
+        admin: settings.listen.admin,
+        gossip: settings.listen.gossip,
+        peers: settings.peers.clone(),
+        key: SharedKey::derive(&settings.deployment),
+    }
+}
+
+/// Brings each change of the members into the table of targets.
+async fn follow_members<D: PlatformDialect>(state: Arc<SidecarState<D>>) {
+    let mut views = state.membership.view();
+    loop {
+        let view = views.borrow_and_update().clone();
+        state.peers().update(state.clock.now(), &view);
+        state.mesh.retain(|mesh| view.find_mesh(*mesh).is_some());
+        if views.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Serves from when the configuration is known and a target of another sidecar is.
+async fn become_ready<D: PlatformDialect>(state: Arc<SidecarState<D>>) {
+    let mut plan = state.plan.subscribe();
+    // The state holds the sender for as long as the process runs.
+    plan.wait_for(Option::is_some).await.ok();
+    let known = state.clock.now();
+    let mut views = state.membership.view();
+    loop {
+        let is_lonely = views.borrow_and_update().members.len() < 2;
+        if !is_lonely || state.clock.now().since(known) > LONELY_START {
+            break;
+        }
+        sleep(START_CHECK).await;
+    }
+    state.enter(SidecarPhase::Serving);
+}
+
+async fn watch_target<D: PlatformDialect>(state: Arc<SidecarState<D>>) {
+    let mut ticks = interval(EXPIRY_TICK);
+    loop {
+        ticks.tick().await;
+        expire_target(&state).await;
+    }
+}
--- /dev/null
+++ b/src/sidecar/slot_guard.rs
@@ -0,0 +1,220 @@
+use {
+    crate::time::TimePoint,
+    std::{cmp::Reverse, collections::BTreeMap, time::Duration},
+};
+
+/// One slot in so many is left free: a target that is nearly full works more slowly.
+const RESERVE_SHARE: u32 = 16;
+/// Time over which pressure is averaged.
+const PRESSURE_MEMORY: Duration = Duration::from_millis(200);
+/// Weight of the newest call in the mean service time.
+const SERVICE_WEIGHT: f64 = 0.05;
+/// Weight of the newest call in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.05;
+/// Part of the mean service time without which a call can't end before its deadline.
+const HOPEFUL_SHARE: f64 = 0.5;
+/// Calls that wait at most for each slot; more would only wait for their deadline.
+const QUEUE_PER_SLOT: usize = 32;
+/// Time without any ended call after which a target counts as stalled, against the mean service time.
+const STALL_FACTOR: f64 = 8.0;
+const MIN_STALL: Duration = Duration::from_millis(700);
+/// Time between two calls that find out whether a stalled target works again.
+const STALL_PROBE: Duration = Duration::from_millis(250);
+
+/// Order of waiting calls: higher ranks first, within a rank the request that came first.
+///
+/// Calls of an old request go before those of a young one, so that trees that have begun are
+/// completed before more of them begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WaitKey {
+    rank: Reverse<u8>,
+    root_start: TimePoint,
+    sequence: u64,
+}
+
+/// How a call on the target ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlotEnd {
+    Answered,
+    /// The target answered by a failure, broke the answer off or refused.
+    Failed,
+    /// The caller went away or the deadline passed.
+    Abandoned,
+}
+
+/// What becomes of a call that asks for a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlotVerdict {
+    Start,
+    Wait(WaitKey),
+    /// As many wait as can be served.
+    Full,
+    /// The target ends no calls; it would only hold this one.
+    Stalled,
+}
+
+/// Load of one target, as it travels back on answers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TargetLoad {
+    pub running: u32,
+    pub waiting: u32,
+    pub limit: u32,
+    pub service_time: Duration,
+    /// Share of calls that the target failed of late.
+    pub failure_share: f64,
+    pub is_stalled: bool,
+}
+
+/// Gives the slots of one target to the calls that matter most.
+///
+/// A call that reaches the guard belongs to a request that the front of the chain has admitted, so
+/// the guard sheds nothing for load alone; it holds calls until a slot is free, and what it
+/// measures makes the fronts admit less.
+#[derive(Clone, Debug)]
+pub struct SlotGuard {
+    limit: u32,
+    running: u32,
+    waiting: BTreeMap<WaitKey, TimePoint>,
+    sequence: u64,
+    pressure: f64,
+    pressure_at: TimePoint,
+    service_seconds: f64,
+    failure_share: f64,
+    last_end: TimePoint,
+    last_probe: TimePoint,
+}
+
+impl SlotGuard {
+    #[must_use]
+    pub fn new(slots: u32, now: TimePoint) -> Self {
+        Self {
+            limit: limit_of(slots),
+            running: 0,
+            waiting: BTreeMap::new(),
+            sequence: 0,
+            pressure: 0.0,
+            pressure_at: now,
+            service_seconds: 0.0,
+            failure_share: 0.0,
+            last_end: now,
+            last_probe: now,
+        }
+    }
+
+    pub fn set_slots(&mut self, slots: u32) {
+        self.limit = limit_of(slots);
+    }
+
+    /// Asks for a slot; a call that waits is started by [`Self::next_ready`].
+    pub fn offer(
+        &mut self,
+        now: TimePoint,
+        rank: u8,
+        root_start: TimePoint,
+        deadline: TimePoint,
+    ) -> SlotVerdict {
+        self.average(now);
+        if self.is_stalled(now) {
+            if now.since(self.last_probe) < STALL_PROBE {
+                return SlotVerdict::Stalled;
+            }
+            self.last_probe = now;
+        } else if self.running == 0 {
+            self.last_end = now;
+        }
+        if self.running < self.limit && self.waiting.is_empty() {
+            self.running += 1;
+            return SlotVerdict::Start;
+        }
+        if self.waiting.len() >= self.limit as usize * QUEUE_PER_SLOT {
+            return SlotVerdict::Full;
+        }
+        self.sequence += 1;
+        let key = WaitKey {
+            rank: Reverse(rank),
+            root_start,
+            sequence: self.sequence,
+        };
+        self.waiting.insert(key, deadline);
+        SlotVerdict::Wait(key)
+    }
+
+    /// The next waiting call that has a slot now, and whether it can still end in time.
+    pub fn next_ready(&mut self, now: TimePoint) -> Option<(WaitKey, bool)> {
+        if self.running >= self.limit {
+            return None;
+        }
+        self.average(now);
+        let (key, deadline) = self.waiting.pop_first()?;
+        let least = Duration::from_secs_f64(self.service_seconds * HOPEFUL_SHARE);
+        let is_hopeful = now + least < deadline;
+        if is_hopeful {
+            self.running += 1;
+        }
+        Some((key, is_hopeful))
+    }
+
+    /// Removes a waiting call; false if it does not wait any more.
+    pub fn cancel(&mut self, now: TimePoint, key: &WaitKey) -> bool {
+        self.average(now);
+        self.waiting.remove(key).is_some()
+    }
+
+    /// Ends a running call.
+    pub fn finish(&mut self, now: TimePoint, started: TimePoint, end: SlotEnd) {
+        self.average(now);
+        self.running = self.running.saturating_sub(1);
+        if end == SlotEnd::Abandoned {
+            return;
+        }
+        self.last_end = now;
+        let is_failure = f64::from(u8::from(end == SlotEnd::Failed));
+        self.failure_share += (is_failure - self.failure_share) * FAILURE_WEIGHT;
+        if end == SlotEnd::Answered {
+            let seconds = now.since(started).as_secs_f64();
+            let weight = if self.service_seconds > 0.0 {
+                SERVICE_WEIGHT
+            } else {
+                1.0
+            };
+            self.service_seconds += (seconds - self.service_seconds) * weight;
+        }
+    }
+
+    /// Calls in the target and waiting for it against its limit, averaged over a short time.
+    pub fn pressure(&mut self, now: TimePoint) -> f64 {
+        self.average(now);
+        self.pressure
+    }
+
+    #[must_use]
+    pub fn load(&self, now: TimePoint) -> TargetLoad {
+        TargetLoad {
+            running: self.running,
+            waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
+            limit: self.limit,
+            service_time: Duration::from_secs_f64(self.service_seconds),
+            failure_share: self.failure_share,
+            is_stalled: self.is_stalled(now),
+        }
+    }
+
+    fn is_stalled(&self, now: TimePoint) -> bool {
+        let patience = Duration::from_secs_f64(self.service_seconds * STALL_FACTOR);
+        self.running > 0 && now.since(self.last_end) > patience.max(MIN_STALL)
+    }
+
+    fn average(&mut self, now: TimePoint) {
+        let elapsed = now.since(self.pressure_at).as_secs_f64();
+        let kept = (-elapsed / PRESSURE_MEMORY.as_secs_f64()).exp();
+        let waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
+        let current = f64::from(self.running.saturating_add(waiting)) / f64::from(self.limit);
+        self.pressure = self.pressure * kept + current * (1.0 - kept);
+        self.pressure_at = now;
+    }
+}
+
+/// Calls at once that a target of so many slots gets.
+fn limit_of(slots: u32) -> u32 {
+    (slots - slots / RESERVE_SHARE).max(1)
+}
--- /dev/null
+++ b/src/sidecar/tree_cost.rs
@@ -0,0 +1,94 @@
+use {crate::context::ServiceName, std::time::Duration};
+
+/// Header that carries the cost of a call and of all calls below it back to the caller's daemon.
+pub(crate) const TREE_HEADER: &str = "bt-tree";
+
+/// Services that are told of at most; those under the least pressure are left out.
+const MAX_SERVICES: usize = 4;
+const PERCENT: f64 = 100.0;
+
+/// What one service contributed to a call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceCost {
+    pub service: ServiceName,
+    /// Time for which slots of its targets were held.
+    pub slot_time: Duration,
+    /// Calls in the targets against their limits, queued ones included; 1 is full.
+    pub pressure: f64,
+    samples: u32,
+}
+
+/// Slots that a call and the calls below it held, by service.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct TreeCost {
+    services: Vec<ServiceCost>,
+}
+
+impl TreeCost {
+    /// Adds one visit of a service; pressures of several visits are averaged.
+    pub fn add(&mut self, service: &ServiceName, slot_time: Duration, pressure: f64) {
+        let known = self
+            .services
+            .iter_mut()
+            .find(|cost| cost.service == *service);
+        if let Some(cost) = known {
+            cost.slot_time += slot_time;
+            cost.samples += 1;
+            cost.pressure += (pressure - cost.pressure) / f64::from(cost.samples);
+            return;
+        }
+        self.services.push(ServiceCost {
+            service: service.clone(),
+            slot_time,
+            pressure,
+            samples: 1,
+        });
+    }
+
+    pub fn merge(&mut self, other: &Self) {
+        for cost in &other.services {
+            self.add(&cost.service, cost.slot_time, cost.pressure);
+        }
+    }
+
+    #[must_use]
+    pub fn services(&self) -> &[ServiceCost] {
+        &self.services
+    }
+
+    /// The header value.
+    #[must_use]
+    pub fn encode(&self) -> String {
+        let mut costs: Vec<&ServiceCost> = self.services.iter().collect();
+        costs.sort_by(|one, other| other.pressure.total_cmp(&one.pressure));
+        costs.truncate(MAX_SERVICES);
+        let texts = costs.iter().map(|cost| {
+            let micros = cost.slot_time.as_micros();
+            format!("{}={micros}/{:.0}", cost.service, cost.pressure * PERCENT)
+        });
+        texts.collect::<Vec<_>>().join(",")
+    }
+
+    /// Reads a header value; entries that can't be read are left out.
+    #[must_use]
+    pub fn decode(text: &str) -> Self {
+        let mut tree = Self::default();
+        for (service, slot_time, pressure) in text.split(',').filter_map(parse_entry) {
+            if tree.services.len() < MAX_SERVICES {
+                tree.add(&service, slot_time, pressure);
+            }
+        }
+        tree
+    }
+}
+
+fn parse_entry(text: &str) -> Option<(ServiceName, Duration, f64)> {
+    let (service, rest) = text.split_once('=')?;
+    let (micros, percent) = rest.split_once('/')?;
+    let percent: u32 = percent.parse().ok()?;
+    Some((
+        ServiceName::new(service).ok()?,
+        Duration::from_micros(micros.parse().ok()?),
+        f64::from(percent) / PERCENT,
+    ))
+}
--- a/src/time/mod.rs
+++ b/src/time/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! Decisions never read a clock: they are handed a [`TimePoint`].
 
+mod boot_clock;
 mod process_clock;
 mod time_point;
 mod timer_service;
 
+pub use boot_clock::BootClock;
 pub use process_clock::ProcessClock;
 pub use time_point::TimePoint;
 pub use timer_service::{TimerService, TimerTick};
--- a/standins/src/deployment/initial_policy.rs
+++ b/standins/src/deployment/initial_policy.rs
@@ -1,7 +1,7 @@
 use {
     banyantrestle::{
-        platform::{HttpTable, TableStore, TableWrite, WriteCondition},
         policy::{POLICY_KEY, POLICY_TABLE, PolicyDocument},
+        table::{HttpTable, TableStore, TableWrite, WriteCondition},
     },
     serde_json::json,
     std::{net::SocketAddr, time::Duration},
--- a/standins/src/platform/memory_table.rs
+++ b/standins/src/platform/memory_table.rs
@@ -1,6 +1,6 @@
 use {
     super::TableRows,
-    banyantrestle::platform::{TableError, TableRow, TableStore, TableWrite, WriteResult},
+    banyantrestle::table::{TableError, TableRow, TableStore, TableWrite, WriteResult},
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{
         collections::VecDeque,
--- a/standins/src/platform/table_routes.rs
+++ b/standins/src/platform/table_routes.rs
@@ -5,7 +5,7 @@
         platform_standin::SharedState,
         platform_state::PlatformState,
     },
-    banyantrestle::platform::wire::{
+    banyantrestle::table::wire::{
         MAX_BODY_BYTES, OBJECTS_PATH, READ_PATH, ReadAnswer, ReadRequest, SCAN_PATH, ScanAnswer,
         ScanRequest, TRANSACT_PATH, TransactAnswer, TransactRequest,
     },
--- a/standins/src/platform/table_rows.rs
+++ b/standins/src/platform/table_rows.rs
@@ -1,5 +1,5 @@
 use {
-    banyantrestle::platform::{TableRow, TableWrite, WriteCondition, WriteResult},
+    banyantrestle::table::{TableRow, TableWrite, WriteCondition, WriteResult},
     std::{
         collections::BTreeMap,
         ops::Bound::{Excluded, Unbounded},
--- a/tests/chain_claims.rs
+++ b/tests/chain_claims.rs
@@ -4,8 +4,8 @@
     banyantrestle::{
         context::ServiceName,
         daemon::{Daemon, DaemonOptions},
-        platform::{HttpTable, TableStore},
         policy::PolicyDocument,
+        table::{HttpTable, TableStore},
     },
     serde_json::json,
     standins::{
--- a/tests/claims/decoders.rs
+++ b/tests/claims/decoders.rs
@@ -6,7 +6,7 @@
             AnswerRequest, ClaimRecord, CommitAnswer, CommitRequest, HeldClaim, HolderAnswer,
             IdempotencyKey, MAX_KEY_LENGTH,
         },
-        platform::TableRow,
+        table::TableRow,
     },
     proptest::{
         collection::vec,
--- a/tests/claims/process.rs
+++ b/tests/claims/process.rs
@@ -6,7 +6,7 @@
             AnswerRequest, ClaimService, ClaimTransport, CommitAnswer, CommitRequest, HolderAnswer,
             TransportError,
         },
-        platform::{TableError, TableRow, TableStore, TableWrite, WriteResult},
+        table::{TableError, TableRow, TableStore, TableWrite, WriteResult},
     },
     rand::{RngExt, SeedableRng, rngs::StdRng},
     standins::platform::MemoryTable,
--- a/tests/claims/tables.rs
+++ b/tests/claims/tables.rs
@@ -11,7 +11,7 @@
         },
         context::RequestId,
         membership::MemberId,
-        platform::{TableError, TableRow, WriteResult},
+        table::{TableError, TableRow, WriteResult},
         time::TimePoint,
     },
     std::{collections::HashSet, sync::Arc, time::Duration},
--- a/tests/membership_actor.rs
+++ b/tests/membership_actor.rs
@@ -9,7 +9,7 @@
             MEMBER_TABLE, MemberId, MemberState, MemberView, MembershipHandle, MembershipSettings,
             TargetAnnouncement, TargetState,
         },
-        platform::{TableError, TableRow, TableStore, TableWrite, WriteResult},
+        table::{TableError, TableRow, TableStore, TableWrite, WriteResult},
         time::{ProcessClock, TimerService},
     },
     slog::{Discard, Logger, o},
--- a/tests/policy_service.rs
+++ b/tests/policy_service.rs
@@ -5,11 +5,11 @@
         error::{ProcessStep, StepError},
         events::{EventKind, EventLog, EventName},
         membership::MemberId,
-        platform::TableStore,
         policy::{
             ActivePolicy, POLICY_KEY, POLICY_TABLE, PolicyDocument, PolicyParts, PolicyService,
             PolicySource, SubmitError, VersionedPolicy,
         },
+        table::TableStore,
         time::ProcessClock,
     },
     serde_json::Value,
--- a/tests/processes_policy.rs
+++ b/tests/processes_policy.rs
@@ -4,8 +4,8 @@
 
 use {
     banyantrestle::{
-        platform::{HttpTable, TableStore, TableWrite, WriteCondition},
         policy::{POLICY_KEY, POLICY_TABLE},
+        table::{HttpTable, TableStore, TableWrite, WriteCondition},
     },
     fleet::{PATIENCE, ProcessFleet, target_settings, test_policy},
     http::{Method, StatusCode},
--- a/tests/platform.rs
+++ b/tests/table.rs
@@ -1,7 +1,7 @@
 //! The client of the table service against the stand-in, in each of its modes.
 
 use {
-    banyantrestle::platform::{
+    banyantrestle::table::{
         HttpTable, TableError, TableStore, TableWrite, WriteCondition, WriteResult,
     },
     standins::platform::{DownMode, FaultPoint, PlatformMode, PlatformStandin},
