--- a/src/daemon/metrics_recorder.rs
+++ b/src/daemon/metrics_recorder.rs
@@ -12,8 +12,15 @@
     RECORDER.get_or_init(install).clone()
 }
 
+/// Upper bounds of the latency histograms, in seconds.
+const LATENCY_BUCKETS: [f64; 11] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
+];
+
 fn install() -> PrometheusHandle {
-    let recorder = PrometheusBuilder::new().build_recorder();
+    // Buckets need no memory for single samples.
+    let builder = PrometheusBuilder::new().set_buckets(&LATENCY_BUCKETS);
+    let recorder = builder.unwrap_or_default().build_recorder();
     let handle = recorder.handle();
     // Another recorder may be installed by the program that embeds the daemon; it then gets all.
     metrics::set_global_recorder(recorder).ok();
--- a/src/sidecar/forward_call.rs
+++ b/src/sidecar/forward_call.rs
@@ -2,7 +2,9 @@
     super::{HeaderDialect, HopContext, hop_context::HOP_HEADER, tree_cost::TREE_HEADER},
     crate::{
         net::remove_hop_headers,
-        sidecar::{hop_outcome::OUTCOME_HEADER, load_report::LOAD_HEADER},
+        sidecar::{
+            hop_outcome::OUTCOME_HEADER, load_report::LOAD_HEADER, pressure_rumour::RUMOUR_HEADER,
+        },
         time::TimePoint,
     },
     bytes::Bytes,
@@ -15,7 +17,13 @@
 };
 
 /// Headers that only sidecars set.
-const OWN_HEADERS: [&str; 4] = [HOP_HEADER, TREE_HEADER, LOAD_HEADER, OUTCOME_HEADER];
+const OWN_HEADERS: [&str; 5] = [
+    HOP_HEADER,
+    TREE_HEADER,
+    LOAD_HEADER,
+    OUTCOME_HEADER,
+    RUMOUR_HEADER,
+];
 
 /// A request on its way to a target.
 #[derive(Clone, Debug)]
--- a/src/sidecar/front_admission.rs
+++ b/src/sidecar/front_admission.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ServiceValve, TreeCost},
+    super::{PressureRumour, ServiceValve, TreeCost, pressure_rumour::KnownPressure},
     crate::{context::ServiceName, time::TimePoint},
     std::{collections::HashMap, time::Duration},
 };
@@ -79,32 +79,81 @@
         Ok(())
     }
 
-    /// Takes what an answer carried back; the cost counts only if the request ended well.
-    pub fn note(&mut self, now: TimePoint, route: &str, rank: u8, tree: &TreeCost, is_whole: bool) {
+    /// Takes the pressure of the services that a call has met.
+    pub fn note_pressures(&mut self, now: TimePoint, tree: &TreeCost) {
         for cost in tree.services() {
-            if let Some(valve) = self.valves.get_mut(&cost.service) {
+            if let Some(valve) = self.valve_mut(now, &cost.service) {
                 valve.note_pressure(now, cost.pressure);
-            } else if self.valves.len() < MAX_SERVICES {
-                let valve = ServiceValve::new(now);
-                self.valves.insert(cost.service.clone(), valve);
             }
         }
-        if is_whole && (self.routes.len() < MAX_ROUTES || self.routes.contains_key(route)) {
+    }
+
+    /// Takes the pressure of one target of a service.
+    pub fn note_own(&mut self, now: TimePoint, service: &ServiceName, pressure: f64) {
+        if let Some(valve) = self.valve_mut(now, service) {
+            valve.note_pressure(now, pressure);
+        }
+    }
+
+    /// Takes what a request that ended well has cost.
+    pub fn note_cost(&mut self, route: &str, rank: u8, tree: &TreeCost) {
+        if self.routes.len() < MAX_ROUTES || self.routes.contains_key(route) {
             let row = self.routes.entry(route.to_owned()).or_default();
             row.rank = rank;
             row.observe(tree);
         }
     }
 
+    /// Takes what another daemon knows of loaded services.
+    pub fn hear(&mut self, now: TimePoint, rumour: &PressureRumour) {
+        for known in rumour.services() {
+            if let Some(valve) = self.valve_mut(now, &known.service) {
+                valve.hear_pressure(now, known.pressure, known.age);
+            }
+        }
+    }
+
+    /// The most loaded services, for other daemons; empty while none is loaded.
+    #[must_use]
+    pub fn rumour(&self, now: TimePoint) -> PressureRumour {
+        let valves = self.valves.iter();
+        let known = valves.map(|(service, valve)| KnownPressure {
+            service: service.clone(),
+            pressure: valve.pressure(),
+            age: valve.age(now),
+        });
+        PressureRumour::new(known)
+    }
+
+    /// All valves, for logs and metrics.
+    pub fn valves(&self) -> impl Iterator<Item = (&ServiceName, &ServiceValve)> {
+        self.valves.iter()
+    }
+
+    fn valve_mut(&mut self, now: TimePoint, service: &ServiceName) -> Option<&mut ServiceValve> {
+        if !self.valves.contains_key(service) {
+            if self.valves.len() >= MAX_SERVICES {
+                return None;
+            }
+            let valve = ServiceValve::new(now);
+            self.valves.insert(service.clone(), valve);
+        }
+        self.valves.get_mut(service)
+    }
+
     /// The valve of a service, if answers have told of it.
     #[must_use]
     pub fn valve(&self, service: &ServiceName) -> Option<&ServiceValve> {
         self.valves.get(service)
     }
 
-    pub fn tick(&mut self, now: TimePoint) {
-        for valve in self.valves.values_mut() {
-            valve.tick(now);
+    /// Moves the rates; `fair_share` is the share of one front in the slots of a service.
+    pub fn tick<F>(&mut self, now: TimePoint, fair_share: F)
+    where
+        F: Fn(&ServiceName) -> f64,
+    {
+        for (service, valve) in &mut self.valves {
+            valve.tick(now, fair_share(service));
         }
     }
 
--- a/src/sidecar/hop_service.rs
+++ b/src/sidecar/hop_service.rs
@@ -8,6 +8,7 @@
         load_report::LOAD_HEADER,
         peer_call::WHOLE_ANSWER_BYTES,
         plan_watch::PLAN_PATH,
+        pressure_rumour::RUMOUR_HEADER,
         sidecar_state::SidecarState,
         slot_desk::{SlotRefusal, SlotTicket},
         tree_cost::TREE_HEADER,
@@ -99,6 +100,10 @@
     if let Some(load) = load {
         set_header(headers, LOAD_HEADER, &load.encode());
     }
+    let rumour = state.admission().rumour(state.clock.now());
+    if !rumour.services().is_empty() {
+        set_header(headers, RUMOUR_HEADER, &rumour.encode());
+    }
     if !outcome.tree.services().is_empty() {
         set_header(headers, TREE_HEADER, &outcome.tree.encode());
     }
@@ -153,7 +158,10 @@
     };
     let mut tree = place.call.cost();
     let slot_time = state.clock.now().since(started);
-    tree.add(&context.service, slot_time, target.desk.pressure());
+    let pressure = target.desk.pressure();
+    tree.add(&context.service, slot_time, pressure);
+    let now = state.clock.now();
+    state.admission().note_own(now, &context.service, pressure);
     HopOutcome {
         result,
         tree,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -37,6 +37,7 @@
 mod peer_table;
 mod plan_watch;
 mod platform_dialect;
+mod pressure_rumour;
 mod repeat_budget;
 mod repeat_rule;
 mod route_plan;
@@ -58,6 +59,7 @@
     hop_context::{HopContext, MAX_HOPS},
     peer_table::{PeerEnd, PeerTable},
     platform_dialect::{FeedAnswer, HeaderDialect, PlanRow, PlanSource, PlatformDialect},
+    pressure_rumour::{KnownPressure, PressureRumour},
     repeat_budget::{RepeatBounds, RepeatBudget},
     repeat_rule::{AttemptEnd, AttemptHistory, NextStep},
     route_plan::{CallerLimits, RoutePlan},
--- a/src/sidecar/outbound_service.rs
+++ b/src/sidecar/outbound_service.rs
@@ -253,13 +253,12 @@
     tree: &TreeCost,
     is_whole: bool,
 ) {
+    let mut admission = state.admission();
+    admission.note_pressures(state.clock.now(), tree);
     match parent {
         Some(parent) => parent.note_cost(tree),
-        None => {
-            let now = state.clock.now();
-            let mut admission = state.admission();
-            admission.note(now, &rule.name, rule.rank, tree, is_whole);
-        }
+        None if is_whole => admission.note_cost(&rule.name, rule.rank, tree),
+        None => {}
     }
 }
 
--- a/src/sidecar/peer_call.rs
+++ b/src/sidecar/peer_call.rs
@@ -1,10 +1,11 @@
 use {
     super::{
-        HopContext, PeerEnd, PlatformDialect, TargetLoad, TreeCost,
+        HopContext, PeerEnd, PlatformDialect, PressureRumour, TargetLoad, TreeCost,
         forward_call::ForwardCall,
         hop_outcome::{HopFailure, HopOutcome, OUTCOME_HEADER},
         hop_service::run_here,
         load_report::LOAD_HEADER,
+        pressure_rumour::RUMOUR_HEADER,
         sidecar_state::SidecarState,
         tree_cost::TREE_HEADER,
     },
@@ -130,6 +131,10 @@
     let tree = take_text(&mut head.headers, TREE_HEADER);
     let load = take_text(&mut head.headers, LOAD_HEADER);
     let failure = take_text(&mut head.headers, OUTCOME_HEADER);
+    if let Some(text) = take_text(&mut head.headers, RUMOUR_HEADER) {
+        let rumour = PressureRumour::decode(&text);
+        state.admission().hear(state.clock.now(), &rumour);
+    }
     let tree = tree.map_or_else(TreeCost::default, |text| TreeCost::decode(&text));
     let load = load.and_then(|text| TargetLoad::decode(&text));
     let result = match failure {
--- a/src/sidecar/peer_table.rs
+++ b/src/sidecar/peer_table.rs
@@ -106,6 +106,13 @@
         self.services.get(service).map_or(0, Vec::len)
     }
 
+    /// Calls that all targets of a service run at once.
+    #[must_use]
+    pub fn total_limit(&self, service: &ServiceName) -> f64 {
+        let entries = self.services.get(service).into_iter().flatten();
+        entries.map(PeerEntry::limit).sum()
+    }
+
     /// Chooses a target that is not in `tried` and counts the call as out.
     pub fn choose<R: Rng>(
         &mut self,
--- a/src/sidecar/sidecar_daemon.rs
+++ b/src/sidecar/sidecar_daemon.rs
@@ -34,6 +34,8 @@
 
 /// Time between two rounds of admission.
 const ADMISSION_TICK: Duration = Duration::from_millis(50);
+/// Time between two lines about what is loaded.
+const REPORT_TICK: Duration = Duration::from_secs(1);
 /// Time between two looks at whether the target is lost.
 const EXPIRY_TICK: Duration = Duration::from_millis(500);
 /// Time after the configuration at which a sidecar serves even if it knows no target yet.
@@ -138,12 +140,19 @@
         tokio::spawn(become_ready(self.state.clone()));
         tokio::spawn(watch_target(self.state.clone()));
         let state = Arc::downgrade(&self.state);
+        timers.run(REPORT_TICK, move |_| {
+            let Some(state) = state.upgrade() else {
+                return false;
+            };
+            state.report_load();
+            true
+        });
+        let state = Arc::downgrade(&self.state);
         timers.run(ADMISSION_TICK, move |_| {
             let Some(state) = state.upgrade() else {
                 return false;
             };
-            let now = state.clock.now();
-            state.admission().tick(now);
+            state.tick_admission();
             true
         });
     }
--- a/src/sidecar/sidecar_state.rs
+++ b/src/sidecar/sidecar_state.rs
@@ -4,8 +4,9 @@
         TargetRegister, decision_log::DecisionLog, live_target::LiveTarget,
         running_calls::RunningCalls,
     },
-    crate::{membership::MembershipHandle, net::MeshPool, time::BootClock},
+    crate::{context::ServiceName, membership::MembershipHandle, net::MeshPool, time::BootClock},
     bytes::Bytes,
+    metrics::gauge,
     metrics_exporter_prometheus::PrometheusHandle,
     std::sync::{Arc, Mutex, MutexGuard, PoisonError},
     strum::{Display, IntoStaticStr},
@@ -88,6 +89,45 @@
         self.repeats.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Moves what the front admits; each daemon has an equal share of the slots of a service.
+    pub(crate) fn tick_admission(&self) {
+        let members = self.membership.view().borrow().members.len().max(1);
+        let fronts = f64::from(u32::try_from(members).unwrap_or(u32::MAX));
+        let peers = self.peers();
+        let share = |service: &ServiceName| peers.total_limit(service) / fronts;
+        self.admission().tick(self.clock.now(), share);
+    }
+
+    /// Writes what is loaded to the log and the metrics, and empties the recorder's backlog.
+    pub(crate) fn report_load(&self) {
+        self.recorder.run_upkeep();
+        let admission = self.admission();
+        for (service, valve) in admission.valves() {
+            let label = service.to_string();
+            gauge!("banyantrestle_pressure", "service" => label.clone()).set(valve.pressure());
+            if let Some(rate) = valve.rate() {
+                gauge!("banyantrestle_admitted_rate", "service" => label).set(rate);
+                slog::info!(self.log.logger, "service held back"; "service" => %service,
+                    "pressure" => valve.pressure(), "rate" => rate,
+                    "admitted" => valve.admitted(), "age_ms" => valve.age(self.clock.now()).as_millis());
+            }
+        }
+        drop(admission);
+        let live = self.target().live.clone();
+        if let Some(target) = live {
+            let load = target.desk.load();
+            gauge!("banyantrestle_target_running").set(load.running);
+            gauge!("banyantrestle_target_waiting").set(load.waiting);
+            gauge!("banyantrestle_target_limit").set(load.limit);
+            if load.waiting > 0 {
+                slog::info!(self.log.logger, "target loaded"; "running" => load.running,
+                    "waiting" => load.waiting, "limit" => load.limit,
+                    "service_ms" => load.service_time.as_secs_f64() * 1_000.0,
+                    "failures" => load.failure_share, "stalled" => load.is_stalled);
+            }
+        }
+    }
+
     /// Moves on to `phase`; phases never go back.
     pub(crate) fn enter(&self, phase: SidecarPhase) {
         let is_moved = self.phase.send_if_modified(|current| {
--- a/src/sidecar/tree_cost.rs
+++ b/src/sidecar/tree_cost.rs
@@ -15,7 +15,6 @@
     pub slot_time: Duration,
     /// Calls in the targets against their limits, queued ones included; 1 is full.
     pub pressure: f64,
-    samples: u32,
 }
 
 /// Slots that a call and the calls below it held, by service.
@@ -25,7 +24,7 @@
 }
 
 impl TreeCost {
-    /// Adds one visit of a service; pressures of several visits are averaged.
+    /// Adds one visit of a service; the pressure of the latest visit stands.
     pub fn add(&mut self, service: &ServiceName, slot_time: Duration, pressure: f64) {
         let known = self
             .services
@@ -33,15 +32,13 @@
             .find(|cost| cost.service == *service);
         if let Some(cost) = known {
             cost.slot_time += slot_time;
-            cost.samples += 1;
-            cost.pressure += (pressure - cost.pressure) / f64::from(cost.samples);
+            cost.pressure = pressure;
             return;
         }
         self.services.push(ServiceCost {
             service: service.clone(),
             slot_time,
             pressure,
-            samples: 1,
         });
     }
 
