Pressure of a service is the mean over its targets, and free slots go before fast targets

Cause: a play of the load in logical time (tests/sidecar/load_play.rs) left half of the deep service's slots idle. Callers preferred the fastest target until its queue cost as much as a slow one's service, and that queue, reported by the busiest target most often, closed the fronts. Callers now report the mean over all targets that they have fresh loads of, and waiting weighs three times as much as service.

Also: the log lines of hops and targets are bounded; a sidecar that stops serves its target's callers a little longer before it leaves; decision tests of the sidecar.

--- a/src/sidecar/front_admission.rs
+++ b/src/sidecar/front_admission.rs
@@ -79,17 +79,8 @@
         Ok(())
     }
 
-    /// Takes the pressure of the services that a call has met.
-    pub fn note_pressures(&mut self, now: TimePoint, tree: &TreeCost) {
-        for cost in tree.services() {
-            if let Some(valve) = self.valve_mut(now, &cost.service) {
-                valve.note_pressure(now, cost.pressure);
-            }
-        }
-    }
-
-    /// Takes the pressure of one target of a service.
-    pub fn note_own(&mut self, now: TimePoint, service: &ServiceName, pressure: f64) {
+    /// Takes the pressure of a service, as measured now.
+    pub fn note_pressure(&mut self, now: TimePoint, service: &ServiceName, pressure: f64) {
         if let Some(valve) = self.valve_mut(now, service) {
             valve.note_pressure(now, pressure);
         }
--- a/src/sidecar/hop_service.rs
+++ b/src/sidecar/hop_service.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         HopContext, PlatformDialect, SlotEnd,
+        decision_log::LineWeight,
         forward_call::{ForwardCall, header_text},
         hop_context::HOP_HEADER,
         hop_outcome::{HopFailure, HopOutcome, OUTCOME_HEADER, RelayBody},
@@ -158,10 +159,7 @@
     };
     let mut tree = place.call.cost();
     let slot_time = state.clock.now().since(started);
-    let pressure = target.desk.pressure();
-    tree.add(&context.service, slot_time, pressure);
-    let now = state.clock.now();
-    state.admission().note_own(now, &context.service, pressure);
+    tree.add(&context.service, slot_time, target.desk.pressure());
     HopOutcome {
         result,
         tree,
@@ -227,8 +225,10 @@
                 SendFailure::NotSent(_) => HopFailure::ConnectFailed,
                 SendFailure::Broken(_) | SendFailure::TimedOut(_) => HopFailure::TargetBroken,
             };
-            slog::info!(state.log.logger, "target failed"; "request" => &call.id,
-                "failure" => %kind, "error" => %failure.into_error());
+            if state.log.has_room(LineWeight::Trouble) {
+                slog::info!(state.log.logger, "target failed"; "request" => &call.id,
+                    "failure" => %kind, "error" => %failure.into_error());
+            }
             Err(kind)
         }
     }
@@ -280,8 +280,10 @@
         }
         Err(error) => {
             ticket.end(SlotEnd::Failed);
-            slog::info!(state.log.logger, "answer of the target broke off";
-                "request" => &call.id, "error" => %error);
+            if state.log.has_room(LineWeight::Trouble) {
+                slog::info!(state.log.logger, "answer of the target broke off";
+                    "request" => &call.id, "error" => %error);
+            }
             Err(HopFailure::BadAnswer)
         }
     }
--- a/src/sidecar/outbound_service.rs
+++ b/src/sidecar/outbound_service.rs
@@ -10,6 +10,7 @@
         sidecar_state::{SidecarPhase, SidecarState},
     },
     crate::{
+        context::ServiceName,
         net::{RequestError, read_request},
         sidecar::AttemptEnd,
         time::TimePoint,
@@ -166,7 +167,8 @@
                 None => Err(FinalReason::Unknown),
             };
         };
-        let outcome = offer(state, call, &context, mesh).await;
+        let mut outcome = offer(state, call, &context, mesh).await;
+        note_pressure(state, &context.service, &mut outcome.tree);
         let is_whole = is_success(&outcome.result);
         note_tree(state, rule, parent.as_deref(), &outcome.tree, is_whole);
         let has_calls_below = outcome.has_calls_below();
@@ -246,6 +248,20 @@
     length.is_some_and(|length| length > limit)
 }
 
+/// Takes the pressure of the called service into the admission and the tree.
+fn note_pressure<D: PlatformDialect>(
+    state: &SidecarState<D>,
+    service: &ServiceName,
+    tree: &mut TreeCost,
+) {
+    let now = state.clock.now();
+    let pressure = state.peers().pressure(now, service);
+    if let Some(pressure) = pressure {
+        tree.set_pressure(service, pressure);
+        state.admission().note_pressure(now, service, pressure);
+    }
+}
+
 fn note_tree<D: PlatformDialect>(
     state: &SidecarState<D>,
     rule: &RouteRule,
@@ -253,11 +269,9 @@
     tree: &TreeCost,
     is_whole: bool,
 ) {
-    let mut admission = state.admission();
-    admission.note_pressures(state.clock.now(), tree);
     match parent {
         Some(parent) => parent.note_cost(tree),
-        None if is_whole => admission.note_cost(&rule.name, rule.rank, tree),
+        None if is_whole => state.admission().note_cost(&rule.name, rule.rank, tree),
         None => {}
     }
 }
--- a/src/sidecar/peer_call.rs
+++ b/src/sidecar/peer_call.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         HopContext, PeerEnd, PlatformDialect, PressureRumour, TargetLoad, TreeCost,
+        decision_log::LineWeight,
         forward_call::ForwardCall,
         hop_outcome::{HopFailure, HopOutcome, OUTCOME_HEADER},
         hop_service::run_here,
@@ -114,9 +115,11 @@
                 SendFailure::NotSent(_) => HopFailure::Unreachable,
                 SendFailure::Broken(_) | SendFailure::TimedOut(_) => HopFailure::HopBroken,
             };
-            slog::info!(state.log.logger, "hop failed";
-                "request" => &call.id, "peer" => %mesh, "failure" => %kind,
-                "error" => %failure.into_error());
+            if state.log.has_room(LineWeight::Trouble) {
+                slog::info!(state.log.logger, "hop failed";
+                    "request" => &call.id, "peer" => %mesh, "failure" => %kind,
+                    "error" => %failure.into_error());
+            }
             HopOutcome::failed(kind)
         }
     }
@@ -150,8 +153,10 @@
                 Ok(Response::from_parts(head, body))
             }
             Err(error) => {
-                slog::info!(state.log.logger, "answer broke off between sidecars";
-                    "service" => %context.service, "error" => %error);
+                if state.log.has_room(LineWeight::Trouble) {
+                    slog::info!(state.log.logger, "answer broke off between sidecars";
+                        "service" => %context.service, "error" => %error);
+                }
                 Err(HopFailure::HopBroken)
             }
         },
--- a/src/sidecar/peer_table.rs
+++ b/src/sidecar/peer_table.rs
@@ -13,6 +13,8 @@
 const SAMPLES: usize = 3;
 /// Time that a call to another data centre takes longer, with the cost of its bytes.
 const REMOTE_PENALTY: Duration = Duration::from_millis(4);
+/// Weight of waiting against service: a free slot is worth a slower target.
+const WAIT_WEIGHT: f64 = 3.0;
 /// Service time of a target that has reported none.
 const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(30);
 /// Age from which a reported load no longer counts.
@@ -113,6 +115,23 @@
         entries.map(PeerEntry::limit).sum()
     }
 
+    /// Calls in the targets of a service and before them, against their limits; `None` unless most
+    /// of them have reported of late.
+    ///
+    /// A fast target has a queue while slow ones have none, so a single one says little.
+    #[must_use]
+    pub fn pressure(&self, now: TimePoint, service: &ServiceName) -> Option<f64> {
+        let entries = self.services.get(service)?;
+        let fresh = entries.iter().filter_map(|entry| entry.fresh_load(now));
+        let (mut count, mut calls, mut limit) = (0, 0.0, 0.0);
+        for load in fresh {
+            count += 1;
+            calls += f64::from(load.running.saturating_add(load.waiting));
+            limit += f64::from(load.limit);
+        }
+        (count * 2 > entries.len()).then(|| calls / limit)
+    }
+
     /// Chooses a target that is not in `tried` and counts the call as out.
     pub fn choose<R: Rng>(
         &mut self,
@@ -228,7 +247,7 @@
         } else {
             REMOTE_PENALTY.as_secs_f64()
         };
-        (wait + service * crowding + penalty) / self.reliability(now)
+        (wait * WAIT_WEIGHT + service * crowding + penalty) / self.reliability(now)
     }
 
     fn finish(&mut self, now: TimePoint, end: PeerEnd, load: Option<TargetLoad>) {
--- a/src/sidecar/service_valve.rs
+++ b/src/sidecar/service_valve.rs
@@ -55,7 +55,7 @@
     pub fn new(now: TimePoint) -> Self {
         Self {
             pressure: 0.0,
-            reported: now,
+            reported: TimePoint::ORIGIN,
             rate: None,
             tokens: 0.0,
             admitted: 0.0,
@@ -87,7 +87,7 @@
         now.since(self.reported)
     }
 
-    /// Takes the pressure of one target of the service, as measured now.
+    /// Takes the pressure of the service, as measured now.
     pub fn note_pressure(&mut self, now: TimePoint, pressure: f64) {
         let elapsed = now.since(self.reported).as_secs_f64();
         let kept = (-elapsed / PRESSURE_MEMORY.as_secs_f64()).exp();
--- a/src/sidecar/sidecar_shutdown.rs
+++ b/src/sidecar/sidecar_shutdown.rs
@@ -4,6 +4,8 @@
     tokio::time::{Instant, interval},
 };
 
+/// Time for which the target still takes calls of other sidecars; what they send ends by then.
+const SERVE_TIME: Duration = Duration::from_millis(1_300);
 /// Time for which callers still come after the platform was told to send them elsewhere.
 const LEAVE_TIME: Duration = Duration::from_millis(2_300);
 /// Time without work after which nothing more is expected.
@@ -20,15 +22,20 @@
         let start = Instant::now();
         let end = start + self.state.settings.grace.mul_f64(END_SHARE);
         self.state.enter(SidecarPhase::Leaving);
-        self.state.membership.leave().await;
         let mut checks = interval(CHECK_PERIOD);
         let mut quiet_since = Instant::now();
         let mut is_refusing = false;
+        let mut is_left = false;
         while Instant::now() < end {
             checks.tick().await;
             if !self.state.work.is_empty() || !self.state.running.is_empty() {
                 quiet_since = Instant::now();
             }
+            if !is_left && start.elapsed() > SERVE_TIME {
+                is_left = true;
+                let membership = self.state.membership.clone();
+                tokio::spawn(async move { membership.leave().await });
+            }
             if !is_refusing && start.elapsed() > LEAVE_TIME {
                 is_refusing = true;
                 self.outbound_gate.draining.cancel();
--- a/src/sidecar/tree_cost.rs
+++ b/src/sidecar/tree_cost.rs
@@ -42,6 +42,14 @@
         });
     }
 
+    /// Puts the pressure of a whole service in place of that of one target.
+    pub fn set_pressure(&mut self, service: &ServiceName, pressure: f64) {
+        let mut services = self.services.iter_mut();
+        if let Some(cost) = services.find(|cost| cost.service == *service) {
+            cost.pressure = pressure;
+        }
+    }
+
     pub fn merge(&mut self, other: &Self) {
         for cost in &other.services {
             self.add(&cost.service, cost.slot_time, cost.pressure);
--- /dev/null
+++ b/tests/sidecar/budget.rs
@@ -0,0 +1,63 @@
+use {
+    banyantrestle::{
+        sidecar::{RepeatBounds, RepeatBudget},
+        time::TimePoint,
+    },
+    std::time::Duration,
+};
+
+const BOUNDS: RepeatBounds = RepeatBounds {
+    ratio: 0.2,
+    window: Duration::from_secs(10),
+    slack: 50.0,
+};
+const TARGETS: usize = 4;
+
+/// Repeats that one target grants while it gets `firsts` first arrivals a second.
+fn granted(firsts: u32, seconds: u64, is_inherited: bool) -> Vec<u32> {
+    let mut budget = RepeatBudget::new(BOUNDS, TimePoint::ORIGIN);
+    let mut granted = Vec::new();
+    for second in 0..seconds {
+        let now = TimePoint::from_millis(second * 1_000 + 500);
+        for _ in 0..firsts {
+            budget.note_first(now);
+        }
+        let repeats = (0..1_000).filter(|_| budget.take_repeat(now, is_inherited, TARGETS));
+        granted.push(u32::try_from(repeats.count()).expect("a small count"));
+    }
+    granted
+}
+
+#[test]
+fn any_window_stays_within_the_bound_of_the_service() {
+    for firsts in [0, 3, 100] {
+        for is_inherited in [false, true] {
+            let granted = granted(firsts, 60, is_inherited);
+            for window in granted.windows(10) {
+                let repeats: u32 = window.iter().sum();
+                let all = f64::from(repeats) * 4.0;
+                let bound = 0.2 * f64::from(firsts * 10) * 4.0 + 50.0;
+                assert!(all <= bound, "{firsts} firsts: {all} of {bound}");
+            }
+        }
+    }
+}
+
+#[test]
+fn calls_below_a_repeat_have_more_room_than_new_repeats() {
+    let own: u32 = granted(100, 30, false).iter().sum();
+    let inherited: u32 = granted(100, 30, true).iter().sum();
+    assert!(own > 0);
+    assert!(inherited > own, "{inherited} against {own}");
+}
+
+#[test]
+fn an_idle_span_forgets_what_was_before() {
+    let mut budget = RepeatBudget::new(BOUNDS, TimePoint::ORIGIN);
+    for _ in 0..1_000 {
+        budget.note_first(TimePoint::ORIGIN);
+    }
+    let later = TimePoint::from_millis(3_600_000);
+    let grants = (0..1_000).filter(|_| budget.take_repeat(later, true, 1));
+    assert_eq!(grants.count(), 40);
+}
--- /dev/null
+++ b/tests/sidecar/contexts.rs
@@ -0,0 +1,116 @@
+use {
+    banyantrestle::{
+        context::ServiceName,
+        sidecar::{HopContext, KnownPressure, MAX_HOPS, PressureRumour, TargetLoad, TreeCost},
+        time::TimePoint,
+    },
+    proptest::prelude::*,
+    std::time::Duration,
+};
+
+fn service(name: &str) -> ServiceName {
+    ServiceName::new(name).expect("a valid name")
+}
+
+proptest! {
+    #[test]
+    fn a_context_survives_the_hop(
+        rank: u8,
+        age in 0..100_000_u64,
+        left in 0..100_000_u64,
+        depth in 0..=MAX_HOPS,
+        attempt: u8,
+        is_inherited_repeat: bool,
+        is_idempotent: bool,
+    ) {
+        let now = TimePoint::from_millis(200_000);
+        let context = HopContext {
+            service: service("a"),
+            caller: service("b"),
+            rank,
+            root_start: now - Duration::from_millis(age),
+            deadline: now + Duration::from_millis(left),
+            depth,
+            attempt,
+            is_inherited_repeat,
+            is_idempotent,
+        };
+        let text = context.encode(now);
+        prop_assert_eq!(HopContext::decode(&text, now), Some(context));
+    }
+
+    #[test]
+    fn hostile_headers_are_read_without_harm(text in ".{0,300}") {
+        let now = TimePoint::ORIGIN;
+        let _ = HopContext::decode(&text, now);
+        let _ = TargetLoad::decode(&text);
+        prop_assert!(TreeCost::decode(&text).services().len() <= 4);
+        prop_assert!(PressureRumour::decode(&text).services().len() <= 2);
+    }
+}
+
+#[test]
+fn contexts_out_of_bounds_are_refused() {
+    let now = TimePoint::ORIGIN;
+    let cases = [
+        "",
+        "a;b;1;0;100;0;0",
+        "a;b;1;0;100;0;0;;",
+        "a;b;1;0;100;33;0;",
+        "a;b;1;0;100;0;0;x",
+        "a;b;256;0;100;0;0;",
+        "a;b;1;0;3600001;0;0;",
+        "A;b;1;0;100;0;0;",
+    ];
+    for text in cases {
+        assert_eq!(HopContext::decode(text, now), None, "{text:?}");
+    }
+    assert!(HopContext::decode("a;b;1;0;100;0;0;", now).is_some());
+}
+
+#[test]
+fn a_tree_adds_up_by_service() {
+    let mut below = TreeCost::default();
+    below.add(&service("deep"), Duration::from_millis(20), 1.5);
+    below.add(&service("deep"), Duration::from_millis(30), 0.5);
+    let mut tree = TreeCost::default();
+    tree.add(&service("top"), Duration::from_millis(100), 0.1);
+    tree.merge(&below);
+    let read = TreeCost::decode(&tree.encode());
+    let found: Vec<_> = read
+        .services()
+        .iter()
+        .map(|cost| {
+            (
+                cost.service.as_str(),
+                cost.slot_time.as_millis(),
+                cost.pressure,
+            )
+        })
+        .collect();
+    assert_eq!(found, [("deep", 50, 0.5), ("top", 100, 0.1)]);
+}
+
+#[test]
+fn a_rumour_tells_of_the_most_loaded_services_only() {
+    let known = |name: &str, pressure, age| KnownPressure {
+        service: service(name),
+        pressure,
+        age: Duration::from_millis(age),
+    };
+    let all = [
+        known("calm", 0.3, 10),
+        known("hot", 1.2, 10),
+        known("hotter", 2.0, 10),
+        known("stale", 3.0, 5_000),
+        known("warm", 0.8, 10),
+    ];
+    let rumour = PressureRumour::new(all.into_iter());
+    let read = PressureRumour::decode(&rumour.encode());
+    let names: Vec<_> = read
+        .services()
+        .iter()
+        .map(|known| known.service.as_str())
+        .collect();
+    assert_eq!(names, ["hotter", "hot"]);
+}
--- /dev/null
+++ b/tests/sidecar/peers.rs
@@ -0,0 +1,162 @@
+use {
+    banyantrestle::{
+        context::ServiceName,
+        membership::{
+            MemberId, MemberRecord, MemberState, MemberView, TargetAnnouncement, TargetState,
+        },
+        sidecar::{PeerEnd, PeerTable, TargetLoad},
+        time::TimePoint,
+    },
+    rand::{SeedableRng, rngs::SmallRng},
+    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
+};
+
+const NOW: TimePoint = TimePoint::from_millis(10_000);
+
+fn service() -> ServiceName {
+    ServiceName::new("a").expect("a valid name")
+}
+
+fn mesh(index: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, index], 80))
+}
+
+fn record(index: u8, state: TargetState) -> Arc<MemberRecord> {
+    Arc::new(MemberRecord {
+        id: MemberId {
+            address: SocketAddr::from(([10, 0, 0, index], 81)),
+            started_ms: 1,
+        },
+        incarnation: 1,
+        state: MemberState::Alive,
+        region: "r".into(),
+        data_centre: "d".into(),
+        mesh: mesh(index),
+        admin: mesh(index),
+        target: Some(TargetAnnouncement {
+            service: service(),
+            address: mesh(index),
+            slots: 10,
+            connections: 10,
+            state,
+            health_path: None,
+            load_path: None,
+        }),
+        policy_version: 0,
+    })
+}
+
+fn table(count: u8) -> PeerTable {
+    let view = MemberView {
+        members: (1..=count)
+            .map(|index| record(index, TargetState::Serving))
+            .collect(),
+    };
+    let mut table = PeerTable::new("d".into());
+    table.update(NOW, &view);
+    table
+}
+
+fn load(running: u32, waiting: u32, service_ms: u64) -> TargetLoad {
+    TargetLoad {
+        running,
+        waiting,
+        limit: 10,
+        service_time: Duration::from_millis(service_ms),
+        failure_share: 0.0,
+        is_stalled: false,
+    }
+}
+
+/// Reports a load of a target, as the answer to one call carries it.
+fn report(table: &mut PeerTable, index: u8, end: PeerEnd, load: Option<TargetLoad>) {
+    table.finish(NOW, &service(), mesh(index), end, load);
+}
+
+/// How often each target is chosen, each call ending at once.
+fn shares(table: &mut PeerTable) -> HashMap<SocketAddr, u32> {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut shares = HashMap::new();
+    for _ in 0..1_000 {
+        let chosen = table.choose(NOW, &service(), &[], &mut rng);
+        let chosen = chosen.expect("a target");
+        table.finish(NOW, &service(), chosen, PeerEnd::Abandoned, None);
+        *shares.entry(chosen).or_default() += 1;
+    }
+    shares
+}
+
+fn share(table: &mut PeerTable, index: u8) -> u32 {
+    shares(table).get(&mesh(index)).copied().unwrap_or_default()
+}
+
+#[test]
+fn a_queue_sends_calls_elsewhere() {
+    let mut table = table(3);
+    report(&mut table, 1, PeerEnd::Answered, Some(load(10, 20, 50)));
+    report(&mut table, 2, PeerEnd::Answered, Some(load(5, 0, 50)));
+    report(&mut table, 3, PeerEnd::Answered, Some(load(5, 0, 50)));
+    assert!(share(&mut table, 1) < 60);
+}
+
+#[test]
+fn a_slow_target_gets_less() {
+    let mut table = table(2);
+    report(&mut table, 1, PeerEnd::Answered, Some(load(5, 0, 200)));
+    report(&mut table, 2, PeerEnd::Answered, Some(load(5, 0, 50)));
+    assert!(share(&mut table, 1) < 30);
+}
+
+#[test]
+fn refusals_and_broken_connections_spare_a_target() {
+    for end in [PeerEnd::Refused, PeerEnd::Unreachable] {
+        let mut table = table(2);
+        report(&mut table, 1, end, None);
+        assert_eq!(share(&mut table, 1), 0, "{end:?}");
+    }
+}
+
+#[test]
+fn the_last_target_is_used_whatever_it_did() {
+    let mut table = table(1);
+    report(&mut table, 1, PeerEnd::Unreachable, None);
+    assert_eq!(share(&mut table, 1), 1_000);
+}
+
+#[test]
+fn a_target_that_fails_fast_is_not_attractive() {
+    let mut table = table(2);
+    let grey = TargetLoad {
+        failure_share: 0.5,
+        ..load(1, 0, 10)
+    };
+    report(&mut table, 1, PeerEnd::Failed, Some(grey));
+    report(&mut table, 2, PeerEnd::Answered, Some(load(5, 0, 18)));
+    assert!(share(&mut table, 1) < 500);
+}
+
+#[test]
+fn a_draining_target_leaves_the_table() {
+    let mut table = table(2);
+    let view = MemberView {
+        members: vec![
+            record(1, TargetState::Draining),
+            record(2, TargetState::Serving),
+        ],
+    };
+    table.update(NOW, &view);
+    assert_eq!(table.count(&service()), 1);
+    assert_eq!(share(&mut table, 1), 0);
+}
+
+#[test]
+fn tried_targets_are_not_chosen_again() {
+    let mut table = table(2);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let first = table.choose(NOW, &service(), &[], &mut rng).expect("one");
+    let second = table.choose(NOW, &service(), &[first], &mut rng);
+    let second = second.expect("the other");
+    assert_ne!(first, second);
+    let none = table.choose(NOW, &service(), &[first, second], &mut rng);
+    assert_eq!(none, None);
+}
--- /dev/null
+++ b/tests/sidecar/routes.rs
@@ -0,0 +1,75 @@
+use {
+    banyantrestle::{
+        context::ServiceName,
+        sidecar::{CallerLimits, RepeatSafety, RoutePlan, RouteRule, SplitPart},
+    },
+    std::time::Duration,
+};
+
+fn service(name: &str) -> ServiceName {
+    ServiceName::new(name).expect("a valid name")
+}
+
+fn rule(name: &str, host: &str, prefix: &str, split: &[(&str, u32)]) -> RouteRule {
+    let part = |(name, weight): &(&str, u32)| SplitPart {
+        service: service(name),
+        weight: *weight,
+    };
+    RouteRule {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        safety: RepeatSafety::Idempotent,
+        timeout: Duration::from_secs(1),
+        latency_objective: Duration::from_millis(300),
+        max_attempts: 2,
+        rank: 1,
+        split: split.iter().map(part).collect(),
+    }
+}
+
+fn plan() -> RoutePlan {
+    let rules = [
+        rule("root", "one.example", "/", &[("a", 1)]),
+        rule("books", "one.example", "/books/", &[("a", 1)]),
+        rule("old", "one.example", "/books/old/", &[("a", 1)]),
+        rule("other", "two.example", "/books/", &[("a", 1)]),
+    ];
+    RoutePlan::new(7, CallerLimits::default(), vec![service("a")], rules)
+}
+
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    let plan = plan();
+    let cases = [
+        ("one.example", "/books/old/1", Some("old")),
+        ("one.example", "/books/older/1", Some("books")),
+        ("one.example", "/books", Some("root")),
+        ("one.example", "/books/", Some("books")),
+        ("ONE.example:8080", "/books/2", Some("books")),
+        ("two.example", "/books/2", Some("other")),
+        ("two.example", "/else/2", None),
+        ("three.example", "/books/2", None),
+        ("one.example", "no-slash", None),
+    ];
+    for (host, path, expected) in cases {
+        let found = plan.find(host, path).map(|rule| rule.name.as_str());
+        assert_eq!(found, expected, "{host} {path}");
+    }
+}
+
+#[test]
+fn a_split_gives_each_part_its_share() {
+    let rule = rule("split", "one.example", "/", &[("a", 90), ("b", 10)]);
+    let cases = [
+        (0.0, "a"),
+        (0.89, "a"),
+        (0.91, "b"),
+        (0.999, "b"),
+        (1.0, "b"),
+    ];
+    for (point, expected) in cases {
+        let found = rule.service_at(point).map(ServiceName::as_str);
+        assert_eq!(found, Some(expected), "{point}");
+    }
+}
