Header values are copied before they enter the tables of h2 connections

Ruled out: running calls (few), futures (5 KB), the metrics recorder. Values that differ on each call now stay out of the table, and the rest is copied.

--- a/src/sidecar/forward_call.rs
+++ b/src/sidecar/forward_call.rs
@@ -59,7 +59,7 @@
             method: head.method,
             host,
             path,
-            headers,
+            headers: detach_headers(&headers, names),
             body,
         }
     }
@@ -79,7 +79,8 @@
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = uri;
         *request.headers_mut() = self.headers.clone();
-        let context = HeaderValue::try_from(context.encode(now))?;
+        let mut context = HeaderValue::try_from(context.encode(now))?;
+        context.set_sensitive(true);
         request.headers_mut().insert(HOP_HEADER, context);
         Ok(request)
     }
@@ -107,6 +108,21 @@
     }
 }
 
+/// Copies headers, so that they can be kept in the header tables of connections between sidecars.
+///
+/// A value that was read from a connection is a view of the buffer that it came in; a table entry
+/// would hold that buffer. Values that differ from call to call are kept out of the tables.
+pub(crate) fn detach_headers(headers: &HeaderMap, names: &HeaderDialect) -> HeaderMap {
+    let mut detached = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        if let Ok(mut copy) = HeaderValue::from_bytes(value.as_bytes()) {
+            copy.set_sensitive(names.is_per_call(name));
+            detached.append(name, copy);
+        }
+    }
+    detached
+}
+
 /// Host that a request names, by its target or by its header.
 pub(crate) fn request_host(head: &Parts) -> &str {
     let authority = head.uri.authority().map(http::uri::Authority::as_str);
--- a/src/sidecar/hop_service.rs
+++ b/src/sidecar/hop_service.rs
@@ -2,7 +2,7 @@
     super::{
         HopContext, PlatformDialect, SlotEnd,
         decision_log::LineWeight,
-        forward_call::{ForwardCall, header_text},
+        forward_call::{ForwardCall, detach_headers, header_text},
         hop_context::HOP_HEADER,
         hop_outcome::{HopFailure, HopOutcome, OUTCOME_HEADER, RelayBody},
         live_target::LiveTarget,
@@ -85,7 +85,11 @@
     outcome: HopOutcome,
 ) -> Response<RelayBody> {
     let mut response = match outcome.result {
-        Ok(response) => response,
+        Ok(mut response) => {
+            let headers = detach_headers(response.headers(), state.dialect.headers());
+            *response.headers_mut() = headers;
+            response
+        }
         Err(failure) => {
             let mut response = Response::new(AnswerBody::whole(Bytes::new(), None));
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
@@ -99,18 +103,26 @@
     });
     let headers = response.headers_mut();
     if let Some(load) = load {
-        set_header(headers, LOAD_HEADER, &load.encode());
+        set_note(headers, LOAD_HEADER, &load.encode());
     }
     let rumour = state.admission().rumour(state.clock.now());
     if !rumour.services().is_empty() {
-        set_header(headers, RUMOUR_HEADER, &rumour.encode());
+        set_note(headers, RUMOUR_HEADER, &rumour.encode());
     }
     if !outcome.tree.services().is_empty() {
-        set_header(headers, TREE_HEADER, &outcome.tree.encode());
+        set_note(headers, TREE_HEADER, &outcome.tree.encode());
     }
     response
 }
 
+/// Sets a header that has another value on each answer.
+fn set_note(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(mut value) = HeaderValue::from_str(value) {
+        value.set_sensitive(true);
+        headers.insert(name, value);
+    }
+}
+
 /// Runs a call on the target beside this sidecar.
 pub(crate) async fn run_here<D: PlatformDialect>(
     state: &Arc<SidecarState<D>>,
--- a/src/sidecar/platform_dialect.rs
+++ b/src/sidecar/platform_dialect.rs
@@ -25,6 +25,13 @@
     pub caller_service: HeaderName,
 }
 
+impl HeaderDialect {
+    /// Whether a header has another value on each call.
+    pub(crate) fn is_per_call(&self, name: &HeaderName) -> bool {
+        [&self.request_id, &self.deadline_ms, &self.signature].contains(&name)
+    }
+}
+
 /// Names and formats of a platform; decides nothing.
 pub trait PlatformDialect: Send + Sync + 'static {
     fn headers(&self) -> &HeaderDialect;
