Requests that end badly count toward the cost of their route

After a restart under full load no lookup ended whole, so no front knew its cost, none was refused, and the collapse went on. Ruled out: slow start of the sidecars (all ready within a second), lost targets. A part of a request now sets or raises the cost, a timeout counts for the called service, and limiting no longer waits for admitted work.

Test: a_front_that_has_seen_only_failures_limits_too.

--- a/src/sidecar/front_admission.rs
+++ b/src/sidecar/front_admission.rs
@@ -86,12 +86,19 @@
         }
     }
 
-    /// Takes what a request that ended well has cost.
-    pub fn note_cost(&mut self, route: &str, rank: u8, tree: &TreeCost) {
+    /// Takes what a request has cost.
+    ///
+    /// One that did not end well has cost at least as much. That counts too: where a service is
+    /// crushed no request ends well, and without a cost none would be refused.
+    pub fn note_cost(&mut self, route: &str, rank: u8, tree: &TreeCost, is_whole: bool) {
         if self.routes.len() < MAX_ROUTES || self.routes.contains_key(route) {
             let row = self.routes.entry(route.to_owned()).or_default();
             row.rank = rank;
-            row.observe(tree);
+            if is_whole {
+                row.observe_whole(tree);
+            } else {
+                row.observe_part(tree);
+            }
         }
     }
 
@@ -157,22 +164,33 @@
 }
 
 impl RouteCost {
-    fn observe(&mut self, tree: &TreeCost) {
+    fn observe_whole(&mut self, tree: &TreeCost) {
         self.requests = (self.requests + 1).min(FIRST_REQUESTS);
         let weight = COST_WEIGHT.max(1.0 / f64::from(self.requests));
         for (_, seconds) in &mut self.services {
             *seconds *= 1.0 - weight;
         }
         for cost in tree.services() {
-            let seconds = cost.slot_time.as_secs_f64() * weight;
-            let known = self
-                .services
-                .iter_mut()
-                .find(|(name, _)| *name == cost.service);
-            match known {
-                Some((_, mean)) => *mean += seconds,
-                None => self.services.push((cost.service.clone(), seconds)),
-            }
+            *self.seconds_mut(&cost.service) += cost.slot_time.as_secs_f64() * weight;
+        }
+    }
+
+    /// Raises the cost where a part of a request has cost more than the mean of whole ones.
+    fn observe_part(&mut self, tree: &TreeCost) {
+        let weight = if self.requests == 0 { 1.0 } else { COST_WEIGHT };
+        for cost in tree.services() {
+            let seconds = self.seconds_mut(&cost.service);
+            let excess = cost.slot_time.as_secs_f64() - *seconds;
+            *seconds += excess.max(0.0) * weight;
         }
     }
+
+    fn seconds_mut(&mut self, service: &ServiceName) -> &mut f64 {
+        let known = self.services.iter().position(|(name, _)| name == service);
+        let index = known.unwrap_or_else(|| {
+            self.services.push((service.clone(), 0.0));
+            self.services.len() - 1
+        });
+        &mut self.services[index].1
+    }
 }
--- a/src/sidecar/outbound_service.rs
+++ b/src/sidecar/outbound_service.rs
@@ -115,10 +115,11 @@
         let wait = retry_after(&rule, refusal.wait);
         return final_answer(FinalReason::NoRoom, &id, Some(wait), names);
     }
+    let service = context.service.clone();
     let root = RootCall {
         call: &call,
         rule: &rule,
-        parent,
+        parent: parent.clone(),
         context,
     };
     let over = state.clock.instant_of(deadline);
@@ -132,7 +133,12 @@
                     .then(|| retry_after(&rule, DEFAULT_RETRY));
                 refuse(reason, wait)
             }
-            Err(_) => refuse(FinalReason::TimeOver, None),
+            Err(_) => {
+                let mut tree = TreeCost::default();
+                tree.add(&service, arrived.until(deadline), 0.0);
+                note_tree(state, &rule, parent.as_deref(), &tree, false);
+                refuse(FinalReason::TimeOver, None)
+            }
         },
         _ = ending => refuse(FinalReason::Unknown, None),
     }
@@ -271,8 +277,10 @@
 ) {
     match parent {
         Some(parent) => parent.note_cost(tree),
-        None if is_whole => state.admission().note_cost(&rule.name, rule.rank, tree),
-        None => {}
+        None => {
+            let mut admission = state.admission();
+            admission.note_cost(&rule.name, rule.rank, tree, is_whole);
+        }
     }
 }
 
--- a/src/sidecar/service_valve.rs
+++ b/src/sidecar/service_valve.rs
@@ -150,7 +150,7 @@
             self.pressure *= (-elapsed / REPORT_HOLD.as_secs_f64()).exp();
         }
         let Some(rate) = self.rate else {
-            if self.pressure > CLOSING_PRESSURE && self.admitted > 0.0 {
+            if self.pressure > CLOSING_PRESSURE {
                 self.rate = Some(fair_share.max(self.admitted * FIRST_SHARE));
                 self.tokens = 0.0;
             }
--- a/tests/sidecar/admission.rs
+++ b/tests/sidecar/admission.rs
@@ -27,8 +27,8 @@
 /// Requests of two routes for a while at one front, and how many of each were admitted.
 fn play(pressure: f64, urgent_per_tick: u32, seconds: u64) -> (u32, u32) {
     let mut front = FrontAdmission::default();
-    front.note_cost("browse", 1, &tree(200, 0.5));
-    front.note_cost("buy", 3, &tree(200, 0.5));
+    front.note_cost("browse", 1, &tree(200, 0.5), true);
+    front.note_cost("buy", 3, &tree(200, 0.5), true);
     let (mut browse, mut buy) = (0, 0);
     for tick in 0..seconds * 1_000 / TICK_MS {
         let now = at(tick * TICK_MS);
@@ -74,8 +74,8 @@
 #[test]
 fn requests_that_do_not_reach_a_loaded_service_pass() {
     let mut front = FrontAdmission::default();
-    front.note_cost("browse", 1, &tree(200, 0.5));
-    front.note_cost("archive", 1, &TreeCost::default());
+    front.note_cost("browse", 1, &tree(200, 0.5), true);
+    front.note_cost("archive", 1, &TreeCost::default(), true);
     for tick in 0..100 {
         let now = at(tick * TICK_MS);
         front.note_pressure(now, &service(), 3.0);
@@ -140,3 +140,38 @@
     }
     assert!(valve.pressure() < 0.1, "{}", valve.pressure());
 }
+
+/// After a restart under full load nothing ends well at first.
+#[test]
+fn a_front_that_has_seen_only_failures_limits_too() {
+    let mut front = FrontAdmission::default();
+    let mut refused = 0;
+    for tick in 0..100 {
+        let now = at(tick * TICK_MS);
+        front.note_pressure(now, &service(), 3.0);
+        front.tick(now, |_| FAIR_SHARE);
+        for _ in 0..8 {
+            refused += u32::from(front.admit(now, "browse", 1).is_err());
+            front.note_cost("browse", 1, &tree(150, 3.0), false);
+        }
+    }
+    assert!(refused > 600, "{refused} of 800");
+}
+
+#[test]
+fn parts_raise_the_cost_of_a_route_and_never_lower_it() {
+    let mut front = FrontAdmission::default();
+    front.note_cost("browse", 1, &tree(200, 0.5), true);
+    for _ in 0..100 {
+        front.note_cost("browse", 1, &tree(20, 0.5), false);
+    }
+    front.note_pressure(at(1_000), &service(), 3.0);
+    front.tick(at(1_000), |_| FAIR_SHARE);
+    front.admit(at(1_000), "browse", 1).ok();
+    let refusal = front.admit(at(1_000), "browse", 1).expect_err("no room");
+    assert!(
+        refusal.wait >= Duration::from_millis(40),
+        "{:?}",
+        refusal.wait
+    );
+}
--- a/tests/sidecar/load_play.rs
+++ b/tests/sidecar/load_play.rs
@@ -328,7 +328,7 @@
         if !entry.is_over {
             self.result.kinds[entry.kind].whole += 1;
         }
-        self.fronts[entry.front].note_cost(kind.name, kind.rank, &entry.cost);
+        self.fronts[entry.front].note_cost(kind.name, kind.rank, &entry.cost, true);
     }
 }
 
