--- a/src/sidecar/outbound_service.rs
+++ b/src/sidecar/outbound_service.rs
@@ -275,12 +275,11 @@
     tree: &TreeCost,
     is_whole: bool,
 ) {
-    match parent {
-        Some(parent) => parent.note_cost(tree),
-        None => {
-            let mut admission = state.admission();
-            admission.note_cost(&rule.name, rule.rank, tree, is_whole);
-        }
+    if let Some(parent) = parent {
+        parent.note_cost(tree);
+    } else {
+        let mut admission = state.admission();
+        admission.note_cost(&rule.name, rule.rank, tree, is_whole);
     }
 }
 
--- a/src/sidecar/peer_table.rs
+++ b/src/sidecar/peer_table.rs
@@ -156,7 +156,7 @@
                 best = Some((index, finish));
             }
         }
-        let entry = &mut candidates[best?.0];
+        let entry = candidates.swap_remove(best?.0);
         entry.in_flight += 1;
         Some(entry.mesh)
     }
--- a/src/sidecar/plan_watch.rs
+++ b/src/sidecar/plan_watch.rs
@@ -54,7 +54,7 @@
     if is_new {
         slog::info!(state.log.logger, "configuration in force";
             "version" => version, "origin" => origin);
-        metrics::gauge!("banyantrestle_plan_version").set(version as f64);
+        metrics::counter!("banyantrestle_plan_version").absolute(version);
         state.membership.policy_in_force(version, version).await;
     }
 }
--- a/src/sidecar/route_plan.rs
+++ b/src/sidecar/route_plan.rs
@@ -64,8 +64,8 @@
             Some(prefixes) => prefixes,
             None => self.hosts.get(&name.to_ascii_lowercase())?,
         };
-        let ends = path.rmatch_indices('/').map(|(index, _)| index + 1);
-        ends.filter_map(|end| prefixes.get(&path[..end])).next()
+        let mut ends = path.rmatch_indices('/').map(|(index, _)| index + 1);
+        ends.find_map(|end| prefixes.get(&path[..end]))
     }
 
     #[must_use]
--- /dev/null
+++ b/standins/src/provider/provider_mode.rs
@@ -0,0 +1,14 @@
+/// How the store answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ProviderMode {
+    #[default]
+    Up,
+    /// Every call gets 503.
+    Busy,
+    /// No call gets an answer.
+    Silent,
+    /// Writes take effect and get no answer.
+    LostAnswers,
+    /// The history of the feed is gone.
+    HistoryLost,
+}
--- /dev/null
+++ b/standins/src/upstream/run_book.rs
@@ -0,0 +1,49 @@
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+/// One run of a call, as its target saw it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SeenRun {
+    pub service: String,
+    pub instance: String,
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    pub host: String,
+    pub caller: String,
+    pub deadline_ms: u64,
+    pub body: Vec<u8>,
+}
+
+/// What all targets of a test have run, by the id of the call.
+#[derive(Clone, Debug, Default)]
+pub struct RunBook {
+    runs: Arc<Mutex<HashMap<String, Vec<SeenRun>>>>,
+}
+
+impl RunBook {
+    pub(crate) fn note(&self, id: &str, run: SeenRun) {
+        self.runs().entry(id.into()).or_default().push(run);
+    }
+
+    /// Runs of one call, in order.
+    #[must_use]
+    pub fn of(&self, id: &str) -> Vec<SeenRun> {
+        self.runs().get(id).cloned().unwrap_or_default()
+    }
+
+    /// All runs, by the id of the call.
+    #[must_use]
+    pub fn all(&self) -> Vec<(String, Vec<SeenRun>)> {
+        let runs = self.runs();
+        runs.iter()
+            .map(|(id, runs)| (id.clone(), runs.clone()))
+            .collect()
+    }
+
+    fn runs(&self) -> MutexGuard<'_, HashMap<String, Vec<SeenRun>>> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/standins/src/upstream/upstream_mode.rs
@@ -0,0 +1,22 @@
+/// How a target answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum UpstreamMode {
+    #[default]
+    Serve,
+    /// Refuses unrun, and says so.
+    Shed,
+    /// Answers 503 and does not say whether it ran the call.
+    UnprovenRefusal,
+    /// Runs the call and answers 500.
+    Fail,
+    /// Answers without a signature.
+    Unsigned,
+    /// Answers with the id of another call.
+    ForeignId,
+    /// Breaks the answer off.
+    Cut,
+    /// Runs the call and says nothing.
+    Mute,
+    /// Answers with a content encoding.
+    Encoded,
+}
--- /dev/null
+++ b/standins/src/upstream/upstream_standin.rs
@@ -0,0 +1,267 @@
+use {
+    super::{RunBook, UpstreamMode, run_book::SeenRun},
+    crate::{
+        answer::{AnswerBody, AnswerPattern},
+        client::TextRequest,
+        http::{HttpServer, HttpService},
+    },
+    anyhow::bail,
+    http::{HeaderMap, Method, Request, Response, StatusCode, request::Parts},
+    http_body_util::BodyExt,
+    hyper::body::Incoming,
+    serde_json::json,
+    std::{
+        future::pending,
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{sync::watch, time::sleep},
+};
+
+const MAX_CONNECTIONS: usize = 500;
+const REQUEST_ID: &str = "x-banyantrestle-request-id";
+const CUT_BYTES: u64 = 4_096;
+/// Part of a path after which the number of calls that the target makes stands.
+const CALLS_MARK: &str = "/calls/";
+
+/// A running target.
+#[derive(Debug)]
+pub struct UpstreamStandin {
+    _server: HttpServer,
+    state: UpstreamState,
+    sequence: AtomicU64,
+}
+
+#[derive(Clone, Debug)]
+struct UpstreamState {
+    service: String,
+    instance: Arc<Mutex<String>>,
+    address: SocketAddr,
+    /// Where the target's own calls go: the sidecar beside it.
+    outbound: SocketAddr,
+    book: RunBook,
+    mode: watch::Sender<UpstreamMode>,
+    work: watch::Sender<Duration>,
+}
+
+impl UpstreamStandin {
+    /// # Errors
+    /// The address cannot be bound.
+    pub async fn start(
+        service: &str,
+        instance: &str,
+        address: SocketAddr,
+        outbound: SocketAddr,
+        book: RunBook,
+    ) -> anyhow::Result<Self> {
+        let state = UpstreamState {
+            service: service.into(),
+            instance: Arc::new(Mutex::new(instance.into())),
+            address,
+            outbound,
+            book,
+            mode: watch::Sender::new(UpstreamMode::Serve),
+            work: watch::Sender::new(Duration::from_millis(2)),
+        };
+        let server = HttpServer::start(address, MAX_CONNECTIONS, state.clone()).await?;
+        Ok(Self {
+            _server: server,
+            state,
+            sequence: AtomicU64::new(0),
+        })
+    }
+
+    pub fn set_mode(&self, mode: UpstreamMode) {
+        self.state.mode.send_replace(mode);
+    }
+
+    /// Time that each call takes.
+    pub fn set_work(&self, work: Duration) {
+        self.state.work.send_replace(work);
+    }
+
+    /// Another start on the same address.
+    pub fn restart_as(&self, instance: &str) {
+        let mut current = self.state.instance.lock();
+        let current = current.as_mut().map(|current| &mut **current);
+        if let Ok(current) = current {
+            *current = instance.into();
+        }
+        self.sequence.store(0, Ordering::Relaxed);
+    }
+
+    /// Sends a heartbeat to the sidecar beside the target.
+    ///
+    /// # Errors
+    /// It is not acknowledged.
+    pub async fn beat(&self, admin: SocketAddr, state: &str, born: u64) -> anyhow::Result<()> {
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+        let body = json!({
+            "service": self.state.service, "address": self.state.address.to_string(),
+            "zone": "z", "version": "v1", "slots": 8, "state": state,
+            "warmup_left": "0ms", "sequence": sequence, "born": born,
+        });
+        let request = TextRequest {
+            method: Method::PUT,
+            path: format!("/v1/instances/{}", self.state.instance()),
+            headers: vec![("content-type", "application/json".into())],
+            body: body.to_string(),
+        };
+        acknowledged(request, admin).await
+    }
+
+    /// Tells the sidecar beside the target that the target leaves.
+    ///
+    /// # Errors
+    /// It is not acknowledged.
+    pub async fn leave(&self, admin: SocketAddr) -> anyhow::Result<()> {
+        let request = TextRequest {
+            method: Method::DELETE,
+            ..TextRequest::get(&format!("/v1/instances/{}", self.state.instance()))
+        };
+        acknowledged(request, admin).await
+    }
+}
+
+async fn acknowledged(request: TextRequest, admin: SocketAddr) -> anyhow::Result<()> {
+    let answer = request.send(admin).await?;
+    if answer.status != StatusCode::OK {
+        bail!("{} for a report: {}", answer.status, answer.text);
+    }
+    Ok(())
+}
+
+impl UpstreamState {
+    fn instance(&self) -> String {
+        let instance = self.instance.lock();
+        instance.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Makes the calls that the path asks for, one after another.
+    async fn call_below(&self, id: &str, path: &str) -> bool {
+        let Some((_, count)) = path.split_once(CALLS_MARK) else {
+            return true;
+        };
+        let count: u32 = count.parse().unwrap_or_default();
+        for number in 0..count {
+            let request = TextRequest {
+                headers: vec![
+                    ("host", "inner.example".into()),
+                    (REQUEST_ID, format!("{id}.{number}")),
+                    ("x-banyantrestle-deadline-ms", "700".into()),
+                ],
+                ..TextRequest::get("/leaf/1")
+            };
+            let answer = request.send(self.outbound).await;
+            if !answer.is_ok_and(|answer| answer.status.is_success()) {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn signed(&self, id: &str, status: StatusCode, body: AnswerBody) -> Response<AnswerBody> {
+        let mut response = Response::new(body);
+        *response.status_mut() = status;
+        let headers = response.headers_mut();
+        let signature = format!("{}.{}", self.instance(), status.as_u16());
+        let mut insert = |name: &'static str, text: &str| {
+            if let Ok(value) = text.parse() {
+                headers.insert(name, value);
+            }
+        };
+        insert(REQUEST_ID, id);
+        insert("x-banyantrestle-response-signature", &signature);
+        insert("x-banyantrestle-server-load", "1,0,8");
+        insert("keep-alive", "timeout=5");
+        response
+    }
+}
+
+impl HttpService for UpstreamState {
+    async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let (head, body) = request.into_parts();
+        let id = header(&head.headers, REQUEST_ID);
+        let expected = header(&head.headers, "x-banyantrestle-expected-instance");
+        let plain = |status, text: &'static str| {
+            let mut response = Response::new(AnswerBody::text(text));
+            *response.status_mut() = status;
+            response
+        };
+        if expected != self.instance() {
+            return plain(StatusCode::MISDIRECTED_REQUEST, "another instance");
+        }
+        let mode = *self.mode.borrow();
+        match mode {
+            UpstreamMode::Shed => {
+                let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "full");
+                let headers = response.headers_mut();
+                headers.insert("x-banyantrestle-not-executed", 1.into());
+                return response;
+            }
+            UpstreamMode::UnprovenRefusal => return plain(StatusCode::SERVICE_UNAVAILABLE, "busy"),
+            _ => {}
+        }
+        let body = body
+            .collect()
+            .await
+            .map(http_body_util::Collected::to_bytes);
+        self.book
+            .note(&id, self.seen(&head, body.unwrap_or_default().to_vec()));
+        let work = *self.work.borrow();
+        sleep(work).await;
+        let is_whole = self.call_below(&id, head.uri.path()).await;
+        match mode {
+            UpstreamMode::Mute => pending().await,
+            UpstreamMode::Unsigned => plain(StatusCode::OK, "unsigned"),
+            UpstreamMode::ForeignId => {
+                self.signed("another", StatusCode::OK, AnswerBody::text("foreign"))
+            }
+            UpstreamMode::Cut => {
+                let pattern = AnswerPattern::new(&self.service, "/", &id, CUT_BYTES);
+                self.signed(&id, StatusCode::OK, AnswerBody::cut(pattern))
+            }
+            UpstreamMode::Encoded => {
+                let mut response = self.signed(&id, StatusCode::OK, AnswerBody::text("zip"));
+                let encoding = http::HeaderValue::from_static("gzip");
+                response.headers_mut().insert("content-encoding", encoding);
+                response
+            }
+            _ if mode == UpstreamMode::Fail || !is_whole => {
+                let status = StatusCode::INTERNAL_SERVER_ERROR;
+                self.signed(&id, status, AnswerBody::text("failed"))
+            }
+            _ => self.signed(
+                &id,
+                StatusCode::OK,
+                AnswerBody::text(format!("answer to {id}")),
+            ),
+        }
+    }
+}
+
+impl UpstreamState {
+    fn seen(&self, head: &Parts, body: Vec<u8>) -> SeenRun {
+        let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+        let deadline = header(&head.headers, "x-banyantrestle-deadline-ms");
+        SeenRun {
+            service: self.service.clone(),
+            instance: self.instance(),
+            method: head.method.to_string(),
+            path: path.into(),
+            host: header(&head.headers, "host"),
+            caller: header(&head.headers, "x-banyantrestle-caller-service"),
+            deadline_ms: deadline.parse().unwrap_or_default(),
+            body,
+        }
+    }
+}
+
+fn header(headers: &HeaderMap, name: &str) -> String {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
