--- a/tests/sidecar/guard.rs
+++ b/tests/sidecar/guard.rs
@@ -54,6 +54,7 @@
 
 #[test]
 fn a_target_that_ends_nothing_gets_single_calls_only() {
+    use SlotVerdict::{Stalled, Start};
     let mut guard = SlotGuard::new(8, at(0));
     assert_eq!(guard.offer(at(0), 1, at(0), FAR), SlotVerdict::Start);
     assert_eq!(guard.offer(at(600), 1, at(600), FAR), SlotVerdict::Start);
@@ -62,7 +63,6 @@
     let verdicts: Vec<_> = [900, 950, 1_000, 1_200]
         .map(|now| guard.offer(at(now), 1, at(now), FAR))
         .into();
-    use SlotVerdict::{Stalled, Start};
     assert_eq!(verdicts, [Start, Stalled, Stalled, Start]);
     guard.finish(at(1_210), at(1_200), SlotEnd::Answered);
     assert!(!guard.load(at(1_210)).is_stalled);
--- a/tests/sidecar/load_play.rs
+++ b/tests/sidecar/load_play.rs
@@ -5,11 +5,10 @@
 //! service three levels down, on four targets of unlike speed, as in both deployments.
 
 use {
+    crate::members::{member, mesh},
     banyantrestle::{
         context::ServiceName,
-        membership::{
-            MemberId, MemberRecord, MemberState, MemberView, TargetAnnouncement, TargetState,
-        },
+        membership::{MemberView, TargetState},
         sidecar::{
             FrontAdmission, PeerEnd, PeerTable, SlotEnd, SlotGuard, SlotVerdict, TreeCost, WaitKey,
         },
@@ -19,13 +18,11 @@
     std::{
         cmp::Reverse,
         collections::{BinaryHeap, HashMap},
-        net::SocketAddr,
-        sync::Arc,
         time::Duration,
     },
 };
 
-const FRONTS: usize = 18;
+const FRONTS: u32 = 18;
 const CALLERS: usize = 4;
 const SPEEDS: [f64; 4] = [0.7, 0.7, 1.0, 1.6];
 const TICK: Duration = Duration::from_millis(50);
@@ -105,38 +102,11 @@
     ServiceName::new("deep").expect("a valid name")
 }
 
-fn mesh(index: usize) -> SocketAddr {
-    let index = u8::try_from(index).expect("few targets");
-    SocketAddr::from(([10, 0, 0, index], 80))
-}
-
 fn members(slots: u32) -> MemberView {
-    let record = |index| MemberRecord {
-        id: MemberId {
-            address: mesh(index),
-            started_ms: 1,
-        },
-        incarnation: 1,
-        state: MemberState::Alive,
-        region: "r".into(),
-        data_centre: "d".into(),
-        mesh: mesh(index),
-        admin: mesh(index),
-        target: Some(TargetAnnouncement {
-            service: service(),
-            address: mesh(index),
-            slots,
-            connections: slots,
-            state: TargetState::Serving,
-            health_path: None,
-            load_path: None,
-        }),
-        policy_version: 0,
-    };
+    let indices = 0..SPEEDS.len();
+    let member = |index| member(index, &service(), slots, TargetState::Serving);
     MemberView {
-        members: (0..SPEEDS.len())
-            .map(|index| Arc::new(record(index)))
-            .collect(),
+        members: indices.map(member).collect(),
     }
 }
 
@@ -155,7 +125,7 @@
             events: BinaryHeap::new(),
             sequence: 0,
             rng: SmallRng::seed_from_u64(seed),
-            fronts: vec![FrontAdmission::default(); FRONTS],
+            fronts: vec![FrontAdmission::default(); FRONTS as usize],
             callers: (0..CALLERS).map(|_| caller()).collect(),
             guards: vec![SlotGuard::new(slots, now); SPEEDS.len()],
             slow: vec![1.0; SPEEDS.len()],
@@ -163,7 +133,7 @@
             requests: Vec::new(),
             result: PlayResult {
                 kinds: vec![KindResult::default(); kinds.len()],
-                room: f64::from(slots) * SPEEDS.len() as f64,
+                room: SPEEDS.iter().map(|_| f64::from(slots)).sum(),
                 ..PlayResult::default()
             },
         };
@@ -212,7 +182,7 @@
     fn tick(&mut self) {
         let limit = self.callers[0].total_limit(&service());
         for front in &mut self.fronts {
-            front.tick(self.now, |_| limit / FRONTS as f64);
+            front.tick(self.now, |_| limit / f64::from(FRONTS));
         }
         self.schedule(TICK, PlayEvent::Tick);
     }
@@ -222,7 +192,7 @@
         let uniform: f64 = self.rng.random_range(f64::MIN_POSITIVE..1.0);
         let pause = Duration::from_secs_f64(-uniform.ln() / kind.per_second);
         self.schedule(pause, PlayEvent::Arrive(index));
-        let front = self.rng.random_range(0..FRONTS);
+        let front = self.rng.random_range(0..self.fronts.len());
         let is_admitted = self.fronts[front]
             .admit(self.now, kind.name, kind.rank)
             .is_ok();
@@ -302,7 +272,7 @@
             }
         }
         self.result.used += seconds;
-        let other = self.rng.random_range(0..FRONTS);
+        let other = self.rng.random_range(0..self.fronts.len());
         let deadline = self.deadline(request);
         let entry = &mut self.requests[request];
         for front in [entry.front, other] {
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -5,6 +5,7 @@
 mod contexts;
 mod guard;
 mod load_play;
+mod members;
 mod peers;
 mod register;
 mod repeats;
--- a/tests/sidecar/peers.rs
+++ b/tests/sidecar/peers.rs
@@ -1,9 +1,8 @@
 use {
+    crate::members::{member, mesh},
     banyantrestle::{
         context::ServiceName,
-        membership::{
-            MemberId, MemberRecord, MemberState, MemberView, TargetAnnouncement, TargetState,
-        },
+        membership::{MemberRecord, MemberView, TargetState},
         sidecar::{PeerEnd, PeerTable, TargetLoad},
         time::TimePoint,
     },
@@ -17,36 +16,11 @@
     ServiceName::new("a").expect("a valid name")
 }
 
-fn mesh(index: u8) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, index], 80))
+fn record(index: usize, state: TargetState) -> Arc<MemberRecord> {
+    member(index, &service(), 10, state)
 }
 
-fn record(index: u8, state: TargetState) -> Arc<MemberRecord> {
-    Arc::new(MemberRecord {
-        id: MemberId {
-            address: SocketAddr::from(([10, 0, 0, index], 81)),
-            started_ms: 1,
-        },
-        incarnation: 1,
-        state: MemberState::Alive,
-        region: "r".into(),
-        data_centre: "d".into(),
-        mesh: mesh(index),
-        admin: mesh(index),
-        target: Some(TargetAnnouncement {
-            service: service(),
-            address: mesh(index),
-            slots: 10,
-            connections: 10,
-            state,
-            health_path: None,
-            load_path: None,
-        }),
-        policy_version: 0,
-    })
-}
-
-fn table(count: u8) -> PeerTable {
+fn table(count: usize) -> PeerTable {
     let view = MemberView {
         members: (1..=count)
             .map(|index| record(index, TargetState::Serving))
@@ -69,7 +43,7 @@
 }
 
 /// Reports a load of a target, as the answer to one call carries it.
-fn report(table: &mut PeerTable, index: u8, end: PeerEnd, load: Option<TargetLoad>) {
+fn report(table: &mut PeerTable, index: usize, end: PeerEnd, load: Option<TargetLoad>) {
     table.finish(NOW, &service(), mesh(index), end, load);
 }
 
@@ -86,7 +60,7 @@
     shares
 }
 
-fn share(table: &mut PeerTable, index: u8) -> u32 {
+fn share(table: &mut PeerTable, index: usize) -> u32 {
     shares(table).get(&mesh(index)).copied().unwrap_or_default()
 }
 
