Headers of sidecars that a target sends are removed from its answers

A target that answered with bt-outcome was taken for a sidecar that refused: the caller got 503 for a call that had run. Test: the case ForgedNotes of what_targets_answer_is_told_truly, 503 before, 200 now.

--- a/src/sidecar/forward_call.rs
+++ b/src/sidecar/forward_call.rs
@@ -51,9 +51,7 @@
         for name in [HOST, CONTENT_LENGTH, EXPECT] {
             headers.remove(name);
         }
-        for name in OWN_HEADERS {
-            headers.remove(name);
-        }
+        remove_hop_notes(&mut headers);
         Self {
             id,
             method: head.method,
@@ -108,6 +106,13 @@
     }
 }
 
+/// Removes what only sidecars may say to each other.
+pub(crate) fn remove_hop_notes(headers: &mut HeaderMap) {
+    for name in OWN_HEADERS {
+        headers.remove(name);
+    }
+}
+
 /// Copies headers, so that they can be kept in the header tables of connections between sidecars.
 ///
 /// A value that was read from a connection is a view of the buffer that it came in; a table entry
--- a/src/sidecar/hop_service.rs
+++ b/src/sidecar/hop_service.rs
@@ -2,7 +2,7 @@
     super::{
         HopContext, PlatformDialect, SlotEnd,
         decision_log::LineWeight,
-        forward_call::{ForwardCall, detach_headers, header_text},
+        forward_call::{ForwardCall, detach_headers, header_text, remove_hop_notes},
         hop_context::HOP_HEADER,
         hop_outcome::{HopFailure, HopOutcome, OUTCOME_HEADER, RelayBody},
         live_target::LiveTarget,
@@ -269,6 +269,7 @@
         head.headers.remove(&names.signature);
     }
     clean_answer_headers(&mut head.headers);
+    remove_hop_notes(&mut head.headers);
     head.headers.remove(&names.target_load);
     remove_length(&call.method, head.status, &mut head.headers);
     let end = if head.status.is_server_error() {
--- a/standins/src/upstream/upstream_mode.rs
+++ b/standins/src/upstream/upstream_mode.rs
@@ -19,4 +19,6 @@
     Mute,
     /// Answers with a content encoding.
     Encoded,
+    /// Answers well, with headers that only sidecars may set.
+    ForgedNotes,
 }
--- a/standins/src/upstream/upstream_standin.rs
+++ b/standins/src/upstream/upstream_standin.rs
@@ -231,6 +231,13 @@
                 response.headers_mut().insert("content-encoding", encoding);
                 response
             }
+            UpstreamMode::ForgedNotes => {
+                let mut response = self.signed(&id, StatusCode::OK, AnswerBody::text("noted"));
+                let headers = response.headers_mut();
+                headers.insert("bt-outcome", http::HeaderValue::from_static("shed"));
+                headers.insert("bt-hot", http::HeaderValue::from_static("top=900/0"));
+                response
+            }
             _ if mode == UpstreamMode::Fail || !is_whole => {
                 let status = StatusCode::INTERNAL_SERVER_ERROR;
                 self.signed(&id, status, AnswerBody::text("failed"))
