--- a/src/sidecar/forward_call.rs
+++ b/src/sidecar/forward_call.rs
@@ -1,17 +1,15 @@
 use {
-    super::{HeaderDialect, HopContext, hop_context::HOP_HEADER, tree_cost::TREE_HEADER},
-    crate::{
-        net::remove_hop_headers,
-        sidecar::{
-            hop_outcome::OUTCOME_HEADER, load_report::LOAD_HEADER, pressure_rumour::RUMOUR_HEADER,
-        },
-        time::TimePoint,
+    super::{
+        HeaderDialect, HopContext, hop_context::HOP_HEADER, hop_outcome::OUTCOME_HEADER,
+        load_report::LOAD_HEADER, pressure_rumour::RUMOUR_HEADER, tree_cost::TREE_HEADER,
     },
+    crate::{net::remove_hop_headers, time::TimePoint},
     bytes::Bytes,
     http::{
-        HeaderMap, HeaderValue, Method, Request, Uri,
+        HeaderMap, HeaderName, HeaderValue, Method, Request, Uri,
         header::{CONTENT_LENGTH, EXPECT, HOST},
         request::Parts,
+        uri::Authority,
     },
     http_body_util::Full,
 };
@@ -130,11 +128,11 @@
 
 /// Host that a request names, by its target or by its header.
 pub(crate) fn request_host(head: &Parts) -> &str {
-    let authority = head.uri.authority().map(http::uri::Authority::as_str);
+    let authority = head.uri.authority().map(Authority::as_str);
     let named = || header_text(&head.headers, &HOST);
     authority.or_else(named).unwrap_or_default()
 }
 
-pub(crate) fn header_text<'a>(headers: &'a HeaderMap, name: &http::HeaderName) -> Option<&'a str> {
+pub(crate) fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
--- a/src/sidecar/hop_service.rs
+++ b/src/sidecar/hop_service.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        HopContext, PlatformDialect, SlotEnd,
+        HeaderDialect, HopContext, PlatformDialect, SlotEnd,
         decision_log::LineWeight,
         forward_call::{ForwardCall, detach_headers, header_text, remove_hop_notes},
         hop_context::HOP_HEADER,
@@ -307,7 +307,7 @@
     call: &ForwardCall,
     status: StatusCode,
     headers: &HeaderMap,
-    names: &super::HeaderDialect,
+    names: &HeaderDialect,
 ) -> Option<HopFailure> {
     let echoed = header_text(headers, &names.request_id);
     if echoed.is_some_and(|echoed| echoed != call.id) {
--- a/src/sidecar/outbound_service.rs
+++ b/src/sidecar/outbound_service.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        AttemptHistory, HopContext, MAX_HOPS, NextStep, PlatformDialect, RouteRule, TreeCost,
+        AttemptEnd, AttemptHistory, FrontRefusal, HopContext, MAX_HOPS, NextStep, PlatformDialect,
+        RouteRule, TreeCost,
         decision_log::LineWeight,
         final_answer::{FinalReason, final_answer},
         forward_call::{ForwardCall, header_text, request_host},
@@ -12,9 +13,9 @@
     crate::{
         context::ServiceName,
         net::{RequestError, read_request},
-        sidecar::AttemptEnd,
         time::TimePoint,
     },
+    bytes::Bytes,
     http::{
         HeaderValue, Request, Response,
         header::{CONNECTION, CONTENT_LENGTH},
@@ -22,7 +23,7 @@
     },
     hyper::body::{Body, Incoming},
     rand::RngExt,
-    std::{sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::timeout_at,
 };
 
@@ -81,21 +82,9 @@
     let parent = state.running.parent_of(&id);
     let deadline = deadline_of(state, &head, &rule, parent.as_deref(), arrived);
     let limit = plan.limits.body_bytes;
-    if is_too_large(&head, limit) {
-        return refuse(FinalReason::BodyTooLarge, None);
-    }
-    let is_empty = body.is_end_stream();
-    let body = if is_empty {
-        Ok(bytes::Bytes::new())
-    } else {
-        read_request(body, limit, arrived.until(deadline)).await
-    };
-    let body = match body {
+    let body = match read_body(&head, body, limit, arrived.until(deadline)).await {
         Ok(body) => body,
-        Err(RequestError::TooLarge { .. }) => return refuse(FinalReason::BodyTooLarge, None),
-        Err(RequestError::TooSlow { .. } | RequestError::Broken(_)) => {
-            return refuse(FinalReason::BodyLate, None);
-        }
+        Err(reason) => return refuse(reason, None),
     };
     let call = ForwardCall::new(head, body, names);
     let Some(context) = context_of(state, &rule, parent.as_deref(), arrived, deadline) else {
@@ -104,14 +93,7 @@
     if parent.is_none()
         && let Err(refusal) = state.admission().admit(arrived, &rule.name, rule.rank)
     {
-        if state.log.has_room(LineWeight::Trouble) {
-            slog::info!(state.log.logger, "refused at the front"; "request" => &id,
-                "route" => &rule.name, "rank" => rule.rank, "service" => %refusal.service,
-                "pressure" => refusal.pressure, "rate" => refusal.rate,
-                "wait_ms" => refusal.wait.as_millis());
-        }
-        metrics::counter!("banyantrestle_front_refusals_total", "route" => rule.name.clone())
-            .increment(1);
+        note_refusal(state, &id, &rule, &refusal);
         let wait = retry_after(&rule, refusal.wait);
         return final_answer(FinalReason::NoRoom, &id, Some(wait), names);
     }
@@ -248,10 +230,26 @@
     })
 }
 
-fn is_too_large(head: &Parts, limit: usize) -> bool {
+/// Reads a body whole; one that says that it is too large is not waited for.
+async fn read_body(
+    head: &Parts,
+    body: Incoming,
+    limit: usize,
+    patience: Duration,
+) -> Result<Bytes, FinalReason> {
     let length = header_text(&head.headers, &CONTENT_LENGTH);
     let length: Option<usize> = length.and_then(|text| text.parse().ok());
-    length.is_some_and(|length| length > limit)
+    if length.is_some_and(|length| length > limit) {
+        return Err(FinalReason::BodyTooLarge);
+    }
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let result = read_request(body, limit, patience).await;
+    result.map_err(|error| match error {
+        RequestError::TooLarge { .. } => FinalReason::BodyTooLarge,
+        RequestError::TooSlow { .. } | RequestError::Broken(_) => FinalReason::BodyLate,
+    })
 }
 
 /// Takes the pressure of the called service into the admission and the tree.
@@ -290,6 +288,22 @@
     wait + spread.mul_f64(rand::rng().random())
 }
 
+fn note_refusal<D: PlatformDialect>(
+    state: &SidecarState<D>,
+    id: &str,
+    rule: &RouteRule,
+    refusal: &FrontRefusal,
+) {
+    metrics::counter!("banyantrestle_front_refusals_total", "route" => rule.name.clone())
+        .increment(1);
+    if state.log.has_room(LineWeight::Trouble) {
+        slog::info!(state.log.logger, "refused at the front"; "request" => id,
+            "route" => &rule.name, "rank" => rule.rank, "service" => %refusal.service,
+            "pressure" => refusal.pressure, "rate" => refusal.rate,
+            "wait_ms" => refusal.wait.as_millis());
+    }
+}
+
 fn note_final<D: PlatformDialect>(state: &SidecarState<D>, id: &str, reason: FinalReason) {
     metrics::counter!("banyantrestle_final_answers_total", "reason" => reason.to_string())
         .increment(1);
@@ -304,7 +318,7 @@
     state: &SidecarState<D>,
     call: &ForwardCall,
     context: &HopContext,
-    mesh: Option<std::net::SocketAddr>,
+    mesh: Option<SocketAddr>,
     outcome: &'static str,
 ) {
     if state.log.has_room(LineWeight::Trouble) {
@@ -321,7 +335,7 @@
     state: &SidecarState<D>,
     call: &ForwardCall,
     context: &HopContext,
-    mesh: std::net::SocketAddr,
+    mesh: SocketAddr,
     status: u16,
 ) {
     let weight = if status >= 500 {
--- a/src/sidecar/plan_watch.rs
+++ b/src/sidecar/plan_watch.rs
@@ -5,7 +5,7 @@
     },
     crate::{
         error::{ProcessStep, StepError},
-        net::read_request,
+        net::{SendFailure, read_request},
     },
     bytes::Bytes,
     http::{Request, StatusCode},
@@ -143,7 +143,7 @@
         .map_err(|error| failed(error.to_string()))?;
     let deadline = Instant::now() + FETCH_TIMEOUT;
     let response = state.mesh.send(peer, request, deadline).await;
-    let response = response.map_err(crate::net::SendFailure::into_error)?;
+    let response = response.map_err(SendFailure::into_error)?;
     if response.status() != StatusCode::OK {
         return Err(failed(format!("status {}", response.status())));
     }
--- a/src/sidecar/sidecar_shutdown.rs
+++ b/src/sidecar/sidecar_shutdown.rs
@@ -1,7 +1,7 @@
 use {
     super::{PlatformDialect, SidecarDaemon, sidecar_state::SidecarPhase},
     std::time::Duration,
-    tokio::time::{Instant, interval},
+    tokio::time::{Instant, interval, sleep},
 };
 
 /// Time for which the target still takes calls of other sidecars; what they send ends by then.
@@ -45,7 +45,7 @@
             }
         }
         self.state.enter(SidecarPhase::Ending);
-        tokio::time::sleep(LAST_WRITES).await;
+        sleep(LAST_WRITES).await;
         self.state.membership.stop().await;
         self.outbound_gate.close();
         self.inner_gate.close();
