--- a/src/sidecar/admin_calls.rs
+++ b/src/sidecar/admin_calls.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        PlatformDialect, RegisterChange, ReportedState, TargetBeat, TargetPhase, TargetReport,
+        PlatformDialect, RegisterChange, TargetPhase, TargetReport,
         hop_outcome::RelayBody,
         live_target::LiveTarget,
         sidecar_state::{SidecarPhase, SidecarState, TargetSlot},
@@ -128,12 +128,7 @@
         TargetPhase::Draining => TargetState::Draining,
         TargetPhase::Gone => return None,
     };
-    Some(announce(beat, state))
-}
-
-fn announce(beat: &TargetBeat, state: TargetState) -> TargetAnnouncement {
-    debug_assert!(state == TargetState::Draining || beat.state == ReportedState::Ready);
-    TargetAnnouncement {
+    Some(TargetAnnouncement {
         service: beat.service.clone(),
         address: beat.address,
         slots: beat.slots,
@@ -141,7 +136,7 @@
         state,
         health_path: None,
         load_path: None,
-    }
+    })
 }
 
 /// Withdraws a target that has sent no heartbeat for too long and answers no call.
--- a/src/sidecar/route_plan.rs
+++ b/src/sidecar/route_plan.rs
@@ -1,6 +1,5 @@
 use {
     super::RouteRule,
-    crate::context::ServiceName,
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
 
@@ -31,7 +30,6 @@
 pub struct RoutePlan {
     pub version: u64,
     pub limits: CallerLimits,
-    services: Vec<ServiceName>,
     hosts: HashMap<String, HashMap<String, Arc<RouteRule>>>,
 }
 
@@ -40,7 +38,6 @@
     pub fn new(
         version: u64,
         limits: CallerLimits,
-        services: Vec<ServiceName>,
         rules: impl IntoIterator<Item = RouteRule>,
     ) -> Self {
         let mut hosts: HashMap<String, HashMap<String, Arc<RouteRule>>> = HashMap::new();
@@ -51,7 +48,6 @@
         Self {
             version,
             limits,
-            services,
             hosts,
         }
     }
@@ -67,14 +63,4 @@
         let mut ends = path.rmatch_indices('/').map(|(index, _)| index + 1);
         ends.find_map(|end| prefixes.get(&path[..end]))
     }
-
-    #[must_use]
-    pub fn is_service(&self, service: &ServiceName) -> bool {
-        self.services.contains(service)
-    }
-
-    /// All rules, in no order.
-    pub fn rules(&self) -> impl Iterator<Item = &Arc<RouteRule>> {
-        self.hosts.values().flat_map(HashMap::values)
-    }
 }
