A sidecar calls a part of the targets of a large service; certain connections for calls that run once

At 1,500 sidecars each kept an h2 connection of about 35 KB to every peer that it called, over 50 MB of the 32 MB that it may take (docs/CAPACITY.md listed it as not built). A sidecar now calls at most 12 targets of a service: up to 6 of its own data centre, the rest from the others, in the order of a hash of both addresses, so that a target that comes or goes changes one place. Weighed: a ring shuffled by rounds (even to one caller, but it moves many places when the list differs between daemons); all local targets only (no way out of a crowded data centre). Connections to targets that are no longer called are not used any more. Tests: size, spread over callers, place, stability, totals.

Rested connections. A target that forgets idle connections resets what is sent next, and for a call that must not run twice that left the outcome open (502). Such a call goes out on a new connection unless one has rested for less than 200 ms. Test: a target that numbers its connections.

The lowest rank of a service is found with each tick of the valves and no longer by a scan of all routes on each request, and the cost of the route is no longer copied for it.

The daemon of the product's own table interface puts samples of its metrics into their buckets each second; they piled up until a scrape before, as the recorder holds each sample until its upkeep. No test: a request leaves 24 bytes, too few to tell from a process's other memory within a test.

--- a/src/daemon/daemon_process.rs
+++ b/src/daemon/daemon_process.rs
@@ -41,6 +41,8 @@
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
+/// Time between two moments at which samples of the metrics are put into their buckets.
+const METRICS_UPKEEP: Duration = Duration::from_secs(1);
 /// Time between two rounds of the guard.
 const GUARD_TICK: Duration = Duration::from_millis(10);
 /// Time between two looks at what has expired.
@@ -181,6 +183,15 @@
         self.state.spawn(probe_target(self.state.clone()));
         self.state.spawn(expire(self.state.clone()));
         let state = Arc::downgrade(&self.state);
+        timers.run(METRICS_UPKEEP, move |_| {
+            let state = state.upgrade();
+            let state = state.filter(|state| !state.stopped.is_cancelled());
+            state.is_some_and(|state| {
+                state.recorder.run_upkeep();
+                true
+            })
+        });
+        let state = Arc::downgrade(&self.state);
         let mut told = CallPriority::LOWEST;
         timers.run(GUARD_TICK, move |now| {
             let Some(state) = state.upgrade() else {
--- a/src/daemon/metrics_recorder.rs
+++ b/src/daemon/metrics_recorder.rs
@@ -18,7 +18,7 @@
 ];
 
 fn install() -> PrometheusHandle {
-    // Buckets need no memory for single samples.
+    // Samples are held one by one until the next upkeep; buckets bound what is left of them.
     let builder = PrometheusBuilder::new().set_buckets(&LATENCY_BUCKETS);
     let recorder = builder.unwrap_or_default().build_recorder();
     let handle = recorder.handle();
--- a/src/net/target_pool.rs
+++ b/src/net/target_pool.rs
@@ -38,6 +38,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
+    rested_since: Instant,
     /// When the target may close it.
     expires: Instant,
 }
@@ -64,10 +65,20 @@
         self: &Arc<Self>,
         request: Request<Full<Bytes>>,
         deadline: Instant,
+    ) -> Result<(Response<Incoming>, TargetConnection), SendFailure> {
+        self.send_rested(request, Duration::MAX, deadline).await
+    }
+
+    /// Sends a call on a new connection or on one that has been idle no longer than `longest_rest`.
+    pub(crate) async fn send_rested(
+        self: &Arc<Self>,
+        request: Request<Full<Bytes>>,
+        longest_rest: Duration,
+        deadline: Instant,
     ) -> Result<(Response<Incoming>, TargetConnection), SendFailure> {
         let mut request = request;
         loop {
-            let mut connection = self.connection(deadline).await?;
+            let mut connection = self.connection(longest_rest, deadline).await?;
             let sending = connection.sender.try_send_request(request);
             match timeout_at(deadline, sending).await {
                 Ok(Ok(response)) => return Ok((response, connection)),
@@ -87,6 +98,7 @@
 
     async fn connection(
         self: &Arc<Self>,
+        longest_rest: Duration,
         deadline: Instant,
     ) -> Result<TargetConnection, SendFailure> {
         let acquiring = self.permits.clone().acquire_owned();
@@ -94,7 +106,7 @@
             .await
             .map_err(|_| SendFailure::NotSent(self.error("no free connection by the deadline")))?
             .map_err(|error| SendFailure::NotSent(self.error(error)))?;
-        let sender = match self.take_idle().await {
+        let sender = match self.take_idle(longest_rest).await {
             Some(sender) => sender,
             None => self.connect().await.map_err(SendFailure::NotSent)?,
         };
@@ -105,8 +117,8 @@
         })
     }
 
-    async fn take_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
-        while let Some(mut sender) = self.pop_idle() {
+    async fn take_idle(&self, longest_rest: Duration) -> Option<SendRequest<Full<Bytes>>> {
+        while let Some(mut sender) = self.pop_idle(longest_rest) {
             if sender.ready().await.is_ok() {
                 return Some(sender);
             }
@@ -114,10 +126,14 @@
         None
     }
 
-    /// The connection that was used last, if it has not expired.
-    fn pop_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
+    /// The connection that was used last, if it has not expired or rested for too long.
+    fn pop_idle(&self, longest_rest: Duration) -> Option<SendRequest<Full<Bytes>>> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Instant::now();
+        // Those below it have rested longer still.
+        if now - idle.last()?.rested_since > longest_rest {
+            return None;
+        }
         while let Some(connection) = idle.pop() {
             if connection.expires > now {
                 return Some(connection.sender);
@@ -177,6 +193,7 @@
         if idle.len() < MAX_IDLE_CONNECTIONS && !self.sender.is_closed() {
             idle.push(IdleConnection {
                 sender: self.sender,
+                rested_since: Instant::now(),
                 expires: Instant::now() + idle_time,
             });
         }
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        AnswerBody, ConnectionGate, ListenerLimits, MeshPool, NoHold, SendFailure, bind, serve_mesh,
+        AnswerBody, ConnectionGate, ListenerLimits, MeshPool, NoHold, SendFailure, TargetPool,
+        bind, serve_mesh,
     },
     bytes::Bytes,
     http::{Request, Response},
@@ -13,7 +14,10 @@
         net::{Ipv4Addr, SocketAddr},
         time::Duration,
     },
-    tokio::time::Instant,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        time::{Instant, sleep},
+    },
 };
 
 const SILENCE: Duration = Duration::from_millis(500);
@@ -71,3 +75,43 @@
     let next = exchange(&pool, relay.address(), "next").await;
     assert_eq!(next.expect("an answer over a new connection"), "next");
 }
+
+/// A target that answers each request with the number of its connection.
+async fn start_counting_target() -> SocketAddr {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let listener = bind(any).await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        for number in 0.. {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            tokio::spawn(async move {
+                let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{number}");
+                // Each request comes in one piece.
+                let mut request = [0; 1_024];
+                while stream.read(&mut request).await.is_ok_and(|read| read > 0) {
+                    stream.write_all(answer.as_bytes()).await.expect("a reader");
+                }
+            });
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn a_call_that_must_not_run_twice_gets_no_rested_connection() {
+    const REST: Duration = Duration::from_millis(20);
+    let target = start_counting_target().await;
+    let pool = TargetPool::new(target, 8);
+    let mut connections = Vec::new();
+    for longest_rest in [Duration::MAX, Duration::MAX, REST, Duration::MAX] {
+        let request = Request::get("/").body(Full::default()).expect("a request");
+        let deadline = Instant::now() + DEADLINE;
+        let sending = pool.send_rested(request, longest_rest, deadline);
+        let (response, connection) = sending.await.expect("an answer");
+        let body = response.into_body().collect().await.expect("a body");
+        connections.push(body.to_bytes());
+        connection.release();
+        sleep(REST * 2).await;
+    }
+    assert_eq!(connections, ["0", "0", "1", "1"]);
+}
--- a/src/sidecar/front_admission.rs
+++ b/src/sidecar/front_admission.rs
@@ -31,6 +31,8 @@
 pub struct FrontAdmission {
     routes: HashMap<String, RouteCost>,
     valves: HashMap<ServiceName, ServiceValve>,
+    /// Lowest rank among the routes that reach a service.
+    lowest_ranks: HashMap<ServiceName, u8>,
 }
 
 /// A request that was refused at the front.
@@ -55,12 +57,11 @@
             return Ok(());
         };
         cost.rank = rank;
-        let cost = cost.clone();
         for (service, seconds) in &cost.services {
-            let lowest = self.lowest_rank(service).unwrap_or(rank);
             let Some(valve) = self.valves.get_mut(service) else {
                 continue;
             };
+            let lowest = self.lowest_ranks.get(service).copied().unwrap_or(rank);
             if !valve.is_open(rank.saturating_sub(lowest)) {
                 valve.note_refusal(now);
                 return Err(FrontRefusal {
@@ -153,13 +154,21 @@
         for (service, valve) in &mut self.valves {
             valve.tick(now, fair_share(service));
         }
+        self.rank_services();
     }
 
-    /// Lowest rank among the routes that reach a service.
-    fn lowest_rank(&self, service: &ServiceName) -> Option<u8> {
-        let routes = self.routes.values();
-        let reaching = routes.filter(|cost| cost.services.iter().any(|(name, _)| name == service));
-        reaching.map(|cost| cost.rank).min()
+    /// Finds the lowest rank that reaches each service, which is too slow for each request.
+    fn rank_services(&mut self) {
+        self.lowest_ranks.clear();
+        for cost in self.routes.values() {
+            for (service, _) in &cost.services {
+                if let Some(lowest) = self.lowest_ranks.get_mut(service) {
+                    *lowest = cost.rank.min(*lowest);
+                } else {
+                    self.lowest_ranks.insert(service.clone(), cost.rank);
+                }
+            }
+        }
     }
 }
 
--- a/src/sidecar/hop_service.rs
+++ b/src/sidecar/hop_service.rs
@@ -37,6 +37,9 @@
 /// Time for which an idle connection is kept where the target names none.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// Rest of a connection up to which a call that must not run twice goes out on it. Targets forget
+/// idle connections, some after 300 ms, and a reset leaves open whether the call has run.
+const CERTAIN_REST: Duration = Duration::from_millis(200);
 /// Pressure from which the target gets no repeats.
 const REPEAT_PRESSURE: f64 = 1.3;
 
@@ -230,7 +233,13 @@
         }
     };
     let deadline = state.clock.instant_of(context.deadline) + BODY_PATIENCE;
-    match target.pool.send(request, deadline).await {
+    let longest_rest = if context.is_idempotent {
+        Duration::MAX
+    } else {
+        CERTAIN_REST
+    };
+    let sending = target.pool.send_rested(request, longest_rest, deadline);
+    match sending.await {
         Ok((response, connection)) => {
             take_answer(state, call, context, response, connection, ticket).await
         }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -34,6 +34,7 @@
 mod load_report;
 mod outbound_service;
 mod peer_call;
+mod peer_subset;
 mod peer_table;
 mod plan_watch;
 mod platform_dialect;
--- /dev/null
+++ b/src/sidecar/peer_subset.rs
@@ -0,0 +1,44 @@
+use {
+    crate::membership::{MemberRecord, MemberState},
+    rapidhash::v3::rapidhash_v3,
+    std::net::SocketAddr,
+};
+
+/// Targets of one service that one daemon calls, so that connections and loads to keep do not grow
+/// with the fleet.
+const SUBSET_SIZE: usize = 12;
+/// Targets in the daemon's own data centre that come first; the others are taken wherever they are,
+/// so that a data centre with many callers reaches room elsewhere.
+const LOCAL_SIZE: usize = 6;
+
+/// Chooses the targets that the daemon at `own` calls, all of one service.
+///
+/// Each daemon orders the targets by a hash of its own address and theirs (rendezvous hashing). So
+/// all targets get about as many callers, and a target that comes or goes changes one place.
+/// Suspects only fill up.
+pub(crate) fn choose_subset<'a>(
+    own: SocketAddr,
+    data_centre: &str,
+    mut targets: Vec<&'a MemberRecord>,
+) -> Vec<&'a MemberRecord> {
+    if targets.len() <= SUBSET_SIZE {
+        return targets;
+    }
+    targets.sort_by_cached_key(|record| {
+        let is_suspect = record.state == MemberState::Suspect;
+        (
+            is_suspect,
+            rapidhash_v3(format!("{own}/{}", record.mesh).as_bytes()),
+        )
+    });
+    let is_local = |record: &&MemberRecord| {
+        record.state != MemberState::Suspect && *record.data_centre == *data_centre
+    };
+    let (local, remote): (Vec<_>, Vec<_>) = targets.into_iter().partition(is_local);
+    let (first, spare) = local.split_at(local.len().min(LOCAL_SIZE));
+    let mut subset = first.to_vec();
+    // Remote targets before spare local ones: these few are the way out of a crowded data centre.
+    subset.extend(remote.into_iter().chain(spare.iter().copied()));
+    subset.truncate(SUBSET_SIZE);
+    subset
+}
--- a/src/sidecar/peer_table.rs
+++ b/src/sidecar/peer_table.rs
@@ -1,5 +1,5 @@
 use {
-    super::{TargetLoad, TargetTrail},
+    super::{TargetLoad, TargetTrail, peer_subset::choose_subset},
     crate::{
         context::ServiceName,
         membership::{MemberRecord, MemberState, MemberView},
@@ -65,17 +65,30 @@
     passed_over_until: TimePoint,
 }
 
+/// The targets of one service.
+#[derive(Clone, Debug, Default)]
+struct ServicePeers {
+    /// Those that are called from here.
+    entries: Vec<PeerEntry>,
+    /// Targets in all, and their slots.
+    targets: usize,
+    slots: u32,
+}
+
 /// Chooses the target that is expected to end a call first.
 #[derive(Clone, Debug)]
 pub struct PeerTable {
+    own: SocketAddr,
     data_centre: Arc<str>,
-    services: HashMap<ServiceName, Vec<PeerEntry>>,
+    services: HashMap<ServiceName, ServicePeers>,
 }
 
 impl PeerTable {
+    /// A table of the daemon whose mesh address is `own`.
     #[must_use]
-    pub fn new(data_centre: Arc<str>) -> Self {
+    pub fn new(own: SocketAddr, data_centre: Arc<str>) -> Self {
         Self {
+            own,
             data_centre,
             services: HashMap::new(),
         }
@@ -85,34 +98,60 @@
     pub fn update(&mut self, now: TimePoint, view: &MemberView) {
         let mut known = std::mem::take(&mut self.services);
         let is_first = known.is_empty();
+        let mut services: HashMap<&ServiceName, Vec<&MemberRecord>> = HashMap::new();
         for record in view.members.iter().filter(|record| record.takes_work()) {
-            let Some(target) = &record.target else {
-                continue;
-            };
-            let kept = known.get_mut(&target.service).and_then(|entries| {
-                let index = entries.iter().position(|entry| entry.mesh == record.mesh)?;
-                Some(entries.swap_remove(index))
+            if let Some(target) = &record.target {
+                services.entry(&target.service).or_default().push(record);
+            }
+        }
+        for (service, records) in services {
+            let mut kept = known.remove(service).unwrap_or_default().entries;
+            let targets = records.len();
+            let slots = records.iter().filter_map(|record| record.target.as_ref());
+            let slots = slots.map(|target| target.slots).sum();
+            let subset = choose_subset(self.own, &self.data_centre, records);
+            let entries = subset.into_iter().map(|record| {
+                let index = kept.iter().position(|entry| entry.mesh == record.mesh);
+                let kept = index.map(|index| kept.swap_remove(index));
+                let fresh = || PeerEntry::new(record, &self.data_centre, now, is_first);
+                let mut entry = kept.unwrap_or_else(fresh);
+                entry.slots = record.target.as_ref().map_or(0, |target| target.slots);
+                entry.is_suspect = record.state == MemberState::Suspect;
+                entry
             });
-            let fresh = || PeerEntry::new(record, &self.data_centre, now, is_first);
-            let mut entry = kept.unwrap_or_else(fresh);
-            entry.slots = target.slots;
-            entry.is_suspect = record.state == MemberState::Suspect;
-            let entries = self.services.entry(target.service.clone()).or_default();
-            entries.push(entry);
+            let peers = ServicePeers {
+                entries: entries.collect(),
+                targets,
+                slots,
+            };
+            self.services.insert(service.clone(), peers);
         }
     }
 
-    /// Targets of a service.
+    /// Targets of a service, whether they are called from here or not.
     #[must_use]
     pub fn count(&self, service: &ServiceName) -> usize {
-        self.services.get(service).map_or(0, Vec::len)
+        self.services.get(service).map_or(0, |peers| peers.targets)
     }
 
-    /// Calls that all targets of a service run at once.
+    /// Whether a target beside the sidecar at `mesh` is called from here.
+    #[must_use]
+    pub fn calls(&self, mesh: SocketAddr) -> bool {
+        let mut entries = self.services.values().flat_map(|peers| &peers.entries);
+        entries.any(|entry| entry.mesh == mesh)
+    }
+
+    /// Calls that all targets of a service run at once, by the limits of those that are called from
+    /// here.
     #[must_use]
     pub fn total_limit(&self, service: &ServiceName) -> f64 {
-        let entries = self.services.get(service).into_iter().flatten();
-        entries.map(PeerEntry::limit).sum()
+        let Some(peers) = self.services.get(service) else {
+            return 0.0;
+        };
+        let entries = &peers.entries;
+        let limit: f64 = entries.iter().map(PeerEntry::limit).sum();
+        let slots: u32 = entries.iter().map(|entry| entry.slots.max(1)).sum();
+        limit * f64::from(peers.slots) / f64::from(slots)
     }
 
     /// Calls in the targets of a service and before them, against their limits; `None` unless most
@@ -121,7 +160,7 @@
     /// A fast target has a queue while slow ones have none, so a single one says little.
     #[must_use]
     pub fn pressure(&self, now: TimePoint, service: &ServiceName) -> Option<f64> {
-        let entries = self.services.get(service)?;
+        let entries = &self.services.get(service)?.entries;
         let fresh = entries.iter().filter_map(|entry| entry.fresh_load(now));
         let (mut count, mut calls, mut limit) = (0, 0.0, 0.0);
         for load in fresh {
@@ -141,7 +180,7 @@
         max_targets: u32,
         rng: &mut R,
     ) -> Option<SocketAddr> {
-        let entries = self.services.get_mut(service)?;
+        let entries = &mut self.services.get_mut(service)?.entries;
         let is_new = |entry: &PeerEntry| trail.allows_new(entry.mesh, max_targets);
         let has_new = entries.iter().any(is_new);
         let is_left = |entry: &&mut PeerEntry| {
@@ -179,8 +218,11 @@
         end: PeerEnd,
         load: Option<TargetLoad>,
     ) {
-        let entries = self.services.get_mut(service);
-        let entry = entries.and_then(|all| all.iter_mut().find(|entry| entry.mesh == mesh));
+        let peers = self.services.get_mut(service);
+        let entry = peers.and_then(|peers| {
+            let mut entries = peers.entries.iter_mut();
+            entries.find(|entry| entry.mesh == mesh)
+        });
         if let Some(entry) = entry {
             entry.finish(now, end, load);
         }
--- a/src/sidecar/sidecar_daemon.rs
+++ b/src/sidecar/sidecar_daemon.rs
@@ -109,7 +109,10 @@
             recorder: process_recorder(),
             phase: watch::Sender::new(SidecarPhase::Starting),
             plan: watch::Sender::new(None),
-            peers: Mutex::new(PeerTable::new(settings.data_centre.as_str().into())),
+            peers: Mutex::new(PeerTable::new(
+                settings.listen.mesh,
+                settings.data_centre.as_str().into(),
+            )),
             admission: Mutex::new(FrontAdmission::default()),
             target: Mutex::new(TargetSlot {
                 register,
@@ -223,8 +226,7 @@
     let mut views = state.membership.view();
     loop {
         let view = views.borrow_and_update().clone();
-        state.peers().update(state.clock.now(), &view);
-        state.mesh.retain(|mesh| view.find_mesh(*mesh).is_some());
+        state.take_members(&view);
         if views.changed().await.is_err() {
             return;
         }
--- a/src/sidecar/sidecar_state.rs
+++ b/src/sidecar/sidecar_state.rs
@@ -4,7 +4,12 @@
         TargetRegister, decision_log::DecisionLog, live_target::LiveTarget,
         running_calls::RunningCalls,
     },
-    crate::{context::ServiceName, membership::MembershipHandle, net::MeshPool, time::BootClock},
+    crate::{
+        context::ServiceName,
+        membership::{MemberView, MembershipHandle},
+        net::MeshPool,
+        time::BootClock,
+    },
     bytes::Bytes,
     metrics::gauge,
     metrics_exporter_prometheus::PrometheusHandle,
@@ -89,6 +94,13 @@
         self.repeats.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Brings the members into the table of targets; connections to others are not used any more.
+    pub(crate) fn take_members(&self, view: &MemberView) {
+        let mut peers = self.peers();
+        peers.update(self.clock.now(), view);
+        self.mesh.retain(|mesh| peers.calls(*mesh));
+    }
+
     /// Moves what the front admits; each daemon has an equal share of the slots of a service.
     pub(crate) fn tick_admission(&self) {
         let members = self.membership.view().borrow().members.len().max(1);
--- a/tests/sidecar/load_play.rs
+++ b/tests/sidecar/load_play.rs
@@ -138,7 +138,7 @@
         let now = TimePoint::from_millis(10_000);
         let view = members(slots);
         let caller = || {
-            let mut table = PeerTable::new("d".into());
+            let mut table = PeerTable::new(mesh(200), "d".into());
             table.update(now, &view);
             table
         };
--- a/tests/sidecar/peers.rs
+++ b/tests/sidecar/peers.rs
@@ -31,7 +31,7 @@
             .map(|index| record(index, TargetState::Serving))
             .collect(),
     };
-    let mut table = PeerTable::new("d".into());
+    let mut table = PeerTable::new(mesh(200), "d".into());
     table.update(NOW, &view);
     table
 }
@@ -162,3 +162,74 @@
         assert_ne!(chosen, Some(refused), "it may have run the call");
     }
 }
+
+/// Daemons of a large fleet, in five data centres.
+const FLEET: usize = 200;
+const DATA_CENTRES: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+fn fleet_member(index: usize) -> Arc<MemberRecord> {
+    let mut record = MemberRecord::clone(&record(index, TargetState::Serving));
+    record.data_centre = DATA_CENTRES[index % DATA_CENTRES.len()].into();
+    Arc::new(record)
+}
+
+fn fleet() -> MemberView {
+    MemberView {
+        members: (0..FLEET).map(fleet_member).collect(),
+    }
+}
+
+/// Targets that the daemon at `index` calls.
+fn called(index: usize, view: &MemberView) -> HashSet<SocketAddr> {
+    let mut table = PeerTable::new(mesh(index), DATA_CENTRES[index % 5].into());
+    table.update(NOW, view);
+    shares(&mut table).into_keys().collect()
+}
+
+#[test]
+fn a_daemon_calls_few_targets_of_a_large_service() {
+    let view = fleet();
+    let mut callers: HashMap<SocketAddr, u32> = HashMap::new();
+    for index in 0..FLEET {
+        let called = called(index, &view);
+        assert!(called.len() <= 12, "{}", called.len());
+        let is_local = |mesh: &&SocketAddr| {
+            let record = view.find_mesh(**mesh).expect("a member");
+            *record.data_centre == *DATA_CENTRES[index % 5]
+        };
+        let local = called.iter().filter(is_local).count();
+        assert!((4..=8).contains(&local), "{local} of {}", called.len());
+        for mesh in called {
+            *callers.entry(mesh).or_default() += 1;
+        }
+    }
+    assert_eq!(callers.len(), FLEET, "each target has callers");
+    let most = callers.values().max().expect("callers");
+    assert!(
+        *most <= 12 * 3,
+        "{most} callers of one target, 12 on average"
+    );
+}
+
+#[test]
+fn a_target_that_goes_changes_one_place_of_a_subset() {
+    let view = fleet();
+    let before = called(7, &view);
+    let gone = *before.iter().next().expect("a target");
+    let members = view.members.iter().filter(|record| record.mesh != gone);
+    let view = MemberView {
+        members: members.cloned().collect(),
+    };
+    let after = called(7, &view);
+    assert!(!after.contains(&gone));
+    assert_eq!(after.difference(&before).count(), 1);
+}
+
+#[test]
+fn the_size_of_a_service_counts_all_of_its_targets() {
+    let mut table = PeerTable::new(mesh(7), "a".into());
+    table.update(NOW, &fleet());
+    assert_eq!(table.count(&service()), FLEET);
+    let limit = table.total_limit(&service());
+    assert!((limit - 10.0 * 200.0).abs() < 1.0, "{limit}");
+}
