--- a/src/cli/command_flags.rs
+++ b/src/cli/command_flags.rs
@@ -81,6 +81,29 @@
             /// Prints one JSON object a line.
             optional --json
         }
+        /// Finds in the logs of sidecars why a request failed.
+        cmd explain {
+            /// Id of the request, or of a call below it.
+            required request: String
+            /// Logs of the sidecars, one JSON object a line.
+            repeated files: PathBuf
+        }
+        /// Prints lines of the logs of several sidecars in one order: of one request with its calls,
+        /// or else all that tells what the sidecars believed.
+        cmd logs {
+            /// Logs of the sidecars, one JSON object a line.
+            repeated files: PathBuf
+            /// Only lines of this request and of the calls below it.
+            optional --request id: String
+            /// Only lines of this sidecar.
+            optional --node name: String
+            /// Only lines about this service.
+            optional --service name: String
+            /// Only lines from this time on, in ms of the Unix epoch.
+            optional --from ms: u64
+            /// Only lines before this time, in ms of the Unix epoch.
+            optional --to ms: u64
+        }
         /// Replays recorded traces and compares with the outcomes that they state.
         cmd replay {
             /// Traces, one JSON object a line.
--- /dev/null
+++ b/src/cli/explain_command.rs
@@ -0,0 +1,109 @@
+use {
+    super::{
+        CliError, CliOutput,
+        command_flags::Explain,
+        log_files::pick_lines,
+        log_line::{LogLine, root_of},
+        request_story::{RequestStory, meaning_of},
+    },
+    std::{
+        io::Write,
+        time::{Duration, SystemTime},
+    },
+};
+
+/// Time around a failure from which the state of its service is shown.
+const CONTEXT_BEFORE: Duration = Duration::from_secs(3);
+const CONTEXT_AFTER: Duration = Duration::from_secs(1);
+/// Lines of context that are shown, the ones closest to the failure.
+const MAX_CONTEXT_LINES: usize = 6;
+/// What a process believes of a service, its targets and what it depends on.
+const SERVICE_MESSAGES: [&str; 1] = ["service held back"];
+const NODE_MESSAGES: [&str; 7] = [
+    "target loaded",
+    "target reported",
+    "target lost",
+    "store lost",
+    "store regained",
+    "configuration in force",
+    "phase",
+];
+
+pub(super) fn run<O, E>(flags: &Explain, output: &mut CliOutput<O, E>) -> Result<(), CliError>
+where
+    O: Write,
+    E: Write,
+{
+    if flags.files.is_empty() {
+        return Err(CliError::Usage("explain needs a file of logs".into()));
+    }
+    let root = root_of(&flags.request);
+    let picked = pick_lines(&flags.files, |line| line.depth_below(root).is_some())?;
+    if picked.lines.is_empty() {
+        let read = picked.read;
+        return Err(CliError::Refused(format!(
+            "{root}: in none of {read} lines; lines of requests that went well are bounded"
+        )));
+    }
+    let story = RequestStory::new(root, &picked.lines);
+    let end = story.end();
+    let end = end.as_deref().unwrap_or("its end is not in these logs");
+    output.line(format_args!("request {root}: {end}"));
+    let Some(cause) = story.cause() else {
+        output.line("nothing failed in these logs");
+        print_story(&story, output);
+        return Ok(());
+    };
+    output.line(format_args!("cause: {}", meaning_of(cause)));
+    print_story(&story, output);
+    print_context(flags, cause, output)
+}
+
+fn print_story<O, E>(story: &RequestStory<'_>, output: &mut CliOutput<O, E>)
+where
+    O: Write,
+    E: Write,
+{
+    for (depth, line) in story.lines() {
+        output.line(line.to_text(depth));
+    }
+}
+
+/// Shows what the process of the failure believed of the service and of its target at that time.
+fn print_context<O, E>(
+    flags: &Explain,
+    cause: &LogLine,
+    output: &mut CliOutput<O, E>,
+) -> Result<(), CliError>
+where
+    O: Write,
+    E: Write,
+{
+    let service = cause.text("service");
+    let picked = pick_lines(&flags.files, |line| {
+        let is_near =
+            line.time + CONTEXT_BEFORE >= cause.time && line.time <= cause.time + CONTEXT_AFTER;
+        let message = line.message.as_str();
+        let is_service = SERVICE_MESSAGES.contains(&message)
+            && service.is_some()
+            && line.text("service") == service;
+        let is_node = NODE_MESSAGES.contains(&message) && line.node == cause.node;
+        is_near && (is_service || is_node)
+    })?;
+    let mut lines = picked.lines;
+    lines.sort_by_key(|line| (line.node != cause.node, distance(line.time, cause.time)));
+    lines.truncate(MAX_CONTEXT_LINES);
+    lines.sort_by_key(|line| line.time);
+    if !lines.is_empty() {
+        output.line("around it:");
+    }
+    for line in lines {
+        output.line(line.to_text(0));
+    }
+    Ok(())
+}
+
+fn distance(one: SystemTime, other: SystemTime) -> Duration {
+    let later = one.duration_since(other);
+    later.unwrap_or_else(|error| error.duration())
+}
--- /dev/null
+++ b/src/cli/log_line.rs
@@ -0,0 +1,76 @@
+use {
+    humantime::{format_rfc3339_millis, parse_rfc3339},
+    serde_json::{Map, Value},
+    std::time::SystemTime,
+};
+
+/// Longest line that is read; sidecars write far shorter ones.
+pub(super) const MAX_LINE_BYTES: usize = 64 * 1024;
+/// Fields that stand in columns of their own.
+const COLUMNS: [&str; 4] = ["ts", "level", "node", "msg"];
+const PART_SEPARATOR: char = '.';
+
+/// One line of the log of a sidecar.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct LogLine {
+    pub(super) time: SystemTime,
+    pub(super) node: String,
+    pub(super) message: String,
+    fields: Map<String, Value>,
+}
+
+impl LogLine {
+    /// Reads a line; what a collector of logs has put before the JSON is passed over.
+    pub(super) fn parse(text: &str) -> Option<Self> {
+        let start = text.find('{')?;
+        let mut fields: Map<String, Value> = serde_json::from_str(&text[start..]).ok()?;
+        let time = parse_rfc3339(fields.get("ts")?.as_str()?).ok()?;
+        let mut column = |name| match fields.remove(name) {
+            Some(Value::String(text)) => Some(text),
+            _ => None,
+        };
+        let message = column("msg")?;
+        let node = column("node").unwrap_or_default();
+        fields.retain(|name, _| !COLUMNS.contains(&name.as_str()));
+        Some(Self {
+            time,
+            node,
+            message,
+            fields,
+        })
+    }
+
+    pub(super) fn text(&self, field: &str) -> Option<&str> {
+        self.fields.get(field)?.as_str()
+    }
+
+    pub(super) fn number(&self, field: &str) -> Option<u64> {
+        self.fields.get(field)?.as_u64()
+    }
+
+    /// Calls between the request that `root` names and the one of this line; `None` if the line is
+    /// about something else.
+    pub(super) fn depth_below(&self, root: &str) -> Option<usize> {
+        let below = self.text("request")?.strip_prefix(root)?;
+        let is_part = below.is_empty() || below.starts_with(PART_SEPARATOR);
+        is_part.then(|| below.matches(PART_SEPARATOR).count())
+    }
+
+    /// Time, process and content, indented by `depth`.
+    pub(super) fn to_text(&self, depth: usize) -> String {
+        let time = format_rfc3339_millis(self.time);
+        let shown = self.fields.iter().map(|(name, value)| match value {
+            Value::String(text) if !text.contains(' ') => format!(" {name}={text}"),
+            other => format!(" {name}={other}"),
+        });
+        let fields: String = shown.collect();
+        let Self { node, message, .. } = self;
+        let indent = "  ".repeat(depth);
+        format!("{time}  {node:20}  {indent}{message}{fields}")
+    }
+}
+
+/// The id of the request at the front of the chain that `id` belongs to.
+pub(super) fn root_of(id: &str) -> &str {
+    id.split(PART_SEPARATOR).next().unwrap_or(id)
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -9,9 +9,14 @@
 mod cli_output;
 mod command_flags;
 mod event_line;
+mod explain_command;
+mod log_files;
+mod log_line;
+mod logs_command;
 mod member_command;
 mod policy_command;
 mod replay_command;
+mod request_story;
 mod settings_command;
 mod timeline_command;
 
@@ -66,6 +71,8 @@
         BanyantrestleCmd::Policy(policy) => policy_command::run(policy.subcommand, output).await,
         BanyantrestleCmd::Members(members) => member_command::run(&members, output).await,
         BanyantrestleCmd::Timeline(timeline) => timeline_command::run(&timeline, output).await,
+        BanyantrestleCmd::Explain(explain) => explain_command::run(&explain, output),
+        BanyantrestleCmd::Logs(logs) => logs_command::run(&logs, output),
         BanyantrestleCmd::Replay(replay) => replay_command::run(&replay, output),
         BanyantrestleCmd::Settings(settings) => settings_command::run(&settings, output),
         BanyantrestleCmd::Version(_) => {
--- a/src/sidecar/final_answer.rs
+++ b/src/sidecar/final_answer.rs
@@ -1,14 +1,20 @@
 use {
-    super::{HeaderDialect, hop_outcome::RelayBody},
+    super::{
+        HeaderDialect,
+        hop_outcome::{HopFailure, RelayBody},
+    },
     crate::net::AnswerBody,
     bytes::Bytes,
     http::{HeaderValue, Response, StatusCode, header::RETRY_AFTER},
     std::time::Duration,
-    strum::{Display, IntoStaticStr},
+    strum::{Display, EnumString, IntoStaticStr},
 };
 
+/// Outcome in the log of an offer that the target ran and failed by itself.
+pub(crate) const FAILED_RUN: &str = "target-error";
+
 /// Why a request ends by an answer of the sidecar's own.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub(crate) enum FinalReason {
     /// No configuration is known yet.
@@ -28,7 +34,31 @@
     TooDeep,
 }
 
+/// What an outcome in a log means, of an offer or of a whole request.
+pub(crate) fn explain_outcome(outcome: &str) -> Option<&'static str> {
+    let failure = outcome.parse().ok().map(HopFailure::explanation);
+    let reason = outcome.parse().ok().map(FinalReason::explanation);
+    failure.or(reason).or_else(|| {
+        let is_failed_run = outcome == FAILED_RUN;
+        is_failed_run.then_some("the target ran the call and answered by a failure")
+    })
+}
+
 impl FinalReason {
+    const fn explanation(self) -> &'static str {
+        match self {
+            Self::NoPlan => "no configuration was known yet; not run",
+            Self::NoRoute => "no route of the configuration in force takes the request",
+            Self::BodyTooLarge => "the body is larger than the configuration allows; not run",
+            Self::BodyLate => "the body did not arrive in time; not run",
+            Self::NoRoom => "the front of the chain had no room for this rank; not run",
+            Self::NotRun => "no target took the request; not run",
+            Self::Unknown => "the request may have run; what came of it is not known",
+            Self::TimeOver => "the time of the route or of the caller was over",
+            Self::TooDeep => "the chain of calls is deeper than is served",
+        }
+    }
+
     const fn status(self) -> StatusCode {
         match self {
             Self::NoPlan | Self::NoRoom | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/sidecar/hop_outcome.rs
+++ b/src/sidecar/hop_outcome.rs
@@ -38,6 +38,26 @@
 }
 
 impl HopFailure {
+    /// What an operator may read in a log.
+    pub(crate) const fn explanation(self) -> &'static str {
+        match self {
+            Self::NoTarget => "no target of the service was known",
+            Self::Unreachable => "the sidecar beside the target could not be reached; not run",
+            Self::HopBroken => {
+                "the connection to the sidecar beside the target broke; the call may have run"
+            }
+            Self::TargetClosed => "the target was leaving, gone or of another service; not run",
+            Self::QueueFull => "as many calls waited for the target as can be served; not run",
+            Self::TargetStalled => "the target ended no calls; not run",
+            Self::DeadlineTooNear => "the call could not have ended in time any more; not run",
+            Self::NoRepeats => "the service had had as many repeats as it may get; not run again",
+            Self::ConnectFailed => "the target took no connection; not run",
+            Self::Shed => "the target refused the call; not run",
+            Self::TargetBroken => "the connection to the target broke; the call may have run",
+            Self::BadAnswer => "the answer was cut short, not the target's, or of another call",
+        }
+    }
+
     /// What is known of the call after this failure.
     pub(crate) const fn attempt_end(self) -> AttemptEnd {
         match self {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -56,6 +56,7 @@
 mod target_trail;
 mod tree_cost;
 
+pub(crate) use final_answer::explain_outcome;
 pub use {
     front_admission::{FrontAdmission, FrontRefusal},
     hop_context::{HopContext, MAX_HOPS},
--- a/src/sidecar/outbound_service.rs
+++ b/src/sidecar/outbound_service.rs
@@ -3,7 +3,7 @@
         AttemptEnd, AttemptHistory, FrontRefusal, HopContext, MAX_HOPS, NextStep, PlatformDialect,
         RouteRule, TargetTrail, TreeCost,
         decision_log::LineWeight,
-        final_answer::{FinalReason, final_answer},
+        final_answer::{FAILED_RUN, FinalReason, final_answer},
         forward_call::{ForwardCall, header_text, request_host},
         hop_outcome::{HopFailure, RelayBody},
         peer_call::offer,
@@ -167,7 +167,7 @@
                 return Ok(response);
             }
             Ok(response) => {
-                note_attempt(state, call, &context, Some(mesh), "target-error");
+                note_attempt(state, call, &context, Some(mesh), FAILED_RUN);
                 failed_answer = Some(response);
                 AttemptEnd::FailedRun
             }
--- /dev/null
+++ b/tests/explain.rs
@@ -0,0 +1,151 @@
+//! The command line reads the logs of sidecars.
+
+use {
+    banyantrestle::cli::{CliOutput, run},
+    std::{ffi::OsString, fs, path::PathBuf, process::ExitCode},
+    tempfile::TempDir,
+};
+
+/// Two sidecars' lines of a request whose deepest call was refused, of one that was refused at the
+/// front, and of a purchase whose connection broke; with lines of other programs between them.
+const FRONT_LOG: &str = r#"
+not json at all
+{"ts":"2026-12-04T00:00:01.000Z","level":"INFO","node":"a","msg":"service held back","service":"deep","pressure":2.1,"rate":4.5}
+12.3 s a: {"ts":"2026-12-04T00:00:01.250Z","level":"INFO","node":"a","msg":"answered","request":"r1","service":"top","peer":"10.0.0.2:7","status":500,"elapsed_ms":240,"depth":0}
+{"ts":"2026-12-04T00:00:01.300Z","level":"INFO","node":"a","msg":"refused at the front","request":"r2","service":"deep","rank":253,"pressure":2.1}
+{"ts":"2026-12-04T00:00:02.000Z","level":"INFO","node":"a","msg":"attempt failed","request":"r3","service":"top","outcome":"target-broken","depth":0}
+{"ts":"2026-12-04T00:00:02.001Z","level":"INFO","node":"a","msg":"ended here","request":"r3","reason":"unknown"}
+{"ts":"2026-12-04T00:00:03.000Z","level":"INFO","node":"a","msg":"answered","request":"r10","service":"top","status":200,"elapsed_ms":12,"depth":0}
+{"ts":"2026-12-04T00:00:03.500Z","level":"INFO","node":"a","msg":"attempt failed","request":"r4","service":"top","outcome":"shed","depth":0}
+{"ts":"2026-12-04T00:00:04.000Z","level":"INFO","node":"a","msg":"ended here","request":"r4","reason":"time-over"}
+"#;
+const DEEP_LOG: &str = r#"
+{"ts":"2026-12-04T00:00:01.200Z","level":"INFO","node":"b","msg":"attempt failed","request":"r1.x","service":"deep","outcome":"shed","depth":1}
+{"ts":"2026-12-04T00:00:01.210Z","level":"INFO","node":"b","msg":"attempt failed","request":"r1.x","service":"deep","outcome":"no-repeats","depth":1}
+{"ts":"2026-12-04T00:00:01.211Z","level":"INFO","node":"b","msg":"ended here","request":"r1.x","reason":"not-run"}
+{"ts":"2026-12-04T00:00:01.220Z","level":"WARN","node":"b","msg":"store lost"}
+{"ts":"2026-12-04T00:00:09.000Z","level":"INFO","node":"b","msg":"store regained"}
+"#;
+
+fn logs() -> (TempDir, Vec<PathBuf>) {
+    let folder = TempDir::new().expect("a folder");
+    let texts = [("a.log", FRONT_LOG), ("b.log", DEEP_LOG)];
+    let paths = texts.map(|(name, text)| {
+        let path = folder.path().join(name);
+        fs::write(&path, text).expect("a file");
+        path
+    });
+    (folder, paths.into())
+}
+
+async fn told(command: &[&str]) -> (ExitCode, String, String) {
+    let (_folder, paths) = logs();
+    let mut arguments: Vec<OsString> = command.iter().map(OsString::from).collect();
+    arguments.splice(1..1, paths.into_iter().map(OsString::from));
+    if command[0] == "explain" {
+        // The id comes before the files.
+        let id = arguments.pop().expect("an id");
+        arguments.insert(1, id);
+    }
+    let (mut output, mut errors) = (Vec::new(), Vec::new());
+    let code = run(arguments, &mut CliOutput::new(&mut output, &mut errors)).await;
+    let text = |bytes| String::from_utf8(bytes).expect("text");
+    (code, text(output), text(errors))
+}
+
+#[tokio::test]
+async fn the_deepest_failure_is_the_cause() {
+    let cases = [
+        (
+            "r1",
+            "answered 500 after 240 ms at a",
+            "cause: service deep, no-repeats: the service had had as many repeats as it may get",
+        ),
+        (
+            "r1.x",
+            "answered 500 after 240 ms at a",
+            "cause: service deep, no-repeats",
+        ),
+        (
+            "r2",
+            "refused at the front by a",
+            "cause: service deep, which it would reach, had no room for rank 253",
+        ),
+        (
+            "r3",
+            "ended here by a",
+            "cause: service top, target-broken: the connection to the target broke; the call may",
+        ),
+        (
+            "r4",
+            "ended here by a",
+            "cause: time-over: the time of the route or of the caller was over",
+        ),
+    ];
+    for (id, end, cause) in cases {
+        let (code, output, errors) = told(&["explain", id]).await;
+        assert_eq!(code, ExitCode::SUCCESS, "{id}: {errors}");
+        assert!(output.contains(end), "{id}: {output}");
+        assert!(output.contains(cause), "{id}: {output}");
+    }
+}
+
+#[tokio::test]
+async fn a_story_shows_what_was_believed_around_the_failure() {
+    let (_, output, _) = told(&["explain", "r1"]).await;
+    let lines: Vec<&str> = output.lines().collect();
+    let around = lines.iter().position(|line| *line == "around it:");
+    let around = &lines[around.expect("a part of its own") + 1..];
+    assert!(around.iter().any(|line| line.contains("service held back")));
+    assert!(around.iter().any(|line| line.contains("store lost")));
+    assert!(
+        !output.contains("store regained"),
+        "seconds later: {output}"
+    );
+    assert!(!output.contains("r10"), "another request: {output}");
+}
+
+#[tokio::test]
+async fn what_the_logs_do_not_hold_is_said() {
+    let (code, output, errors) = told(&["explain", "r9"]).await;
+    assert_eq!(code, ExitCode::FAILURE);
+    assert!(output.is_empty(), "{output}");
+    assert!(errors.contains("r9: in none of"), "{errors}");
+    let (code, output, _) = told(&["explain", "r10"]).await;
+    assert_eq!(code, ExitCode::SUCCESS);
+    assert!(output.contains("nothing failed"), "{output}");
+}
+
+#[tokio::test]
+async fn lines_of_several_logs_come_in_one_order() {
+    let (code, output, _) = told(&["logs"]).await;
+    assert_eq!(code, ExitCode::SUCCESS);
+    let messages = ["service held back", "store lost", "store regained"];
+    let found = messages.map(|message| output.find(message).expect(message));
+    assert!(found.is_sorted(), "{output}");
+    assert_eq!(output.lines().count(), 3, "no lines of requests: {output}");
+    let (_, output, _) = told(&["logs", "--node", "b"]).await;
+    assert_eq!(output.lines().count(), 2, "{output}");
+    let (_, output, _) = told(&["logs", "--request", "r1.x"]).await;
+    assert_eq!(output.lines().count(), 4, "{output}");
+    assert!(
+        output
+            .lines()
+            .next()
+            .is_some_and(|line| line.contains("shed"))
+    );
+}
+
+#[tokio::test]
+async fn a_file_that_cannot_be_read_is_named() {
+    let arguments = ["explain", "r1", "/no/such/log"].map(OsString::from);
+    let (mut output, mut errors) = (Vec::new(), Vec::new());
+    let code = run(
+        arguments.into(),
+        &mut CliOutput::new(&mut output, &mut errors),
+    )
+    .await;
+    assert_eq!(code, ExitCode::from(2));
+    let errors = String::from_utf8(errors).expect("text");
+    assert!(errors.contains("/no/such/log"), "{errors}");
+}
