The line at the front names the deep call that made a request fail

The cause now travels up with the answer (bt-cause, only on failures) and stands in that line. Refusals at the front, most lines of a burst, have a bound of their own and no longer crowd out failures.

--- a/src/cli/request_story.rs
+++ b/src/cli/request_story.rs
@@ -97,18 +97,26 @@
             let rank = line.number("rank").unwrap_or_default();
             format!("service {service}, which it would reach, had no room for rank {rank}")
         }
+        Some(StoryKind::Answered) if line.text("cause").is_some() => {
+            let cause = line.text("cause").unwrap_or_default();
+            let (service, outcome) = cause.split_once('=').unwrap_or((cause, "unknown"));
+            meaning_of_outcome(Some(service), outcome)
+        }
         Some(StoryKind::Answered) => {
             let status = line.number("status").unwrap_or_default();
             format!("a target of service {service} ran the call and answered {status}")
         }
         _ => {
             let outcome = line.text("outcome").or(line.text("reason"));
-            let outcome = outcome.unwrap_or("unknown");
-            let meaning = explain_outcome(outcome).unwrap_or("not known to this version");
-            match line.text("service") {
-                Some(service) => format!("service {service}, {outcome}: {meaning}"),
-                None => format!("{outcome}: {meaning}"),
-            }
+            meaning_of_outcome(line.text("service"), outcome.unwrap_or("unknown"))
         }
     }
 }
+
+fn meaning_of_outcome(service: Option<&str>, outcome: &str) -> String {
+    let meaning = explain_outcome(outcome).unwrap_or("not known to this version");
+    match service {
+        Some(service) => format!("service {service}, {outcome}: {meaning}"),
+        None => format!("{outcome}: {meaning}"),
+    }
+}
--- a/src/sidecar/decision_log.rs
+++ b/src/sidecar/decision_log.rs
@@ -4,23 +4,25 @@
     std::sync::{Mutex, PoisonError},
 };
 
-/// Lines of one kind that a second may bring.
-const LINES_PER_SECOND: [u32; 2] = [10, 40];
+/// Lines of each weight that a second may bring.
+const LINES_PER_SECOND: [u32; 3] = [10, 15, 40];
 
 /// How much a line about a request matters to whoever looks for a cause.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LineWeight {
     /// The request went well.
     Routine = 0,
-    /// It was refused, failed or sent once more.
-    Trouble = 1,
+    /// It was refused at the front, before any of it had run. In a burst these are most lines.
+    Refused = 1,
+    /// It failed or was sent once more.
+    Trouble = 2,
 }
 
 #[derive(Debug)]
 struct LineBooks {
     opened: TimePoint,
-    written: [u32; 2],
-    left_out: [u64; 2],
+    written: [u32; 3],
+    left_out: [u64; 3],
 }
 
 /// Log lines about single requests, bounded in their rate.
@@ -40,8 +42,8 @@
             clock,
             books: Mutex::new(LineBooks {
                 opened: clock.now(),
-                written: [0; 2],
-                left_out: [0; 2],
+                written: [0; 3],
+                left_out: [0; 3],
             }),
         }
     }
@@ -52,10 +54,11 @@
         let mut books = self.books.lock().unwrap_or_else(PoisonError::into_inner);
         if now.since(books.opened).as_secs() >= 1 {
             books.opened = now;
-            books.written = [0; 2];
-            let [routine, trouble] = std::mem::take(&mut books.left_out);
-            if trouble > 0 || routine > 0 {
-                info!(self.logger, "lines left out"; "routine" => routine, "trouble" => trouble);
+            books.written = [0; 3];
+            let [routine, refused, trouble] = std::mem::take(&mut books.left_out);
+            if routine + refused + trouble > 0 {
+                info!(self.logger, "lines left out";
+                    "routine" => routine, "refused" => refused, "trouble" => trouble);
             }
         }
         let index = weight as usize;
--- a/src/sidecar/forward_call.rs
+++ b/src/sidecar/forward_call.rs
@@ -1,7 +1,8 @@
 use {
     super::{
-        HeaderDialect, HopContext, hop_context::HOP_HEADER, hop_outcome::OUTCOME_HEADER,
-        load_report::LOAD_HEADER, pressure_rumour::RUMOUR_HEADER, tree_cost::TREE_HEADER,
+        HeaderDialect, HopContext, call_trouble::TROUBLE_HEADER, hop_context::HOP_HEADER,
+        hop_outcome::OUTCOME_HEADER, load_report::LOAD_HEADER, pressure_rumour::RUMOUR_HEADER,
+        tree_cost::TREE_HEADER,
     },
     crate::{net::remove_hop_headers, time::TimePoint},
     bytes::Bytes,
@@ -15,12 +16,13 @@
 };
 
 /// Headers that only sidecars set.
-const OWN_HEADERS: [&str; 5] = [
+const OWN_HEADERS: [&str; 6] = [
     HOP_HEADER,
     TREE_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
     RUMOUR_HEADER,
+    TROUBLE_HEADER,
 ];
 
 /// A request on its way to a target.
--- a/src/sidecar/hop_outcome.rs
+++ b/src/sidecar/hop_outcome.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AttemptEnd, TargetLoad, TreeCost, slot_desk::AnswerHold},
+    super::{AttemptEnd, CallTrouble, TargetLoad, TreeCost, slot_desk::AnswerHold},
     crate::net::AnswerBody,
     http::Response,
     strum::{Display, EnumString, IntoStaticStr},
@@ -82,6 +82,8 @@
     /// Cost of the call and of all calls below it.
     pub(crate) tree: TreeCost,
     pub(crate) load: Option<TargetLoad>,
+    /// Why a call below this one failed, if one did.
+    pub(crate) trouble: Option<CallTrouble>,
 }
 
 impl HopOutcome {
@@ -95,6 +97,7 @@
             result: Err(failure),
             tree: TreeCost::default(),
             load: None,
+            trouble: None,
         }
     }
 }
--- a/src/sidecar/hop_service.rs
+++ b/src/sidecar/hop_service.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         HeaderDialect, HopContext, PlatformDialect, RepeatAsk, SlotEnd,
+        call_trouble::TROUBLE_HEADER,
         decision_log::LineWeight,
         forward_call::{ForwardCall, detach_headers, header_text, remove_hop_notes},
         hop_context::HOP_HEADER,
@@ -115,6 +116,9 @@
     if !outcome.tree.services().is_empty() {
         set_note(headers, TREE_HEADER, &outcome.tree.encode());
     }
+    if let Some(trouble) = &outcome.trouble {
+        set_note(headers, TROUBLE_HEADER, &trouble.to_string());
+    }
     response
 }
 
@@ -175,10 +179,17 @@
     let mut tree = place.call.cost();
     let slot_time = state.clock.now().since(started);
     tree.add(&context.service, slot_time, target.desk.pressure());
+    // A failure below that the target made up for is no trouble of this call.
+    let is_failed = match &result {
+        Ok(response) => response.status().is_server_error(),
+        Err(_) => true,
+    };
+    let trouble = place.call.trouble().filter(|_| is_failed);
     HopOutcome {
         result,
         tree,
         load: None,
+        trouble,
     }
 }
 
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -23,6 +23,7 @@
 //! ```
 
 mod admin_calls;
+mod call_trouble;
 mod decision_log;
 mod final_answer;
 mod forward_call;
@@ -58,6 +59,7 @@
 
 pub(crate) use final_answer::explain_outcome;
 pub use {
+    call_trouble::CallTrouble,
     front_admission::{FrontAdmission, FrontRefusal},
     hop_context::{HopContext, MAX_HOPS},
     peer_table::{PeerEnd, PeerTable},
--- a/src/sidecar/outbound_service.rs
+++ b/src/sidecar/outbound_service.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        AttemptEnd, AttemptHistory, FrontRefusal, HopContext, MAX_HOPS, NextStep, PlatformDialect,
-        RouteRule, TargetTrail, TreeCost,
+        AttemptEnd, AttemptHistory, CallTrouble, FrontRefusal, HopContext, MAX_HOPS, NextStep,
+        PlatformDialect, RouteRule, TargetTrail, TreeCost,
         decision_log::LineWeight,
         final_answer::{FAILED_RUN, FinalReason, final_answer},
         forward_call::{ForwardCall, header_text, request_host},
@@ -17,12 +17,13 @@
     },
     bytes::Bytes,
     http::{
-        HeaderValue, Request, Response,
+        HeaderValue, Request, Response, StatusCode,
         header::{CONNECTION, CONTENT_LENGTH},
         request::Parts,
     },
     hyper::body::{Body, Incoming},
     rand::RngExt,
+    slog::o,
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::timeout_at,
 };
@@ -116,6 +117,8 @@
                 refuse(reason, wait)
             }
             Err(_) => {
+                let reason: &'static str = FinalReason::TimeOver.into();
+                note_trouble(parent.as_deref(), CallTrouble::new(&service, reason));
                 let mut tree = TreeCost::default();
                 tree.add(&service, arrived.until(deadline), 0.0);
                 note_tree(state, &rule, parent.as_deref(), &tree, false);
@@ -140,6 +143,7 @@
     let mut history = AttemptHistory::default();
     let mut trail = TargetTrail::default();
     let mut failed_answer = None;
+    let mut trouble = None;
     loop {
         context.attempt = history.arrivals();
         let now = state.clock.now();
@@ -150,6 +154,9 @@
         };
         let Some(mesh) = chosen else {
             note_attempt(state, call, &context, None, HopFailure::NoTarget.into());
+            let trouble = trouble
+                .unwrap_or_else(|| CallTrouble::new(&context.service, HopFailure::NoTarget.into()));
+            note_trouble(parent.as_deref(), trouble);
             return match failed_answer {
                 Some(response) => Ok(response),
                 None if history.is_unrun() => Err(FinalReason::NotRun),
@@ -161,9 +168,20 @@
         let is_whole = is_success(&outcome.result);
         note_tree(state, rule, parent.as_deref(), &outcome.tree, is_whole);
         let has_calls_below = outcome.has_calls_below();
+        let failure = match &outcome.result {
+            Ok(_) => FAILED_RUN,
+            Err(failure) => (*failure).into(),
+        };
+        let below = outcome.trouble;
+        let cause = below.unwrap_or_else(|| CallTrouble::new(&context.service, failure));
         let end = match outcome.result {
-            Ok(response) if !response.status().is_server_error() || has_calls_below => {
-                note_answer(state, call, &context, mesh, response.status().as_u16());
+            Ok(response) if !response.status().is_server_error() => {
+                note_answer(state, call, &context, mesh, response.status(), None);
+                return Ok(response);
+            }
+            Ok(response) if has_calls_below => {
+                note_answer(state, call, &context, mesh, response.status(), Some(&cause));
+                note_trouble(parent.as_deref(), cause);
                 return Ok(response);
             }
             Ok(response) => {
@@ -182,8 +200,12 @@
             AttemptEnd::Unknown | AttemptEnd::FailedRun => trail.note_run(mesh),
         }
         let left = state.clock.now().until(context.deadline);
-        match history.next_step(end, rule.is_idempotent(), rule.max_attempts, left) {
-            NextStep::Offer => {}
+        let step = history.next_step(end, rule.is_idempotent(), rule.max_attempts, left);
+        if step != NextStep::Offer {
+            note_trouble(parent.as_deref(), cause.clone());
+        }
+        match step {
+            NextStep::Offer => trouble = Some(cause),
             NextStep::RefuseUnrun => return Err(FinalReason::NotRun),
             NextStep::FailUnknown => return Err(FinalReason::Unknown),
             NextStep::PassFailure => return failed_answer.ok_or(FinalReason::Unknown),
@@ -191,6 +213,13 @@
     }
 }
 
+/// Lets the call above know why it is going to fail.
+fn note_trouble(parent: Option<&RunningCall>, trouble: CallTrouble) {
+    if let Some(parent) = parent {
+        parent.note_trouble(trouble);
+    }
+}
+
 fn is_success(result: &Result<Response<RelayBody>, HopFailure>) -> bool {
     let response = result.as_ref().ok();
     response.is_some_and(|response| response.status().is_success())
@@ -301,7 +330,7 @@
 ) {
     metrics::counter!("banyantrestle_front_refusals_total", "route" => rule.name.clone())
         .increment(1);
-    if state.log.has_room(LineWeight::Trouble) {
+    if state.log.has_room(LineWeight::Refused) {
         slog::info!(state.log.logger, "refused at the front"; "request" => id,
             "route" => &rule.name, "rank" => rule.rank, "service" => %refusal.service,
             "pressure" => refusal.pressure, "rate" => refusal.rate,
@@ -341,17 +370,22 @@
     call: &ForwardCall,
     context: &HopContext,
     mesh: SocketAddr,
-    status: u16,
+    status: StatusCode,
+    cause: Option<&CallTrouble>,
 ) {
-    let weight = if status >= 500 {
+    let weight = if cause.is_some() {
         LineWeight::Trouble
     } else {
         LineWeight::Routine
     };
     if state.log.has_room(weight) {
-        slog::info!(state.log.logger, "answered"; "request" => &call.id,
+        let logger = match cause {
+            Some(cause) => state.log.logger.new(o!("cause" => cause.to_string())),
+            None => state.log.logger.clone(),
+        };
+        slog::info!(logger, "answered"; "request" => &call.id,
             "service" => %context.service, "peer" => %mesh, "attempt" => context.attempt,
-            "rank" => context.rank, "depth" => context.depth, "status" => status,
+            "rank" => context.rank, "depth" => context.depth, "status" => status.as_u16(),
             "elapsed_ms" => state.clock.now().since(context.root_start).as_millis());
     }
 }
--- a/src/sidecar/peer_call.rs
+++ b/src/sidecar/peer_call.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        HopContext, PeerEnd, PlatformDialect, PressureRumour, TargetLoad, TreeCost,
+        CallTrouble, HopContext, PeerEnd, PlatformDialect, PressureRumour, TargetLoad, TreeCost,
+        call_trouble::TROUBLE_HEADER,
         decision_log::LineWeight,
         forward_call::ForwardCall,
         hop_outcome::{HopFailure, HopOutcome, OUTCOME_HEADER},
@@ -134,6 +135,8 @@
     let tree = take_text(&mut head.headers, TREE_HEADER);
     let load = take_text(&mut head.headers, LOAD_HEADER);
     let failure = take_text(&mut head.headers, OUTCOME_HEADER);
+    let trouble = take_text(&mut head.headers, TROUBLE_HEADER);
+    let trouble = trouble.and_then(|text| CallTrouble::decode(&text));
     if let Some(text) = take_text(&mut head.headers, RUMOUR_HEADER) {
         let rumour = PressureRumour::decode(&text);
         state.admission().hear(state.clock.now(), &rumour);
@@ -161,7 +164,12 @@
             }
         },
     };
-    HopOutcome { result, tree, load }
+    HopOutcome {
+        result,
+        tree,
+        load,
+        trouble,
+    }
 }
 
 fn take_text(headers: &mut HeaderMap, name: &'static str) -> Option<String> {
--- a/src/sidecar/running_calls.rs
+++ b/src/sidecar/running_calls.rs
@@ -1,5 +1,5 @@
 use {
-    super::{HopContext, TreeCost},
+    super::{CallTrouble, HopContext, TreeCost},
     std::{
         collections::HashMap,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -17,6 +17,8 @@
     pub(crate) context: HopContext,
     /// What the calls below it have cost so far.
     tree: Mutex<TreeCost>,
+    /// Why a call below it failed, the last one.
+    trouble: Mutex<Option<CallTrouble>>,
 }
 
 impl RunningCall {
@@ -28,6 +30,18 @@
         self.tree().clone()
     }
 
+    pub(crate) fn note_trouble(&self, trouble: CallTrouble) {
+        *self.last_trouble() = Some(trouble);
+    }
+
+    pub(crate) fn trouble(&self) -> Option<CallTrouble> {
+        self.last_trouble().clone()
+    }
+
+    fn last_trouble(&self) -> MutexGuard<'_, Option<CallTrouble>> {
+        self.trouble.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn tree(&self) -> MutexGuard<'_, TreeCost> {
         self.tree.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -55,6 +69,7 @@
         let call = Arc::new(RunningCall {
             context,
             tree: Mutex::default(),
+            trouble: Mutex::default(),
         });
         self.calls().insert(id.to_owned(), call.clone());
         RunningPlace {
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -15,6 +15,7 @@
 {"ts":"2026-12-04T00:00:01.300Z","level":"INFO","node":"a","msg":"refused at the front","request":"r2","service":"deep","rank":253,"pressure":2.1}
 {"ts":"2026-12-04T00:00:02.000Z","level":"INFO","node":"a","msg":"attempt failed","request":"r3","service":"top","outcome":"target-broken","depth":0}
 {"ts":"2026-12-04T00:00:02.001Z","level":"INFO","node":"a","msg":"ended here","request":"r3","reason":"unknown"}
+{"ts":"2026-12-04T00:00:02.500Z","level":"INFO","node":"a","msg":"answered","request":"r5","service":"top","status":500,"elapsed_ms":80,"depth":0,"cause":"deep=shed"}
 {"ts":"2026-12-04T00:00:03.000Z","level":"INFO","node":"a","msg":"answered","request":"r10","service":"top","status":200,"elapsed_ms":12,"depth":0}
 {"ts":"2026-12-04T00:00:03.500Z","level":"INFO","node":"a","msg":"attempt failed","request":"r4","service":"top","outcome":"shed","depth":0}
 {"ts":"2026-12-04T00:00:04.000Z","level":"INFO","node":"a","msg":"ended here","request":"r4","reason":"time-over"}
@@ -76,6 +77,11 @@
             "ended here by a",
             "cause: service top, target-broken: the connection to the target broke; the call may",
         ),
+        (
+            "r5",
+            "answered 500 after 80 ms at a",
+            "cause: service deep, shed: the target refused the call; not run",
+        ),
         (
             "r4",
             "ended here by a",
--- a/tests/sidecar/contexts.rs
+++ b/tests/sidecar/contexts.rs
@@ -1,7 +1,9 @@
 use {
     banyantrestle::{
         context::ServiceName,
-        sidecar::{HopContext, KnownPressure, MAX_HOPS, PressureRumour, TargetLoad, TreeCost},
+        sidecar::{
+            CallTrouble, HopContext, KnownPressure, MAX_HOPS, PressureRumour, TargetLoad, TreeCost,
+        },
         time::TimePoint,
     },
     proptest::prelude::*,
@@ -44,11 +46,34 @@
         let now = TimePoint::ORIGIN;
         let _ = HopContext::decode(&text, now);
         let _ = TargetLoad::decode(&text);
+        let _ = CallTrouble::decode(&text);
         prop_assert!(TreeCost::decode(&text).services().len() <= 4);
         prop_assert!(PressureRumour::decode(&text).services().len() <= 2);
     }
 }
 
+#[test]
+fn the_cause_of_a_failure_survives_the_hop() {
+    let trouble = CallTrouble::new(&service("deep"), "no-repeats");
+    assert_eq!(CallTrouble::decode(&trouble.to_string()), Some(trouble));
+    let cases = [
+        "",
+        "deep",
+        "deep=",
+        "=shed",
+        "deep=Shed",
+        "deep=a b",
+        "A=shed",
+    ];
+    for text in cases {
+        assert_eq!(CallTrouble::decode(text), None, "{text:?}");
+    }
+    assert_eq!(
+        CallTrouble::decode(&format!("deep={}", "x".repeat(33))),
+        None
+    );
+}
+
 #[test]
 fn contexts_out_of_bounds_are_refused() {
     let now = TimePoint::ORIGIN;
