--- a/src/sidecar/call_trouble.rs
+++ b/src/sidecar/call_trouble.rs
@@ -28,7 +28,7 @@
         }
     }
 
-    /// Reads a header value; `None` if it is not one that [`Self::to_string`] gives.
+    /// Reads a header value, as the type displays itself; `None` if it is none.
     #[must_use]
     pub fn decode(text: &str) -> Option<Self> {
         let (service, outcome) = text.split_once(SEPARATOR)?;
