One place for what the sidecar wrote twice

No change of behaviour; the tests keep their assertions.

- What the end of an offer means for its target is TargetTrail::note; the caller and the load play each mapped the ends by hand.
- Why a request failed is handed to the call above in one place, not at five exits of the loop.
- A list of one message and a list of columns in explain are gone.

--- a/src/admission/demand_table.rs
+++ b/src/admission/demand_table.rs
@@ -1,6 +1,9 @@
 use {
     super::rank_table::RankTable,
-    crate::{context::CallPriority, time::TimePoint},
+    crate::{
+        context::CallPriority,
+        time::{TimePoint, fading},
+    },
     std::time::Duration,
 };
 
@@ -79,7 +82,7 @@
 
     pub(super) fn tick(&mut self, now: TimePoint) {
         let elapsed = now.since(self.ticked).as_secs_f64();
-        let kept = (-elapsed / DEMAND_MEMORY.as_secs_f64()).exp();
+        let kept = fading(elapsed, DEMAND_MEMORY);
         for demand in self.ranks.values_mut() {
             for bin in &mut demand.bins {
                 *bin *= kept;
--- a/src/admission/drain_estimate.rs
+++ b/src/admission/drain_estimate.rs
@@ -1,5 +1,5 @@
 use {
-    crate::time::TimePoint,
+    crate::time::{TimePoint, fading},
     rand::{Rng, RngExt},
     std::time::Duration,
 };
@@ -53,7 +53,7 @@
         if elapsed <= 0.0 {
             return;
         }
-        let kept = (-elapsed / RATE_MEMORY.as_secs_f64()).exp();
+        let kept = fading(elapsed, RATE_MEMORY);
         self.refused_recently = self.refused_recently * kept + f64::from(self.refused);
         if is_saturated {
             self.drained_recently = self.drained_recently * kept + f64::from(self.drained);
--- a/src/cli/explain_command.rs
+++ b/src/cli/explain_command.rs
@@ -17,8 +17,9 @@
 const CONTEXT_AFTER: Duration = Duration::from_secs(1);
 /// Lines of context that are shown, the ones closest to the failure.
 const MAX_CONTEXT_LINES: usize = 6;
-/// What a process believes of a service, its targets and what it depends on.
-const SERVICE_MESSAGES: [&str; 1] = ["service held back"];
+/// What a front believes of a loaded service.
+const SERVICE_MESSAGE: &str = "service held back";
+/// What a process believes of its target and of what it depends on.
 const NODE_MESSAGES: [&str; 7] = [
     "target loaded",
     "target reported",
@@ -84,9 +85,8 @@
         let is_near =
             line.time + CONTEXT_BEFORE >= cause.time && line.time <= cause.time + CONTEXT_AFTER;
         let message = line.message.as_str();
-        let is_service = SERVICE_MESSAGES.contains(&message)
-            && service.is_some()
-            && line.text("service") == service;
+        let is_service =
+            message == SERVICE_MESSAGE && service.is_some() && line.text("service") == service;
         let is_node = NODE_MESSAGES.contains(&message) && line.node == cause.node;
         is_near && (is_service || is_node)
     })?;
--- a/src/cli/log_line.rs
+++ b/src/cli/log_line.rs
@@ -7,8 +7,6 @@
 
 /// Longest line that is read; sidecars write far shorter ones.
 pub(super) const MAX_LINE_BYTES: usize = 64 * 1024;
-/// Fields that stand in columns of their own.
-const COLUMNS: [&str; 4] = ["ts", "level", "node", "msg"];
 
 /// One line of the log of a sidecar.
 #[derive(Clone, Debug, PartialEq)]
@@ -24,14 +22,14 @@
     pub(super) fn parse(text: &str) -> Option<Self> {
         let start = text.find('{')?;
         let mut fields: Map<String, Value> = serde_json::from_str(&text[start..]).ok()?;
-        let time = parse_rfc3339(fields.get("ts")?.as_str()?).ok()?;
         let mut column = |name| match fields.remove(name) {
             Some(Value::String(text)) => Some(text),
             _ => None,
         };
+        let time = parse_rfc3339(&column("ts")?).ok()?;
         let message = column("msg")?;
         let node = column("node").unwrap_or_default();
-        fields.retain(|name, _| !COLUMNS.contains(&name.as_str()));
+        fields.remove("level");
         Some(Self {
             time,
             node,
--- a/src/sidecar/outbound_service.rs
+++ b/src/sidecar/outbound_service.rs
@@ -108,31 +108,38 @@
     let over = state.clock.instant_of(deadline);
     let mut phase = state.phase.subscribe();
     let ending = phase.wait_for(|phase| *phase == SidecarPhase::Ending);
-    tokio::select! {
-        result = timeout_at(over, carry(state, root)) => match result {
-            Ok(Ok(response)) => response,
-            Ok(Err(reason)) => {
-                let wait = (reason == FinalReason::NotRun)
-                    .then(|| retry_after(&rule, DEFAULT_RETRY));
-                refuse(reason, wait)
-            }
-            Err(_) => {
-                let reason: &'static str = FinalReason::TimeOver.into();
-                note_trouble(parent.as_deref(), CallTrouble::new(&service, reason));
-                let mut tree = TreeCost::default();
-                tree.add(&service, arrived.until(deadline), 0.0);
-                note_tree(state, &rule, parent.as_deref(), &tree, false);
-                refuse(FinalReason::TimeOver, None)
-            }
-        },
-        _ = ending => refuse(FinalReason::Unknown, None),
+    let mut trouble = None;
+    let carrying = timeout_at(over, carry(state, root, &mut trouble));
+    let result = tokio::select! {
+        result = carrying => result,
+        _ = ending => return refuse(FinalReason::Unknown, None),
+    };
+    if result.is_err() {
+        let mut tree = TreeCost::default();
+        tree.add(&service, arrived.until(deadline), 0.0);
+        note_tree(state, &rule, parent.as_deref(), &tree, false);
+        trouble = Some(CallTrouble::new(&service, FinalReason::TimeOver.into()));
+    }
+    if let Some(parent) = parent
+        && let Some(trouble) = trouble
+    {
+        parent.note_trouble(trouble);
+    }
+    match result {
+        Ok(Ok(response)) => response,
+        Ok(Err(reason)) => {
+            let wait = (reason == FinalReason::NotRun).then(|| retry_after(&rule, DEFAULT_RETRY));
+            refuse(reason, wait)
+        }
+        Err(_) => refuse(FinalReason::TimeOver, None),
     }
 }
 
-/// Offers a request to one target after the other until one answers.
+/// Offers a request to one target after the other until one answers; `trouble` tells why it failed.
 async fn carry<D: PlatformDialect>(
     state: &Arc<SidecarState<D>>,
     root: RootCall<'_>,
+    trouble: &mut Option<CallTrouble>,
 ) -> Result<Response<RelayBody>, FinalReason> {
     let RootCall {
         call,
@@ -143,7 +150,6 @@
     let mut history = AttemptHistory::default();
     let mut trail = TargetTrail::default();
     let mut failed_answer = None;
-    let mut trouble = None;
     loop {
         context.attempt = history.arrivals();
         let now = state.clock.now();
@@ -154,9 +160,9 @@
         };
         let Some(mesh) = chosen else {
             note_attempt(state, call, &context, None, HopFailure::NoTarget.into());
-            let trouble = trouble
-                .unwrap_or_else(|| CallTrouble::new(&context.service, HopFailure::NoTarget.into()));
-            note_trouble(parent.as_deref(), trouble);
+            trouble.get_or_insert_with(|| {
+                CallTrouble::new(&context.service, HopFailure::NoTarget.into())
+            });
             return match failed_answer {
                 Some(response) => Ok(response),
                 None if history.is_unrun() => Err(FinalReason::NotRun),
@@ -171,19 +177,19 @@
         let result = match outcome.result {
             Ok(response) if !response.status().is_server_error() => {
                 note_answer(state, call, &context, mesh, response.status(), None);
+                *trouble = None;
                 return Ok(response);
             }
             failed => failed,
         };
-        let cause = outcome.trouble.unwrap_or_else(|| {
+        let cause = trouble.insert(outcome.trouble.unwrap_or_else(|| {
             let failure = result.as_ref().err();
             let outcome = failure.map_or(FAILED_RUN, |failure| (*failure).into());
             CallTrouble::new(&context.service, outcome)
-        });
+        }));
         let end = match result {
             Ok(response) if has_calls_below => {
-                note_answer(state, call, &context, mesh, response.status(), Some(&cause));
-                note_trouble(parent.as_deref(), cause);
+                note_answer(state, call, &context, mesh, response.status(), Some(cause));
                 return Ok(response);
             }
             Ok(response) => {
@@ -196,18 +202,10 @@
                 failure.attempt_end()
             }
         };
-        match end {
-            AttemptEnd::NotSent | AttemptEnd::NoRepeats => trail.note_closed(mesh),
-            AttemptEnd::Shed => trail.note_refused(mesh),
-            AttemptEnd::Unknown | AttemptEnd::FailedRun => trail.note_run(mesh),
-        }
+        trail.note(mesh, end);
         let left = state.clock.now().until(context.deadline);
-        let step = history.next_step(end, rule.is_idempotent(), rule.max_attempts, left);
-        if step != NextStep::Offer {
-            note_trouble(parent.as_deref(), cause.clone());
-        }
-        match step {
-            NextStep::Offer => trouble = Some(cause),
+        match history.next_step(end, rule.is_idempotent(), rule.max_attempts, left) {
+            NextStep::Offer => {}
             NextStep::RefuseUnrun => return Err(FinalReason::NotRun),
             NextStep::FailUnknown => return Err(FinalReason::Unknown),
             NextStep::PassFailure => return failed_answer.ok_or(FinalReason::Unknown),
@@ -215,13 +213,6 @@
     }
 }
 
-/// Lets the call above know why it is going to fail.
-fn note_trouble(parent: Option<&RunningCall>, trouble: CallTrouble) {
-    if let Some(parent) = parent {
-        parent.note_trouble(trouble);
-    }
-}
-
 fn is_success(result: &Result<Response<RelayBody>, HopFailure>) -> bool {
     let response = result.as_ref().ok();
     response.is_some_and(|response| response.status().is_success())
--- a/src/sidecar/repeat_budget.rs
+++ b/src/sidecar/repeat_budget.rs
@@ -1,5 +1,5 @@
 use {
-    crate::time::TimePoint,
+    crate::time::{TimePoint, fading},
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -120,8 +120,7 @@
     /// Counts the ask; returns what higher ranks would take in a window at the rate at which they
     /// ask now.
     fn note_ask(&mut self, now: TimePoint, rank: u8) -> f64 {
-        let memory = ASK_MEMORY.as_secs_f64();
-        let kept = (-now.since(self.asked).as_secs_f64() / memory).exp();
+        let kept = fading(now.since(self.asked).as_secs_f64(), ASK_MEMORY);
         self.asked = now;
         self.asks.retain(|_, asks| {
             *asks *= kept;
@@ -130,7 +129,7 @@
         *self.asks.entry(rank).or_default() += 1.0;
         let higher = self.asks.iter().filter(|(other, _)| **other > rank);
         let asks: f64 = higher.map(|(_, asks)| asks).sum();
-        asks / memory * self.bounds.window.as_secs_f64()
+        asks / ASK_MEMORY.as_secs_f64() * self.bounds.window.as_secs_f64()
     }
 
     fn turn(&mut self, now: TimePoint) {
--- a/src/sidecar/service_valve.rs
+++ b/src/sidecar/service_valve.rs
@@ -1,4 +1,7 @@
-use {crate::time::TimePoint, std::time::Duration};
+use {
+    crate::time::{TimePoint, fading},
+    std::time::Duration,
+};
 
 /// Pressure that fronts hold a loaded service at: full slots and a short queue.
 const TARGET_PRESSURE: f64 = 1.15;
@@ -90,7 +93,7 @@
     /// Takes the pressure of the service, as measured now.
     pub fn note_pressure(&mut self, now: TimePoint, pressure: f64) {
         let elapsed = now.since(self.reported).as_secs_f64();
-        let kept = (-elapsed / PRESSURE_MEMORY.as_secs_f64()).exp();
+        let kept = fading(elapsed, PRESSURE_MEMORY);
         let kept = kept.min(1.0 - LEAST_WEIGHT);
         self.pressure = self.pressure * kept + pressure * (1.0 - kept);
         self.reported = now;
@@ -150,9 +153,9 @@
     pub fn tick(&mut self, now: TimePoint, fair_share: f64) {
         let elapsed = now.since(self.ticked).as_secs_f64().min(1.0);
         self.ticked = now;
-        self.admitted *= (-elapsed / ADMITTED_MEMORY.as_secs_f64()).exp();
+        self.admitted *= fading(elapsed, ADMITTED_MEMORY);
         if now.since(self.reported) > REPORT_HOLD {
-            self.pressure *= (-elapsed / REPORT_HOLD.as_secs_f64()).exp();
+            self.pressure *= fading(elapsed, REPORT_HOLD);
         }
         let Some(rate) = self.rate else {
             if self.pressure > CLOSING_PRESSURE {
--- a/src/sidecar/target_trail.rs
+++ b/src/sidecar/target_trail.rs
@@ -1,4 +1,4 @@
-use std::net::SocketAddr;
+use {super::AttemptEnd, std::net::SocketAddr};
 
 /// Targets that one call was offered to, and what each may still get of it.
 ///
@@ -15,21 +15,19 @@
 }
 
 impl TargetTrail {
-    pub fn note_closed(&mut self, mesh: SocketAddr) {
-        self.closed.push(mesh);
-    }
-
-    pub fn note_refused(&mut self, mesh: SocketAddr) {
-        if !self.refused.contains(&mesh) {
-            self.refused.push(mesh);
+    /// Takes the end of an offer to the target beside the sidecar at `mesh`.
+    pub fn note(&mut self, mesh: SocketAddr, end: AttemptEnd) {
+        match end {
+            AttemptEnd::NotSent | AttemptEnd::NoRepeats => self.closed.push(mesh),
+            AttemptEnd::Shed if self.refused.contains(&mesh) => {}
+            AttemptEnd::Shed => self.refused.push(mesh),
+            AttemptEnd::Unknown | AttemptEnd::FailedRun => {
+                self.refused.retain(|refused| *refused != mesh);
+                self.ran.push(mesh);
+            }
         }
     }
 
-    pub fn note_run(&mut self, mesh: SocketAddr) {
-        self.refused.retain(|refused| *refused != mesh);
-        self.ran.push(mesh);
-    }
-
     /// Whether the call may go to a target that it has not been offered to.
     #[must_use]
     pub fn allows_new(&self, mesh: SocketAddr, max_targets: u32) -> bool {
--- a/tests/sidecar/load_play.rs
+++ b/tests/sidecar/load_play.rs
@@ -286,8 +286,7 @@
             };
             if !self.repeats[target].take_repeat(self.now, ask, SPEEDS.len()) {
                 self.callers[caller].finish(self.now, &service(), chosen, PeerEnd::Abandoned, None);
-                self.requests[request].trail.note_closed(chosen);
-                self.offer_again(request, AttemptEnd::NoRepeats);
+                self.offer_again(request, target, AttemptEnd::NoRepeats);
                 return;
             }
             self.arrivals_now().1 += 1;
@@ -327,14 +326,14 @@
         let load = self.guards[target].load(now);
         self.callers[caller].finish(now, &service(), mesh(target), PeerEnd::Failed, Some(load));
         self.start_waiting(target);
-        self.requests[request].trail.note_refused(mesh(target));
-        self.offer_again(request, AttemptEnd::Shed);
+        self.offer_again(request, target, AttemptEnd::Shed);
     }
 
-    fn offer_again(&mut self, request: usize, end: AttemptEnd) {
+    fn offer_again(&mut self, request: usize, target: usize, end: AttemptEnd) {
         let left = self.now.until(self.deadline(request));
-        let history = &mut self.requests[request].history;
-        let next = history.next_step(end, true, MAX_TARGETS, left);
+        let entry = &mut self.requests[request];
+        entry.trail.note(mesh(target), end);
+        let next = entry.history.next_step(end, true, MAX_TARGETS, left);
         if next == NextStep::Offer {
             self.call(request);
         }
--- a/tests/sidecar/peers.rs
+++ b/tests/sidecar/peers.rs
@@ -3,7 +3,7 @@
     banyantrestle::{
         context::ServiceName,
         membership::{MemberRecord, MemberView, TargetState},
-        sidecar::{PeerEnd, PeerTable, TargetLoad, TargetTrail},
+        sidecar::{AttemptEnd, PeerEnd, PeerTable, TargetLoad, TargetTrail},
         time::TimePoint,
     },
     rand::{SeedableRng, rngs::SmallRng},
@@ -135,10 +135,10 @@
     let mut trail = TargetTrail::default();
     let mut choose = |trail: &TargetTrail| table.choose(NOW, &service(), trail, 2, &mut rng);
     let first = choose(&trail).expect("one");
-    trail.note_run(first);
+    trail.note(first, AttemptEnd::Unknown);
     let second = choose(&trail).expect("the other");
     assert_ne!(first, second);
-    trail.note_closed(second);
+    trail.note(second, AttemptEnd::NotSent);
     assert_eq!(choose(&trail), None);
 }
 
@@ -151,12 +151,12 @@
     for _ in 0..6 {
         let chosen = table.choose(NOW, &service(), &trail, 2, &mut rng);
         let chosen = chosen.expect("a target");
-        trail.note_refused(chosen);
+        trail.note(chosen, AttemptEnd::Shed);
         reached.insert(chosen);
     }
     assert_eq!(reached.len(), 2);
     let refused = *reached.iter().next().expect("one of two");
-    trail.note_run(refused);
+    trail.note(refused, AttemptEnd::Unknown);
     for _ in 0..6 {
         let chosen = table.choose(NOW, &service(), &trail, 2, &mut rng);
         assert_ne!(chosen, Some(refused), "it may have run the call");
