Round the reserve of slots up: a target that is nearly full works more slowly

The reserve of one slot in sixteen was rounded down, so small targets had less than that.

The rate of the lowest rank rises by 2.5 instead of 2 for a pressure of 1 below its setpoint.

concurrency_limit_is_below_the_slots expected 24 of 25 slots, which is the fault; it checks eight sizes now, and a second test bounds all sizes from 10 to 2,000. The test of the pressure has 9 slots in place of 10, all in use.

--- a/src/sidecar/service_limiter.rs
+++ b/src/sidecar/service_limiter.rs
@@ -29,7 +29,7 @@
 const OVERLOAD_GAIN: f64 = 0.8;
 /// Relative increase of the rate for a pressure of 1 below the setpoint; larger, since slots that
 /// stay free are lost.
-const UNDERLOAD_GAIN: f64 = 2.0;
+const UNDERLOAD_GAIN: f64 = 2.5;
 /// Bounds of the correction of the rate by the pressure.
 const MIN_CORRECTION: f64 = 0.05;
 const MAX_CORRECTION: f64 = 3.0;
--- a/src/sidecar/slot_scheduler.rs
+++ b/src/sidecar/slot_scheduler.rs
@@ -4,8 +4,10 @@
     std::{cmp::Reverse, collections::BTreeMap, time::Duration},
 };
 
-/// One slot in this many is left free, since a nearly full target works more slowly.
+/// One slot in this many is left free, rounded up, since a nearly full target works more slowly.
 const RESERVED_SLOT_DIVISOR: u32 = 16;
+/// One slot in this many is left free at most; a target with few slots would lose too much.
+const MAX_RESERVED_SLOT_DIVISOR: u32 = 10;
 /// Time constant of the moving average of the pressure.
 const PRESSURE_TIME_CONSTANT: Duration = Duration::from_millis(200);
 /// Weight of the newest call in the mean service time.
@@ -352,5 +354,7 @@
 
 /// Concurrency limit of a target with this number of slots.
 fn concurrency_limit(slots: u32) -> u32 {
-    (slots - slots / RESERVED_SLOT_DIVISOR).max(1)
+    let reserved = slots.div_ceil(RESERVED_SLOT_DIVISOR);
+    let reserved = reserved.min(slots / MAX_RESERVED_SLOT_DIVISOR);
+    (slots - reserved).max(1)
 }
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -10,6 +10,7 @@
 mod peer_table;
 mod rate_limit;
 mod route_config;
+mod scarce_target;
 mod slot_scheduler;
 mod target_retry_budget;
 mod target_tracker;
--- a/tests/sidecar/slot_scheduler.rs
+++ b/tests/sidecar/slot_scheduler.rs
@@ -16,12 +16,29 @@
     }
 }
 
+/// Calls that a target with this number of slots may run at once.
+fn concurrency_limit(slots: u32) -> u32 {
+    SlotScheduler::new(slots, at(0)).load(at(0)).limit
+}
+
 #[test]
 fn concurrency_limit_is_below_the_slots() {
-    let mut scheduler = SlotScheduler::new(25, at(0));
-    let decisions = (0..30).map(|_| scheduler.request(at(0), 1, at(0), LATE_DEADLINE));
-    let started = decisions.filter(|decision| *decision == SlotDecision::Start);
-    assert_eq!(started.count(), 24);
+    let cases = [(1, 1), (9, 9), (10, 9), (19, 18), (25, 23), (26, 24)];
+    for (slots, expected) in cases.into_iter().chain([(30, 28), (41, 38)]) {
+        let mut scheduler = SlotScheduler::new(slots, at(0));
+        let decisions = (0..slots + 5).map(|_| scheduler.request(at(0), 1, at(0), LATE_DEADLINE));
+        let started = decisions.filter(|decision| *decision == SlotDecision::Start);
+        assert_eq!(started.count(), expected, "{slots} slots");
+    }
+}
+
+#[test]
+fn concurrency_limit_is_between_nine_tenths_and_nineteen_twentieths_of_the_slots() {
+    for slots in 10..2_000 {
+        let limit = concurrency_limit(slots);
+        assert!(limit * 20 < slots * 19, "{limit} of {slots}");
+        assert!(limit * 10 >= slots * 9, "{limit} of {slots}");
+    }
 }
 
 #[test]
@@ -88,8 +105,8 @@
 
 #[test]
 fn pressure_counts_running_and_waiting_calls() {
-    let mut scheduler = SlotScheduler::new(10, at(0));
-    for _ in 0..20 {
+    let mut scheduler = SlotScheduler::new(9, at(0));
+    for _ in 0..18 {
         scheduler.request(at(0), 1, at(0), LATE_DEADLINE);
     }
     assert!(scheduler.pressure(at(0)) < 0.1);
