Wait longer for the policy versions of daemons that the member table lists

It waited one second for peers after the table had responded, and on the busy machine none had answered by then, although the member table listed them.

--- a/src/daemon/daemon_process.rs
+++ b/src/daemon/daemon_process.rs
@@ -13,7 +13,9 @@
         mesh_transport::MeshTransport,
         metrics_recorder::{process_recorder, set_load_gauges},
         target_probe::probe_target,
-        watch_tasks::{follow_advertised_policy, follow_members, follow_policy},
+        watch_tasks::{
+            follow_advertised_policy, follow_member_table, follow_members, follow_policy,
+        },
     },
     crate::{
         admission::ThresholdCache,
@@ -178,6 +180,7 @@
 
     fn spawn_tasks(&self, timers: TimerService) {
         self.state.spawn(follow_members(self.state.clone()));
+        self.state.spawn(follow_member_table(self.state.clone()));
         self.state.spawn(follow_policy(self.state.clone()));
         self.state
             .spawn(follow_advertised_policy(self.state.clone()));
--- a/src/daemon/watch_tasks.rs
+++ b/src/daemon/watch_tasks.rs
@@ -33,6 +33,15 @@
     }
 }
 
+/// Passes the number of daemons that the member table lists to the policy service.
+pub(crate) async fn follow_member_table(state: Arc<DaemonState>) {
+    let mut listed = state.membership.listed_members();
+    while listed.changed().await.is_ok() {
+        let count = *listed.borrow_and_update();
+        state.policies.set_listed_members(count).await;
+    }
+}
+
 /// Applies each policy that becomes active and publishes its version to the other members.
 pub(crate) async fn follow_policy(state: Arc<DaemonState>) {
     let mut ready = state.policies.ready();
--- a/src/membership/bootstrap_task.rs
+++ b/src/membership/bootstrap_task.rs
@@ -69,6 +69,8 @@
     pub store: S,
     pub actor: Address<MembershipActor>,
     pub view: watch::Receiver<Arc<MemberView>>,
+    /// Number of other daemons in the table at the last scan.
+    pub listed: watch::Sender<usize>,
     pub clock: ProcessClock,
     pub log: Logger,
 }
@@ -123,6 +125,7 @@
         let addresses = rows.iter().filter_map(|row| Some(parse_row(row)?.gossip));
         let addresses: Vec<_> = addresses.filter(|&peer| peer != id.address).collect();
         info!(self.log, "member table read"; "rows" => rows.len());
+        self.listed.send_replace(addresses.len());
         let contacts = SetContacts {
             source: ContactSource::Table,
             addresses,
--- a/src/membership/membership_handle.rs
+++ b/src/membership/membership_handle.rs
@@ -34,6 +34,7 @@
     actor: Address<MembershipActor>,
     view: watch::Receiver<Arc<MemberView>>,
     policy: watch::Receiver<PolicyLocation>,
+    listed: watch::Receiver<usize>,
 }
 
 impl MembershipHandle {
@@ -61,6 +62,7 @@
             hash: 0,
             holder: settings.mesh,
         });
+        let (listed_sender, listed) = watch::channel(0);
         let outputs = ActorOutputs {
             view: view_sender,
             policy: policy_sender,
@@ -79,6 +81,7 @@
             store,
             actor: actor.clone(),
             view: view.clone(),
+            listed: listed_sender,
             clock,
             log: log.clone(),
         };
@@ -95,6 +98,7 @@
             actor,
             view,
             policy,
+            listed,
         })
     }
 
@@ -116,6 +120,12 @@
         self.policy.clone()
     }
 
+    /// Number of other daemons that the member table lists, whether they live or not.
+    #[must_use]
+    pub fn listed_members(&self) -> watch::Receiver<usize> {
+        self.listed.clone()
+    }
+
     /// Disseminates the announcement of the local target.
     pub async fn announce_target(&self, target: TargetAnnouncement) {
         let _ = self.actor.send(SetTarget(Some(target))).await;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -50,7 +50,9 @@
     policy_source::PolicySource,
     policy_validator::{MAX_CLASSES, MAX_METHOD_BYTES, MAX_ROUTE_PATH_BYTES, MAX_ROUTES},
     poll_schedule::{DEPLOYMENT_POLLS_PER_SECOND, MIN_POLL_INTERVAL, PollSchedule},
-    startup_readiness::{STARTUP_FETCH_TIMEOUT, STARTUP_PEER_COUNT, STARTUP_PEER_WINDOW},
+    startup_readiness::{
+        STARTUP_FETCH_TIMEOUT, STARTUP_LISTED_PEER_WINDOW, STARTUP_PEER_COUNT, STARTUP_PEER_WINDOW,
+    },
     submit_error::SubmitError,
     version_tracker::{EnforceOutcome, PeerReport, VersionReport, VersionTracker},
     versioned_policy::VersionedPolicy,
--- a/src/policy/policy_actor.rs
+++ b/src/policy/policy_actor.rs
@@ -78,6 +78,9 @@
 /// The number of members changed.
 pub(super) struct MemberCountChanged(pub u32);
 
+/// The number of other daemons in the member table changed.
+pub(super) struct ListedMembersChanged(pub usize);
+
 /// The list of the other members' mesh addresses changed.
 pub(super) struct PeersChanged(pub Vec<SocketAddr>);
 
@@ -254,6 +257,14 @@
     }
 }
 
+impl<T: TableStore, S: PolicySource> Handler<ListedMembersChanged> for PolicyActor<T, S> {
+    type Return = ();
+
+    async fn handle(&mut self, changed: ListedMembersChanged, _context: &mut Context<Self>) {
+        self.state.tracker.set_listed_members(changed.0);
+    }
+}
+
 impl<T: TableStore, S: PolicySource> Handler<PeersChanged> for PolicyActor<T, S> {
     type Return = ();
 
--- a/src/policy/policy_service.rs
+++ b/src/policy/policy_service.rs
@@ -3,8 +3,8 @@
         AcceptedPolicy, ActivePolicy, COMMIT_TIMEOUT, PeerReport, PolicyDocument, PolicyHash,
         PolicySource, PollSchedule, SubmitError, VersionReport, VersionTracker, VersionedPolicy,
         policy_actor::{
-            self, FindDocument, MemberCountChanged, PeersChanged, PolicyActor, PolicyActorState,
-            PolicyCommitted, VersionReported, randomly_seeded_rng,
+            self, FindDocument, ListedMembersChanged, MemberCountChanged, PeersChanged,
+            PolicyActor, PolicyActorState, PolicyCommitted, VersionReported, randomly_seeded_rng,
         },
         policy_commit::PolicyCommit,
         policy_table::PolicyTable,
@@ -114,6 +114,13 @@
         let _ = self.actor.send(MemberCountChanged(members)).await;
     }
 
+    /// Sets the number of other daemons that the member table lists; while there are any, a
+    /// starting daemon waits longer for their versions.
+    pub async fn set_listed_members(&self, members: usize) {
+        // Sending fails only if the actor has stopped and is ready no more.
+        let _ = self.actor.send(ListedMembersChanged(members)).await;
+    }
+
     /// Sets the mesh addresses of all other members, to fetch from.
     pub async fn set_peers(&self, peers: Vec<SocketAddr>) {
         // Sending fails only if the actor has stopped and no longer fetches.
--- a/src/policy/startup_readiness.rs
+++ b/src/policy/startup_readiness.rs
@@ -9,6 +9,9 @@
 ///
 /// A table restored from a backup may hold an older version than the peers enforce.
 pub const STARTUP_PEER_WINDOW: Duration = Duration::from_secs(1);
+/// The same while the member table lists other daemons. They may live and still take longer to
+/// respond, for example on a busy VM.
+pub const STARTUP_LISTED_PEER_WINDOW: Duration = Duration::from_secs(10);
 /// Time for which a starting daemon waits for a reported version that it cannot fetch.
 pub const STARTUP_FETCH_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -19,6 +22,7 @@
     reporting_peers: Vec<SocketAddr>,
     peers_with_policy: Vec<SocketAddr>,
     other_members: usize,
+    listed_members: usize,
 }
 
 impl StartupReadiness {
@@ -31,6 +35,11 @@
         self.other_members = other_members;
     }
 
+    /// Sets the number of other daemons that the member table lists.
+    pub(super) fn set_listed_members(&mut self, listed_members: usize) {
+        self.listed_members = listed_members;
+    }
+
     /// Records the version of a peer; version 0 is the built-in policy.
     pub(super) fn record_peer_version(&mut self, peer: SocketAddr, version: u64) {
         add_peer(&mut self.reporting_peers, peer);
@@ -55,11 +64,20 @@
             version > 0 && self.peers_with_policy.len() >= self.required_peers();
         let has_table_response = self.table_responded_at.is_some_and(|responded_at| {
             self.reporting_peers.len() >= self.required_peers()
-                || now.since(responded_at) >= STARTUP_PEER_WINDOW
+                || now.since(responded_at) >= self.peer_window()
         });
         has_peer_policies || has_table_response
     }
 
+    /// Time for which the versions of peers are waited for after the table service has responded.
+    fn peer_window(&self) -> Duration {
+        if self.listed_members > 0 {
+            STARTUP_LISTED_PEER_WINDOW
+        } else {
+            STARTUP_PEER_WINDOW
+        }
+    }
+
     /// Number of peers required: [`STARTUP_PEER_COUNT`], or all other members if they are fewer.
     ///
     /// The other members are unknown, and thus 0, until a peer has responded.
--- a/src/policy/version_tracker.rs
+++ b/src/policy/version_tracker.rs
@@ -157,6 +157,11 @@
         self.readiness.set_other_members(other_members);
     }
 
+    /// Sets the number of other daemons that the member table lists.
+    pub fn set_listed_members(&mut self, listed_members: usize) {
+        self.readiness.set_listed_members(listed_members);
+    }
+
     /// Whether the daemon knows enough to accept calls; once true, it remains true.
     pub fn check_readiness(&mut self, now: TimePoint) -> bool {
         let waits_for_fetch = self
--- a/tests/policy_versions.rs
+++ b/tests/policy_versions.rs
@@ -4,8 +4,8 @@
     banyantrestle::{
         policy::{
             DEPLOYMENT_POLLS_PER_SECOND, EnforceOutcome, MIN_POLL_INTERVAL, PeerReport,
-            PolicyDocument, PollSchedule, STARTUP_FETCH_TIMEOUT, STARTUP_PEER_WINDOW,
-            VersionReport, VersionTracker, VersionedPolicy,
+            PolicyDocument, PollSchedule, STARTUP_FETCH_TIMEOUT, STARTUP_LISTED_PEER_WINDOW,
+            STARTUP_PEER_WINDOW, VersionReport, VersionTracker, VersionedPolicy,
         },
         time::TimePoint,
     },
@@ -208,6 +208,28 @@
     assert_eq!(tracker.current().version, 9);
 }
 
+#[test]
+fn startup_waits_longer_for_daemons_that_the_member_table_lists() {
+    let mut tracker = VersionTracker::new();
+    tracker.set_listed_members(2);
+    tracker.record_table_response(NOW);
+    tracker.try_enforce(versioned_policy(1, 0));
+    assert!(!tracker.check_readiness(NOW + STARTUP_PEER_WINDOW));
+    let mut unanswered = tracker.clone();
+    assert!(unanswered.check_readiness(NOW + STARTUP_LISTED_PEER_WINDOW));
+    for number in [1, 2] {
+        tracker.record_report(peer_report(number, &versioned_policy(2, 0)), NOW);
+    }
+    assert!(
+        !tracker.check_readiness(NOW),
+        "version 2 is not fetched yet"
+    );
+    assert!(tracker.start_fetch(NOW).is_some());
+    tracker.finish_fetch(Some(versioned_policy(2, 0)));
+    assert!(tracker.check_readiness(NOW));
+    assert_eq!(tracker.current().version, 2);
+}
+
 #[test]
 fn startup_stops_waiting_for_an_unavailable_version() {
     let mut tracker = VersionTracker::new();
