Pace calls to limited targets with fewer refusals and a deeper bucket

Refused calls lost their front more tokens than time, and fronts that were refused stayed near the rate at which that happened.

Rates fall by a third after a refusal and rise by a twentieth; the bucket beside the target holds three calls at least, which a small limit needs.

--- a/src/sidecar/call_pace.rs
+++ b/src/sidecar/call_pace.rs
@@ -6,12 +6,12 @@
 };
 
 /// Time in which the rate doubles without any call.
-const DOUBLING_TIME: Duration = Duration::from_secs(10);
+const DOUBLING_TIME: Duration = Duration::from_secs(12);
 /// Factors of the rate after a call that the target took, and after one that was refused.
-const ACCEPTANCE_FACTOR: f64 = 1.1;
-const REFUSAL_FACTOR: f64 = 0.8;
+const ACCEPTANCE_FACTOR: f64 = 1.05;
+const REFUSAL_FACTOR: f64 = 0.65;
 /// Maximum random number of tokens that a refused call costs on top.
-const MAX_REFUSAL_DEBT: f64 = 0.5;
+const MAX_REFUSAL_DEBT: f64 = 0.1;
 /// Time whose calls may be sent at once.
 const BURST_TIME: Duration = Duration::from_millis(200);
 /// Tokens that only urgent calls may take.
--- a/src/sidecar/rate_bucket.rs
+++ b/src/sidecar/rate_bucket.rs
@@ -6,7 +6,7 @@
 /// Time whose tokens may be spent at once.
 const BURST_TIME: Duration = Duration::from_millis(200);
 /// Minimum of the tokens that may be spent at once.
-const MIN_BURST: f64 = 2.0;
+const MIN_BURST: f64 = 3.0;
 
 /// Token bucket for the calls to one target.
 ///
