Close connections on which a target sends without end

Aborting between two polls did not help always, since the connection used up the budget of its task in each poll.

A connection holds a lease now until 0.5 s after the deadline of its call; the lease is ended when the connection goes back to the pool. The lease is checked before the connection, and the read buffer is limited to 64 KiB, which also bounds the head of a response and the work of one poll.

--- a/src/net/target_pool.rs
+++ b/src/net/target_pool.rs
@@ -6,21 +6,24 @@
     http_body_util::Full,
     hyper::{
         body::Incoming,
-        client::conn::http1::{SendRequest, handshake},
+        client::conn::http1::{Builder, Connection, SendRequest},
     },
     hyper_util::rt::TokioIo,
     std::{
+        future::pending,
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
     tokio::{
         net::TcpStream,
-        sync::{OwnedSemaphorePermit, Semaphore},
-        time::{Instant, timeout, timeout_at},
+        sync::{OwnedSemaphorePermit, Semaphore, watch},
+        time::{Instant, sleep_until, timeout, timeout_at},
     },
 };
 
+/// Maximum read buffer of a connection, which also bounds the head of a response.
+const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of idle connections in the pool.
 const MAX_IDLE_CONNECTIONS: usize = 256;
@@ -38,15 +41,23 @@
 #[derive(Debug)]
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
+    lease: ConnectionLease,
     idle_since: Instant,
     /// Time from which the target may close the connection.
     expires_at: Instant,
 }
 
+/// Time at which the connection is closed; `None` while it is idle.
+///
+/// A target may send bytes that are no response without end, and then reading never finds that the
+/// call has ended.
+type ConnectionLease = watch::Sender<Option<Instant>>;
+
 /// A connection in use by one call; dropping it closes it unless it was released.
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
     sender: SendRequest<Full<Bytes>>,
+    lease: ConnectionLease,
     pool: Arc<TargetPool>,
     _permit: OwnedSemaphorePermit,
 }
@@ -109,21 +120,26 @@
             .await
             .map_err(|_| SendFailure::NotSent(self.error("no free connection by the deadline")))?
             .map_err(|error| SendFailure::NotSent(self.error(error)))?;
-        let sender = match self.acquire_idle(max_idle_time).await {
-            Some(sender) => sender,
+        let (sender, lease) = match self.acquire_idle(max_idle_time).await {
+            Some(idle) => idle,
             None => self.connect().await.map_err(SendFailure::NotSent)?,
         };
+        lease.send_replace(Some(deadline));
         Ok(TargetConnection {
             sender,
+            lease,
             pool: self.clone(),
             _permit: permit,
         })
     }
 
-    async fn acquire_idle(&self, max_idle_time: Duration) -> Option<SendRequest<Full<Bytes>>> {
-        while let Some(mut sender) = self.pop_idle(max_idle_time) {
-            if sender.ready().await.is_ok() {
-                return Some(sender);
+    async fn acquire_idle(
+        &self,
+        max_idle_time: Duration,
+    ) -> Option<(SendRequest<Full<Bytes>>, ConnectionLease)> {
+        while let Some(mut idle) = self.pop_idle(max_idle_time) {
+            if idle.sender.ready().await.is_ok() {
+                return Some((idle.sender, idle.lease));
             }
         }
         None
@@ -131,7 +147,7 @@
 
     /// Takes the most recently used connection that has not expired and was idle for at most
     /// `max_idle_time`.
-    fn pop_idle(&self, max_idle_time: Duration) -> Option<SendRequest<Full<Bytes>>> {
+    fn pop_idle(&self, max_idle_time: Duration) -> Option<IdleConnection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Instant::now();
         // The connections below the top of the stack were idle even longer.
@@ -140,7 +156,7 @@
         }
         while let Some(connection) = idle.pop() {
             if connection.expires_at > now {
-                return Some(connection.sender);
+                return Some(connection);
             }
         }
         None
@@ -152,7 +168,7 @@
         idle.clear();
     }
 
-    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, StepError> {
+    async fn connect(&self) -> Result<(SendRequest<Full<Bytes>>, ConnectionLease), StepError> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.target))
             .await
             .map_err(|_| self.error(format!("no connection within {CONNECT_TIMEOUT:?}")))?
@@ -160,12 +176,14 @@
         stream
             .set_nodelay(true)
             .map_err(|error| self.error(error))?;
-        let (sender, connection) = handshake(TokioIo::new(stream))
+        let (sender, connection) = Builder::new()
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| self.error(error))?;
-        // An error of the connection is also returned to the call that uses it.
-        tokio::spawn(async move { connection.await.ok() });
-        Ok(sender)
+        let (lease, leased) = watch::channel(None);
+        tokio::spawn(run_connection(connection, leased));
+        Ok((sender, lease))
     }
 
     fn error<E>(&self, error: E) -> StepError
@@ -176,6 +194,39 @@
     }
 }
 
+/// Runs a connection until it ends or its lease expires.
+async fn run_connection(
+    connection: Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    leased: watch::Receiver<Option<Instant>>,
+) {
+    tokio::select! {
+        // A connection with endless input may use up the budget of the task each time.
+        biased;
+        () = wait_for_expiry(leased) => {}
+        // An error of the connection is also returned to the call that uses it.
+        _ = connection => {}
+    }
+}
+
+/// Waits until the deadline of a lease passes that is not ended before.
+async fn wait_for_expiry(mut leased: watch::Receiver<Option<Instant>>) {
+    loop {
+        let deadline = *leased.borrow_and_update();
+        let Some(deadline) = deadline else {
+            if leased.changed().await.is_err() {
+                return pending().await;
+            }
+            continue;
+        };
+        match timeout_at(deadline, leased.changed()).await {
+            Ok(Ok(())) => {}
+            // The call has ended, but the connection may still deliver a streamed response.
+            Ok(Err(_)) => return sleep_until(deadline).await,
+            Err(_) => return,
+        }
+    }
+}
+
 impl TargetConnection {
     /// Address of the target.
     pub(crate) fn target(&self) -> SocketAddr {
@@ -195,8 +246,10 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         if idle.len() < MAX_IDLE_CONNECTIONS && !self.sender.is_closed() {
+            self.lease.send_replace(None);
             idle.push(IdleConnection {
                 sender: self.sender,
+                lease: self.lease,
                 idle_since: Instant::now(),
                 expires_at: Instant::now() + idle_timeout,
             });
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -37,6 +37,8 @@
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 /// Timeout for the body of a call from another sidecar.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time after the deadline of a call at which its connection to the target is closed.
+const CONNECTION_END_TIME: Duration = Duration::from_millis(500);
 /// Margin by which a connection is dropped before the target's keep-alive timeout closes it.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
 /// Idle time of a connection when the target names no keep-alive timeout.
@@ -292,7 +294,7 @@
             return Err(AttemptFailure::NoTarget);
         }
     };
-    let deadline = state.clock.instant_of(context.deadline) + BODY_TIMEOUT;
+    let deadline = state.clock.instant_of(context.deadline) + CONNECTION_END_TIME;
     let max_idle = if context.is_idempotent {
         Duration::MAX
     } else {
