--- a/src/sidecar/target_retry_budget.rs
+++ b/src/sidecar/target_retry_budget.rs
@@ -107,14 +107,14 @@
         self.advance(now);
         let reserve = self.record_request(now, request);
         let by_higher_ranks = self.retries_in_window(|rank| rank > request.rank);
-        let taken = self.retries_in_window(|rank| rank <= request.rank);
+        let by_other_ranks = self.retries_in_window(|rank| rank <= request.rank);
         let share = if request.is_inherited {
             1.0
         } else {
             NEW_RETRY_SHARE
         };
         let max_retries = self.max_retries(targets) * share;
-        let is_granted = taken + by_higher_ranks.max(reserve) + 1.0 <= max_retries;
+        let is_granted = by_other_ranks + by_higher_ranks.max(reserve) + 1.0 <= max_retries;
         if is_granted {
             let retries = &mut self.buckets[TOTAL_BUCKETS - 1].retries;
             *retries.entry(request.rank).or_default() += 1;
