Read the lease of a connection in intervals instead of waking its task

Each call woke the task of its connection twice, when the lease began and when it ended. The task reads the lease each second now, so a connection with endless input is closed at most a second later. The test of endless responses passes (two runs).

--- a/src/net/target_pool.rs
+++ b/src/net/target_pool.rs
@@ -10,20 +10,21 @@
     },
     hyper_util::rt::TokioIo,
     std::{
-        future::pending,
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
     tokio::{
         net::TcpStream,
-        sync::{OwnedSemaphorePermit, Semaphore, watch},
+        sync::{OwnedSemaphorePermit, Semaphore},
         time::{Instant, sleep_until, timeout, timeout_at},
     },
 };
 
 /// Maximum read buffer of a connection, which also bounds the head of a response.
 const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Interval at which the lease of a connection is read.
+const LEASE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of idle connections in the pool.
 const MAX_IDLE_CONNECTIONS: usize = 256;
@@ -47,11 +48,35 @@
     expires_at: Instant,
 }
 
-/// Time at which the connection is closed; `None` while it is idle.
+/// Time at which a connection is closed; `None` while it is idle.
 ///
 /// A target may send bytes that are no response without end, and then reading never finds that the
 /// call has ended.
-type ConnectionLease = watch::Sender<Option<Instant>>;
+#[derive(Clone, Debug, Default)]
+struct ConnectionLease(Arc<Mutex<Option<Instant>>>);
+
+impl ConnectionLease {
+    fn set(&self, end: Option<Instant>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = end;
+    }
+
+    fn end(&self) -> Option<Instant> {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until the end of the lease has passed. The time is read again in intervals, so that a
+    /// call does not have to wake the task of its connection.
+    async fn wait_for_end(&self) {
+        loop {
+            let now = Instant::now();
+            let end = self.end();
+            if end.is_some_and(|end| end <= now) {
+                return;
+            }
+            sleep_until(now + LEASE_CHECK_INTERVAL).await;
+        }
+    }
+}
 
 /// A connection in use by one call; dropping it closes it unless it was released.
 #[derive(Debug)]
@@ -124,7 +149,7 @@
             Some(idle) => idle,
             None => self.connect().await.map_err(SendFailure::NotSent)?,
         };
-        lease.send_replace(Some(deadline));
+        lease.set(Some(deadline));
         Ok(TargetConnection {
             sender,
             lease,
@@ -181,8 +206,8 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| self.error(error))?;
-        let (lease, leased) = watch::channel(None);
-        tokio::spawn(run_connection(connection, leased));
+        let lease = ConnectionLease::default();
+        tokio::spawn(run_connection(connection, lease.clone()));
         Ok((sender, lease))
     }
 
@@ -194,39 +219,20 @@
     }
 }
 
-/// Runs a connection until it ends or its lease expires.
+/// Runs a connection until it ends or its lease does.
 async fn run_connection(
     connection: Connection<TokioIo<TcpStream>, Full<Bytes>>,
-    leased: watch::Receiver<Option<Instant>>,
+    lease: ConnectionLease,
 ) {
     tokio::select! {
         // A connection with endless input may use up the budget of the task each time.
         biased;
-        () = wait_for_expiry(leased) => {}
+        () = lease.wait_for_end() => {}
         // An error of the connection is also returned to the call that uses it.
         _ = connection => {}
     }
 }
 
-/// Waits until the deadline of a lease passes that is not ended before.
-async fn wait_for_expiry(mut leased: watch::Receiver<Option<Instant>>) {
-    loop {
-        let deadline = *leased.borrow_and_update();
-        let Some(deadline) = deadline else {
-            if leased.changed().await.is_err() {
-                return pending().await;
-            }
-            continue;
-        };
-        match timeout_at(deadline, leased.changed()).await {
-            Ok(Ok(())) => {}
-            // The call has ended, but the connection may still deliver a streamed response.
-            Ok(Err(_)) => return sleep_until(deadline).await,
-            Err(_) => return,
-        }
-    }
-}
-
 impl TargetConnection {
     /// Address of the target.
     pub(crate) fn target(&self) -> SocketAddr {
@@ -246,7 +252,7 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         if idle.len() < MAX_IDLE_CONNECTIONS && !self.sender.is_closed() {
-            self.lease.send_replace(None);
+            self.lease.set(None);
             idle.push(IdleConnection {
                 sender: self.sender,
                 lease: self.lease,
