Log which calls a crashed target has left unanswered

A target that crashed looked like a connection that was reset, and no log line named what two failed attempts had in common. The sidecar beside a target now keeps the calls that the process runs or has left unanswered. It counts the process as crashed if connections to it are refused after one broke, or if another process takes its place without a leave, and logs the hash of each of these calls. Nothing decides by it yet.

The stand-in of a target can crash: by itself, or under a request whose path asks for it.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod cli;
 pub mod console;
 pub mod context;
+pub mod crash;
 pub mod daemon;
 pub mod error;
 pub mod events;
--- a/src/net/target_pool.rs
+++ b/src/net/target_pool.rs
@@ -96,6 +96,10 @@
         })
     }
 
+    pub(crate) const fn target(&self) -> SocketAddr {
+        self.target
+    }
+
     /// Sends a call and waits for the head of its response.
     pub(crate) async fn send(
         self: &Arc<Self>,
--- a/src/sidecar/admin_service.rs
+++ b/src/sidecar/admin_service.rs
@@ -138,6 +138,13 @@
     );
     if closes_current && let Some(live) = target_status.live.take() {
         live.semaphore.close();
+        if change == TargetChange::Started {
+            state
+                .crash_watch
+                .record_end(&live, "replaced by another process");
+        } else {
+            live.runs().record_leaving();
+        }
     }
     match (change, target_status.tracker.current()) {
         (TargetChange::Started, Some((heartbeat, TargetPhase::Serving))) => {
--- a/src/sidecar/attempt_report.rs
+++ b/src/sidecar/attempt_report.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AttemptOutcome, FailureCause, TargetLoad, TreeCost, slot_semaphore::ResponsePermit},
+    super::{AttemptOutcome, FailureCause, TargetLoad, TreeCost, streamed_run::ResponseRun},
     crate::net::ResponseBody,
     http::Response,
     strum::{Display, EnumString, IntoStaticStr},
@@ -10,7 +10,7 @@
 pub(crate) const ATTEMPT_FAILURE_HEADER: &str = "bt-outcome";
 
 /// Body of a response that the sidecar relays or creates itself.
-pub(crate) type RelayBody = ResponseBody<ResponsePermit>;
+pub(crate) type RelayBody = ResponseBody<ResponseRun>;
 
 /// Why an attempt brought no response from a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, IntoStaticStr)]
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -13,14 +13,18 @@
         pressure_report::PRESSURE_HEADER,
         request_log::LineCategory,
         sidecar_state::SidecarState,
-        slot_semaphore::{SlotPermit, SlotRefusal},
+        slot_semaphore::SlotRefusal,
+        streamed_run::StreamedRun,
         target_incarnation::TargetIncarnation,
         target_notice::apply_response_notice,
         tree_cost::TREE_COST_HEADER,
     },
-    crate::net::{
-        ResponseBody, ResponsePrefix, SendFailure, TargetConnection, clean_response_headers,
-        read_request, read_response, remove_content_length, set_header,
+    crate::{
+        crash::RunEnd,
+        net::{
+            ResponseBody, ResponsePrefix, SendFailure, TargetConnection, clean_response_headers,
+            read_request, read_response, remove_content_length, set_header,
+        },
     },
     bytes::Bytes,
     http::{
@@ -208,13 +212,14 @@
     if target.semaphore.rate_limit().is_some() {
         metrics::counter!("banyantrestle_rate_limited_calls_total").increment(1);
     }
-    let running = state.running.insert(&call.id, context.clone());
+    let digest = state.crash_watch.digest(call, context);
     let started_at = permit.started_at();
-    let result = match timeout_at(
-        deadline,
-        send_to_target(state, target, call, context, permit),
-    )
-    .await
+    let Some(run) = state.crash_watch.start(target, digest) else {
+        return AttemptReport::failed(AttemptFailure::TargetClosed);
+    };
+    let run = StreamedRun { permit, run };
+    let running = state.running.insert(&call.id, context.clone());
+    let result = match timeout_at(deadline, send_to_target(state, target, call, context, run)).await
     {
         Ok(result) => result,
         Err(_) => Err(AttemptFailure::DeadlinePassed),
@@ -275,14 +280,15 @@
 /// Sends a call that holds a slot to the target and reads the response.
 async fn send_to_target<P: PlatformAdapter>(
     state: &Arc<SidecarState<P>>,
-    target: &LiveTarget,
+    target: &Arc<LiveTarget>,
     call: &ForwardedCall,
     context: &HopContext,
-    permit: SlotPermit,
+    target_run: StreamedRun,
 ) -> Result<Response<RelayBody>, AttemptFailure> {
     let now = state.clock.now();
     // After a suspension of the VM, queued calls may be long past their deadlines.
     if now >= context.deadline {
+        target_run.finish_not_run();
         return Err(AttemptFailure::DeadlineTooNear);
     }
     let names = state.platform.headers();
@@ -291,6 +297,7 @@
         Err(error) => {
             slog::warn!(state.log.logger, "call refused: request to the target can't be built";
                 "request" => &call.id, "error" => %error);
+            target_run.finish_not_run();
             return Err(AttemptFailure::NoTarget);
         }
     };
@@ -303,25 +310,50 @@
     let sending = target.pool.send_with_max_idle(request, max_idle, deadline);
     match sending.await {
         Ok((response, connection)) => {
-            relay_response(state, target, call, context, response, connection, permit).await
+            relay_response(
+                state, target, call, context, response, connection, target_run,
+            )
+            .await
         }
         Err(failure) => {
-            permit.release(SlotOutcome::Failed);
-            let kind = match failure {
-                SendFailure::NotSent(_) => AttemptFailure::TargetConnectFailed,
-                SendFailure::Broken(_) | SendFailure::TimedOut(_) => {
-                    AttemptFailure::TargetConnectionBroken
+            let (kind, end) = match failure {
+                SendFailure::NotSent(_) => (AttemptFailure::TargetConnectFailed, RunEnd::NotRun),
+                SendFailure::Broken(_) => (AttemptFailure::TargetConnectionBroken, RunEnd::Broken),
+                SendFailure::TimedOut(_) => {
+                    (AttemptFailure::TargetConnectionBroken, RunEnd::Abandoned)
                 }
             };
             if state.log.try_acquire(LineCategory::Failure) {
                 slog::info!(state.log.logger, "request to the target failed"; "request" => &call.id,
                     "failure" => %kind, "error" => %failure.into_error());
             }
+            end_failed_run(state, target, call, context, target_run, end).await;
             Err(kind)
         }
     }
 }
 
+/// Ends a call that got no complete response, and finds out whether the target has crashed.
+async fn end_failed_run<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    target: &LiveTarget,
+    call: &ForwardedCall,
+    context: &HopContext,
+    target_run: StreamedRun,
+    end: RunEnd,
+) {
+    let digest = target_run.run.digest();
+    target_run.finish(SlotOutcome::Failed, end);
+    if end == RunEnd::Broken
+        && state.crash_watch.has_crashed(target).await
+        && state.log.try_acquire(LineCategory::Failure)
+    {
+        slog::info!(state.log.logger, "target crashed under a call"; "request" => &call.id,
+            "hash" => digest.map(|digest| digest.to_string()), "path" => &call.path,
+            "caller" => %context.caller, "instance" => &target.incarnation.instance);
+    }
+}
+
 /// Checks the response of the target and frees the slot; a long response holds the slot until it
 /// has been relayed.
 async fn relay_response<P: PlatformAdapter>(
@@ -331,7 +363,7 @@
     context: &HopContext,
     response: Response<Incoming>,
     connection: TargetConnection,
-    permit: SlotPermit,
+    target_run: StreamedRun,
 ) -> Result<Response<RelayBody>, AttemptFailure> {
     let (mut head, body) = response.into_parts();
     let keep_alive_time = keep_alive_time(&head.headers);
@@ -350,7 +382,12 @@
         {
             connection.release_with_timeout(keep_alive_time);
         }
-        permit.release(SlotOutcome::Failed);
+        let end = if failure == AttemptFailure::Shed {
+            RunEnd::NotRun
+        } else {
+            RunEnd::Abandoned
+        };
+        target_run.finish(SlotOutcome::Failed, end);
         return Err(failure);
     }
     if is_unconfirmed_refusal(head.status) {
@@ -369,7 +406,7 @@
     match read_response(body, MAX_BUFFERED_RESPONSE_BYTES).await {
         Ok(ResponsePrefix::Complete { data, trailers }) => {
             connection.release_with_timeout(keep_alive_time);
-            permit.release(outcome);
+            target_run.finish(outcome, RunEnd::Answered);
             Ok(Response::from_parts(
                 head,
                 ResponseBody::buffered(data, trailers),
@@ -377,15 +414,15 @@
         }
         Ok(ResponsePrefix::Partial { prefix, rest }) => {
             let deadline = state.clock.instant_of(context.deadline);
-            let body = ResponseBody::streamed(prefix, rest, deadline, Some(permit));
+            let body = ResponseBody::streamed(prefix, rest, deadline, Some(target_run));
             Ok(Response::from_parts(head, body))
         }
         Err(error) => {
-            permit.release(SlotOutcome::Failed);
             if state.log.try_acquire(LineCategory::Failure) {
                 slog::info!(state.log.logger, "response of the target was cut off";
                     "request" => &call.id, "error" => %error);
             }
+            end_failed_run(state, target, call, context, target_run, RunEnd::Broken).await;
             Err(AttemptFailure::BadResponse)
         }
     }
--- a/src/sidecar/sidecar_daemon.rs
+++ b/src/sidecar/sidecar_daemon.rs
@@ -4,6 +4,7 @@
         TargetRetryBudget, TargetTracker,
         admin_service::{expire_target, serve_admin, serve_readiness},
         config_watch::{watch_gossip, watch_store},
+        crash_watch::CrashWatch,
         inbound_service::serve_inbound,
         leaving_peers::LeavingPeers,
         outbound_service::serve_outbound,
@@ -14,6 +15,7 @@
     },
     crate::{
         auth::SharedKey,
+        crash::DigestKey,
         daemon::process_recorder,
         error::StepError,
         membership::{MemberId, MembershipHandle, MembershipSettings},
@@ -108,7 +110,14 @@
         let state = Arc::new(SidecarState {
             clock,
             platform,
-            log: RequestLog::new(logger, clock),
+            log: RequestLog::new(logger.clone(), clock),
+            crash_watch: Arc::new(CrashWatch {
+                key: DigestKey::derive(&settings.deployment),
+                own_address: settings.listen.mesh,
+                clock,
+                wall_clock: process_clock,
+                logger,
+            }),
             unread_fields: UnreadFields::default(),
             membership,
             mesh_pool: MeshPool::new(MESH_SILENCE_LIMIT),
--- a/src/sidecar/sidecar_state.rs
+++ b/src/sidecar/sidecar_state.rs
@@ -1,8 +1,9 @@
 use {
     super::{
         IngressAdmission, PeerTable, PlatformAdapter, RouteConfig, SidecarSettings,
-        TargetRetryBudget, TargetTracker, leaving_peers::LeavingPeers, live_target::LiveTarget,
-        request_log::RequestLog, running_calls::RunningCalls, unread_fields::UnreadFields,
+        TargetRetryBudget, TargetTracker, crash_watch::CrashWatch, leaving_peers::LeavingPeers,
+        live_target::LiveTarget, request_log::RequestLog, running_calls::RunningCalls,
+        unread_fields::UnreadFields,
     },
     crate::{
         context::ServiceName,
@@ -66,6 +67,7 @@
     pub(crate) recorder: PrometheusHandle,
     pub(crate) phase: watch::Sender<SidecarPhase>,
     pub(crate) config: watch::Sender<Option<ActiveConfig>>,
+    pub(crate) crash_watch: Arc<CrashWatch>,
     /// Targets of other sidecars that have said that they are leaving.
     pub(crate) leaving_peers: LeavingPeers,
     pub(super) peers: Mutex<PeerTable>,
--- a/src/sidecar/slot_semaphore.rs
+++ b/src/sidecar/slot_semaphore.rs
@@ -2,10 +2,7 @@
     super::{
         QueueKey, QueuedCall, RateStatement, SlotDecision, SlotOutcome, SlotScheduler, TargetLoad,
     },
-    crate::{
-        net::{StreamObserver, StreamOutcome},
-        time::{BootClock, TimePoint},
-    },
+    crate::time::{BootClock, TimePoint},
     std::{
         collections::HashMap,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -220,19 +217,3 @@
         }
     }
 }
-
-/// Slot that a streamed response holds until it ends.
-pub(crate) type ResponsePermit = Option<SlotPermit>;
-
-impl StreamObserver for ResponsePermit {
-    fn on_end(self, outcome: StreamOutcome) {
-        let Some(permit) = self else {
-            return;
-        };
-        permit.release(match outcome {
-            StreamOutcome::Complete => SlotOutcome::Responded,
-            StreamOutcome::Broken => SlotOutcome::Failed,
-            StreamOutcome::Abandoned => SlotOutcome::Abandoned,
-        });
-    }
-}
--- /dev/null
+++ b/src/sidecar/streamed_run.rs
@@ -0,0 +1,49 @@
+use {
+    super::{SlotOutcome, crash_watch::RunGuard, slot_semaphore::SlotPermit},
+    crate::{
+        crash::RunEnd,
+        net::{StreamObserver, StreamOutcome},
+    },
+};
+
+/// A call whose response is being relayed: its slot, and its place among the calls that the target
+/// is running.
+#[derive(Debug)]
+pub(crate) struct StreamedRun {
+    pub(crate) permit: SlotPermit,
+    pub(crate) run: RunGuard,
+}
+
+/// The call that a relayed response belongs to, at the sidecar of its target.
+pub(crate) type ResponseRun = Option<StreamedRun>;
+
+impl StreamObserver for ResponseRun {
+    fn on_end(self, outcome: StreamOutcome) {
+        let Some(StreamedRun { permit, run }) = self else {
+            return;
+        };
+        let (slot_outcome, end) = match outcome {
+            StreamOutcome::Complete => (SlotOutcome::Responded, RunEnd::Answered),
+            StreamOutcome::Broken => (SlotOutcome::Failed, RunEnd::Broken),
+            StreamOutcome::Abandoned => (SlotOutcome::Abandoned, RunEnd::Abandoned),
+        };
+        permit.release(slot_outcome);
+        if end == RunEnd::Broken {
+            run.finish_broken();
+        } else {
+            run.finish(end);
+        }
+    }
+}
+
+impl StreamedRun {
+    pub(crate) fn finish(self, outcome: SlotOutcome, end: RunEnd) {
+        self.permit.release(outcome);
+        self.run.finish(end);
+    }
+
+    /// Ends a call that was not sent to the target.
+    pub(crate) fn finish_not_run(self) {
+        self.finish(SlotOutcome::Abandoned, RunEnd::NotRun);
+    }
+}
--- a/standins/src/upstream/upstream_standin.rs
+++ b/standins/src/upstream/upstream_standin.rs
@@ -15,11 +15,15 @@
         net::SocketAddr,
         sync::{
             Arc, Mutex, PoisonError,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::{Duration, Instant},
     },
-    tokio::{sync::watch, time::sleep},
+    tokio::{
+        sync::{Notify, watch},
+        task::JoinHandle,
+        time::sleep,
+    },
 };
 
 const MAX_CONNECTIONS: usize = 500;
@@ -27,15 +31,27 @@
 const PARTIAL_BODY_BYTES: u64 = 4_096;
 /// Path segment that precedes the number of calls the target makes itself.
 const CALL_COUNT_MARKER: &str = "/calls/";
+/// Path segment of the requests that crash each target that begins to run them.
+const CRASH_MARKER: &str = "/crash";
+/// Time from the start of such a request to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(30);
+/// Interval between attempts to listen again on the address of a crashed target.
+const BIND_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A running target; dropping it closes its server.
 #[derive(Debug)]
 pub struct UpstreamStandin {
-    _server: HttpServer,
+    supervisor: JoinHandle<()>,
     state: UpstreamState,
     sequence: AtomicU64,
 }
 
+impl Drop for UpstreamStandin {
+    fn drop(&mut self) {
+        self.supervisor.abort();
+    }
+}
+
 /// A call that a target received, whether it ran it or not.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -58,6 +74,13 @@
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     /// Headers that all responses carry.
     response_headers: watch::Sender<Vec<(&'static str, String)>>,
+    /// Signals the supervisor to crash the target.
+    crash: Arc<Notify>,
+    /// Times of the crashes so far.
+    crashes: Arc<Mutex<Vec<Instant>>>,
+    /// Time that a crashed target is down.
+    down_time: watch::Sender<Duration>,
+    is_down: Arc<AtomicBool>,
 }
 
 impl UpstreamStandin {
@@ -85,10 +108,14 @@
             call_duration: watch::Sender::new(Duration::from_millis(2)),
             arrivals: Arc::default(),
             response_headers: watch::Sender::new(Vec::new()),
+            crash: Arc::default(),
+            crashes: Arc::default(),
+            down_time: watch::Sender::new(Duration::from_secs(1)),
+            is_down: Arc::default(),
         };
         let server = HttpServer::start(address, MAX_CONNECTIONS, state.clone()).await?;
         Ok(Self {
-            _server: server,
+            supervisor: tokio::spawn(state.clone().supervise(server)),
             state,
             sequence: AtomicU64::new(0),
         })
@@ -116,6 +143,24 @@
         self.state.call_duration.send_replace(duration);
     }
 
+    /// Closes all connections and the listener at once; after its down time, the target starts again
+    /// as another instance.
+    pub fn crash(&self) {
+        self.state.crash.notify_one();
+    }
+
+    /// Sets the time that the target is down after a crash.
+    pub fn set_down_time(&self, time: Duration) {
+        self.state.down_time.send_replace(time);
+    }
+
+    /// Times of the crashes so far.
+    #[must_use]
+    pub fn crashes(&self) -> Vec<Instant> {
+        let crashes = self.state.crashes.lock();
+        crashes.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Changes the instance name at the same address and restarts the heartbeat sequence.
     pub fn restart_as(&self, instance: &str) {
         let mut current = self.state.instance.lock();
@@ -136,6 +181,9 @@
         state: &str,
         started_ms: u64,
     ) -> anyhow::Result<()> {
+        if self.state.is_down() {
+            return Ok(());
+        }
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         let body = json!({
             "service": self.state.service, "address": self.state.address.to_string(),
@@ -177,9 +225,46 @@
 }
 
 impl UpstreamState {
+    /// Id of the current process: the instance name, with the number of crashes so far.
     fn instance(&self) -> String {
         let instance = self.instance.lock();
-        instance.unwrap_or_else(PoisonError::into_inner).clone()
+        let instance = instance.unwrap_or_else(PoisonError::into_inner);
+        match self.crash_count() {
+            0 => instance.clone(),
+            count => format!("{instance}-{count}"),
+        }
+    }
+
+    fn crash_count(&self) -> usize {
+        let crashes = self.crashes.lock();
+        crashes.unwrap_or_else(PoisonError::into_inner).len()
+    }
+
+    fn is_down(&self) -> bool {
+        self.is_down.load(Ordering::Relaxed)
+    }
+
+    /// Crashes and restarts the server when a request or the test asks for it.
+    async fn supervise(self, mut server: HttpServer) {
+        loop {
+            self.crash.notified().await;
+            self.is_down.store(true, Ordering::Relaxed);
+            drop(server);
+            let crashes = self.crashes.lock();
+            crashes
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(Instant::now());
+            let down_time = *self.down_time.borrow();
+            sleep(down_time).await;
+            server = loop {
+                match HttpServer::start(self.address, MAX_CONNECTIONS, self.clone()).await {
+                    Ok(server) => break server,
+                    // Connections of the previous server may still hold the address.
+                    Err(_) => sleep(BIND_INTERVAL).await,
+                }
+            };
+            self.is_down.store(false, Ordering::Relaxed);
+        }
     }
 
     /// Makes the calls that the path specifies, one after another; false after the first failure.
@@ -283,6 +368,11 @@
             &id,
             self.recorded_run(&head, body.unwrap_or_default().to_vec()),
         );
+        if head.uri.path().contains(CRASH_MARKER) {
+            sleep(CRASH_DELAY).await;
+            self.crash.notify_one();
+            pending::<()>().await;
+        }
         let duration = *self.call_duration.borrow();
         sleep(duration).await;
         let inner_calls_succeeded = self.make_inner_calls(&id, head.uri.path()).await;
