Refuse requests that crash the targets that run them

What callers saw: one request took all targets of a service down, again after each start, and everything else on them with it. What was sent under it after its third crash had no bound.

Cause: nothing related two attempts of a caller to each other. Each has its own id and was routed by load alone; a crash was one more broken connection, and the next attempt, ours or the caller's, went to the next target.

Equal requests are recognized by a keyed hash of method, host, path, caller and body. The calls that a crashed target has left unanswered are suspects; an answer by any target clears one. From the second crash on a suspect runs on trial: on one target of the service, which all sidecars choose alike, and beside no other suspect. A crash on trial is put down to that request alone, and it is refused from then on, with a final answer that callers don't repeat. The sidecars of a service tell each other of suspects before the caller gets its failure; refusals go to all sidecars and to the store, and random comparisons repair what was missed. A call whose targets crashed twice is not sent again. A crash counts no longer as a failure of its target.

Ruled out on the way: a refusal for three crashes alone.

--- a/src/crash/mod.rs
+++ b/src/crash/mod.rs
@@ -6,16 +6,36 @@
 //! target keeps the calls that the process runs or has left unanswered ([`TargetRuns`]). When the
 //! process crashes, these calls are the suspects; at most one of them is the cause.
 //!
+//! [`SuspectTable`] holds the suspects of all targets and decides what follows. An answer clears a
+//! request. One under which several targets have crashed since its last answer runs *on trial*: on
+//! one target of the service at a time ([`choose_trial_target`]) and beside no other suspect. A
+//! request under which a target crashes on trial is refused.
+//!
 //! The code here uses neither clocks nor sockets. Times that daemons exchange are wall-clock times.
 
+mod answered_requests;
+mod crash_mark;
 mod crash_report;
 mod request_digest;
+mod suspect_entry;
 mod suspect_standing;
+mod suspect_table;
 mod target_runs;
+mod trial_target;
 
 pub use {
+    answered_requests::AnsweredRequests,
+    crash_mark::{CrashEvidence, CrashMark},
     crash_report::{CrashReport, CrashSuspect},
     request_digest::{DigestKey, InvalidDigest, ProcessDigest, RequestDigest, RequestView},
+    suspect_entry::{
+        CLEARED_RETENTION, FAMILIAR_TRIAL_CRASHES, FIRST_REFUSAL_TIME, MARK_RETENTION, MAX_CRASHES,
+        MAX_REFUSAL_TIME, RequestRefusal, SHARED_TRIAL_CRASHES, SuspectEntry, TRIAL_CRASHES,
+    },
     suspect_standing::SuspectStanding,
+    suspect_table::{
+        MAX_EXCHANGED_RECORDS, MAX_SUSPECTS, RecordScope, SuspectRecord, SuspectTable,
+    },
     target_runs::{RunEnd, TargetRun, TargetRuns},
+    trial_target::choose_trial_target,
 };
--- a/src/crash/request_digest.rs
+++ b/src/crash/request_digest.rs
@@ -85,6 +85,16 @@
     }
 }
 
+impl RequestDigest {
+    /// The first eight bytes, for tables that tolerate collisions.
+    pub(crate) fn prefix(self) -> u64 {
+        let [first, ..] = self.0.as_chunks::<8>().0 else {
+            return 0;
+        };
+        u64::from_le_bytes(*first)
+    }
+}
+
 impl fmt::Display for RequestDigest {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let mut bytes = self.0.iter();
--- a/src/crash/target_runs.rs
+++ b/src/crash/target_runs.rs
@@ -29,7 +29,9 @@
     Running,
     /// It has said that it leaves, so its end is no crash.
     Leaving,
-    Crashed,
+    Crashed {
+        at: TimePoint,
+    },
 }
 
 /// A call that is running on the target.
@@ -96,7 +98,7 @@
             ended_at: now,
             is_broken: end == RunEnd::Broken,
         };
-        if self.fate == ProcessFate::Crashed {
+        if self.has_crashed() {
             return Some(unanswered.suspect());
         }
         if self.unanswered.len() >= MAX_UNANSWERED_RUNS {
@@ -114,14 +116,19 @@
 
     #[must_use]
     pub fn has_crashed(&self) -> bool {
-        self.fate == ProcessFate::Crashed
+        matches!(self.fate, ProcessFate::Crashed { .. })
     }
 
-    /// Records a response or a report of the process: it has survived the calls that ended well
-    /// before.
-    pub fn record_sign_of_life(&mut self, now: TimePoint) {
+    /// Records a response of the process to a call that started at `started_at`: it has survived the
+    /// calls that ended well before. True if it was taken for crashed.
+    pub fn record_answer(&mut self, now: TimePoint, started_at: TimePoint) -> bool {
         self.unanswered
             .retain(|unanswered| now.since(unanswered.ended_at) < ABANDONED_RUN_TIME);
+        let was_crashed = matches!(self.fate, ProcessFate::Crashed { at } if at < started_at);
+        if was_crashed {
+            self.fate = ProcessFate::Running;
+        }
+        was_crashed
     }
 
     /// Records that the process is leaving, so that its end is no crash.
@@ -133,11 +140,11 @@
     }
 
     /// Records that the process has ended; returns the suspects if it was a crash.
-    pub fn record_end(&mut self) -> Vec<CrashSuspect> {
+    pub fn record_end(&mut self, now: TimePoint) -> Vec<CrashSuspect> {
         if self.fate != ProcessFate::Running {
             return Vec::new();
         }
-        self.fate = ProcessFate::Crashed;
+        self.fate = ProcessFate::Crashed { at: now };
         let unanswered = self.unanswered.drain(..);
         unanswered.map(|unanswered| unanswered.suspect()).collect()
     }
--- a/src/error/step_error.rs
+++ b/src/error/step_error.rs
@@ -17,6 +17,7 @@
     CallAdmin,
     CallTarget,
     CallMesh,
+    ExchangeSuspects,
     SendGossip,
     ReceiveGossip,
     /// Anti-entropy exchange of member records over TCP.
--- a/src/sidecar/admin_service.rs
+++ b/src/sidecar/admin_service.rs
@@ -12,7 +12,7 @@
         net::{ResponseBody, read_request},
     },
     bytes::Bytes,
-    http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE},
+    http::{HeaderValue, Method, Request, Response, StatusCode, header::CONTENT_TYPE},
     hyper::body::Incoming,
     std::{sync::Arc, time::Duration},
 };
@@ -21,6 +21,10 @@
 const MAX_REPORT_BYTES: usize = 16 * 1024;
 const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
 const METRICS_PATH: &str = "/metrics";
+/// Path of the list of refused requests.
+const REFUSALS_PATH: &str = "/refusals";
+/// End of the path that ends a refusal.
+const LIFT_SUFFIX: &str = "/lift";
 const JSON_TYPE: HeaderValue = HeaderValue::from_static("application/json");
 
 /// Serves the reports of the local target and the metrics endpoint.
@@ -56,7 +60,7 @@
     }
 }
 
-/// Serves the platform's readiness check and the metrics endpoint.
+/// Serves the platform's readiness check, the metrics endpoint and the list of refused requests.
 pub(crate) async fn serve_readiness<P: PlatformAdapter>(
     state: Arc<SidecarState<P>>,
     request: Request<Incoming>,
@@ -65,6 +69,9 @@
     if path == METRICS_PATH {
         return text_response(StatusCode::OK, state.recorder.render());
     }
+    if let Some(rest) = path.strip_prefix(REFUSALS_PATH) {
+        return serve_refusals(&state, request.method(), rest);
+    }
     if !state.platform.is_readiness_check(request.method(), path) {
         return text_response(StatusCode::NOT_FOUND, String::new());
     }
@@ -76,6 +83,30 @@
     text_response(status, String::new())
 }
 
+/// Lists the refused requests, or ends the refusal of one: `rest` is `/HASH/lift` then.
+fn serve_refusals<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    method: &Method,
+    rest: &str,
+) -> Response<RelayBody> {
+    if *method == Method::GET && rest.is_empty() {
+        return text_response(StatusCode::OK, state.crash_watch.refusals_text());
+    }
+    let digest = rest
+        .strip_prefix('/')
+        .and_then(|rest| rest.strip_suffix(LIFT_SUFFIX));
+    let Some(digest) = digest.filter(|_| *method == Method::POST) else {
+        return text_response(StatusCode::NOT_FOUND, String::new());
+    };
+    match digest.parse() {
+        Ok(digest) if state.crash_watch.lift(digest) => {
+            text_response(StatusCode::OK, "lifted\n".into())
+        }
+        Ok(_) => text_response(StatusCode::NOT_FOUND, "no such refusal\n".into()),
+        Err(error) => text_response(StatusCode::BAD_REQUEST, format!("{error}\n")),
+    }
+}
+
 async fn handle_report<P: PlatformAdapter>(state: &SidecarState<P>, report: TargetReport) {
     let now = state.clock.now();
     let (change, announcement) = {
--- a/src/sidecar/attempt_history.rs
+++ b/src/sidecar/attempt_history.rs
@@ -5,6 +5,8 @@
 /// Maximum attempts of one call that reached a target; if every target refuses half of its calls,
 /// one call in a hundred remains unserved.
 const MAX_DELIVERED_ATTEMPTS: u32 = 7;
+/// Maximum number of targets that crash under one call before its retries end.
+const MAX_CRASHES: u32 = 2;
 /// Remaining time below which no further attempt is made.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(15);
 
@@ -22,6 +24,10 @@
     Unknown,
     /// The target ran the call and responded with a server error that no child call caused.
     TargetError,
+    /// The target crashed while it was running the call.
+    TargetCrashed,
+    /// The request crashes its targets and is refused.
+    RequestRefused,
     /// The retry budget is exhausted.
     NoRetries,
 }
@@ -36,6 +42,8 @@
     RespondUnknown,
     /// Relay the target's response with the server error.
     RelayFailure,
+    /// Respond that the request is refused because it crashes its targets.
+    RespondRefused,
 }
 
 /// Counts of the attempts of one call so far.
@@ -47,6 +55,8 @@
     delivered: u32,
     /// Attempts that may have run.
     possible_runs: u32,
+    /// Targets that crashed while they were running the call.
+    crashes: u32,
     has_target_error: bool,
 }
 
@@ -74,16 +84,21 @@
         match outcome {
             AttemptOutcome::NotSent | AttemptOutcome::NoRetries => self.undelivered += 1,
             AttemptOutcome::RateLimited => {}
+            AttemptOutcome::RequestRefused => return NextStep::RespondRefused,
             AttemptOutcome::Shed => self.delivered += 1,
-            AttemptOutcome::Unknown | AttemptOutcome::TargetError => {
+            AttemptOutcome::Unknown
+            | AttemptOutcome::TargetError
+            | AttemptOutcome::TargetCrashed => {
                 self.delivered += 1;
                 self.possible_runs += 1;
             }
         }
+        self.crashes += u32::from(outcome == AttemptOutcome::TargetCrashed);
         self.has_target_error |= outcome == AttemptOutcome::TargetError;
         let may_run = self.possible_runs == 0 || is_idempotent && self.possible_runs < max_attempts;
         let is_within_limits = self.undelivered < MAX_UNDELIVERED_ATTEMPTS
             && self.delivered < MAX_DELIVERED_ATTEMPTS
+            && self.crashes < MAX_CRASHES
             && time_left > MIN_TIME_LEFT;
         if may_run && is_within_limits {
             NextStep::Retry
--- a/src/sidecar/attempt_report.rs
+++ b/src/sidecar/attempt_report.rs
@@ -2,6 +2,7 @@
     super::{AttemptOutcome, FailureCause, TargetLoad, TreeCost, streamed_run::ResponseRun},
     crate::net::ResponseBody,
     http::Response,
+    std::net::SocketAddr,
     strum::{Display, EnumString, IntoStaticStr},
 };
 
@@ -9,6 +10,9 @@
 /// and why.
 pub(crate) const ATTEMPT_FAILURE_HEADER: &str = "bt-outcome";
 
+/// Response header with the mesh address of the sidecar beside the only target that may run the call.
+pub(crate) const TRIAL_PEER_HEADER: &str = "bt-trial";
+
 /// Body of a response that the sidecar relays or creates itself.
 pub(crate) type RelayBody = ResponseBody<ResponseRun>;
 
@@ -35,6 +39,12 @@
     /// The retry budget of the service is exhausted.
     #[strum(serialize = "no-repeats")]
     NoRetries,
+    /// The request crashes the targets that run it; it is not run again.
+    RequestRefused,
+    /// Targets have crashed under the request, and it runs on one other target only.
+    SuspectElsewhere,
+    /// Targets have crashed under the request, and it does not run beside the calls that are running.
+    SuspectBusy,
     /// The connection to the target can't be opened.
     #[strum(serialize = "connect-failed")]
     TargetConnectFailed,
@@ -43,6 +53,8 @@
     /// The connection to the target broke after the call was sent.
     #[strum(serialize = "target-broken")]
     TargetConnectionBroken,
+    /// The target crashed while it was running the call.
+    TargetCrashed,
     /// The deadline passed while the target was running the call.
     #[strum(serialize = "time-over")]
     DeadlinePassed,
@@ -69,6 +81,16 @@
             Self::DeadlineTooNear => "the call could not have met its deadline; not run",
             Self::RateLimited => "the rate limit that the target has named was exhausted; not run",
             Self::NoRetries => "the retry budget of the service was exhausted; not run again",
+            Self::RequestRefused => {
+                "targets have crashed each time they ran the request; it is not run again"
+            }
+            Self::SuspectElsewhere => {
+                "targets have crashed under the request, so it runs on one other target only; not run"
+            }
+            Self::SuspectBusy => {
+                "targets have crashed under the request, and another such request was running; not run"
+            }
+            Self::TargetCrashed => "the target crashed while it was running the call",
             Self::TargetConnectFailed => {
                 "the connection to the target could not be opened; not run"
             }
@@ -92,10 +114,14 @@
             | Self::QueueFull
             | Self::TargetStalled
             | Self::DeadlineTooNear
+            | Self::SuspectElsewhere
+            | Self::SuspectBusy
             | Self::TargetConnectFailed => AttemptOutcome::NotSent,
             Self::RateLimited => AttemptOutcome::RateLimited,
             Self::NoRetries => AttemptOutcome::NoRetries,
             Self::Shed => AttemptOutcome::Shed,
+            Self::RequestRefused => AttemptOutcome::RequestRefused,
+            Self::TargetCrashed => AttemptOutcome::TargetCrashed,
             Self::PeerConnectionBroken
             | Self::TargetConnectionBroken
             | Self::DeadlinePassed
@@ -114,6 +140,8 @@
     pub(crate) load: Option<TargetLoad>,
     /// Cause of the failure, if a child call is the cause.
     pub(crate) cause: Option<FailureCause>,
+    /// Sidecar beside the only target that may run the call.
+    pub(crate) trial_peer: Option<SocketAddr>,
 }
 
 impl AttemptReport {
@@ -128,6 +156,7 @@
             tree_cost: TreeCost::default(),
             load: None,
             cause: None,
+            trial_peer: None,
         }
     }
 }
--- a/src/sidecar/crash_watch.rs
+++ b/src/sidecar/crash_watch.rs
@@ -1,18 +1,24 @@
 use {
-    super::{HopContext, forwarded_call::ForwardedCall, live_target::LiveTarget},
+    super::{forwarded_call::ForwardedCall, live_target::LiveTarget},
     crate::{
         crash::{
-            CrashReport, CrashSuspect, DigestKey, RequestDigest, RequestView, RunEnd,
-            SuspectStanding, TargetRun,
+            AnsweredRequests, CrashReport, CrashSuspect, DigestKey, RequestDigest, RequestView,
+            RunEnd, SuspectRecord, SuspectStanding, SuspectTable, TargetRun,
         },
         time::{BootClock, ProcessClock},
     },
-    metrics::counter,
+    metrics::{counter, gauge},
     slog::Logger,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
     tokio::{
         io::AsyncReadExt,
         net::TcpStream,
+        sync::watch,
         time::{sleep, timeout},
     },
 };
@@ -24,18 +30,40 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time for which a live target keeps a new connection open without a request.
 const PROBE_READ_TIME: Duration = Duration::from_millis(20);
+/// Time for which the failure of a call is held back until the other sidecars of the service know
+/// of the crash; a further attempt of the call may reach them next.
+const NEWS_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum number of suspects that are logged for one crash.
 const MAX_LOGGED_SUSPECTS: usize = 32;
+/// Maximum number of requests whose route and caller are kept for the log.
+const MAX_LABELS: usize = 1_024;
 
-/// Finds out whether the local target has crashed, and under which calls.
+/// Finds out whether the local target has crashed, and under which calls; holds what all sidecars
+/// know of such calls.
 #[derive(Debug)]
 pub(crate) struct CrashWatch {
-    pub(super) key: DigestKey,
+    key: DigestKey,
     /// Mesh address of this sidecar.
-    pub(super) own_address: SocketAddr,
-    pub(super) clock: BootClock,
-    pub(super) wall_clock: ProcessClock,
-    pub(super) logger: Logger,
+    own_address: SocketAddr,
+    clock: BootClock,
+    wall_clock: ProcessClock,
+    logger: Logger,
+    suspects: Mutex<SuspectTable>,
+    answered: Mutex<AnsweredRequests>,
+    labels: Mutex<HashMap<RequestDigest, RequestLabel>>,
+    /// Number of changes of the table that other sidecars are to be told.
+    changes: watch::Sender<u64>,
+    /// Number of changes that the other sidecars of the service have been told.
+    announced: watch::Sender<u64>,
+    /// Number of refusals that this sidecar has begun or ended.
+    refusals: watch::Sender<u64>,
+}
+
+/// What operators need to recognize a request.
+#[derive(Clone, Debug)]
+struct RequestLabel {
+    path: String,
+    caller: String,
 }
 
 /// A call that the local target is running; abandoned on drop.
@@ -47,24 +75,65 @@
 }
 
 impl CrashWatch {
-    pub(crate) fn digest(&self, call: &ForwardedCall, context: &HopContext) -> RequestDigest {
+    pub(crate) fn new(
+        deployment: &str,
+        own_address: SocketAddr,
+        clock: BootClock,
+        wall_clock: ProcessClock,
+        logger: Logger,
+    ) -> Self {
+        Self {
+            key: DigestKey::derive(deployment),
+            own_address,
+            clock,
+            wall_clock,
+            logger,
+            suspects: Mutex::default(),
+            answered: Mutex::default(),
+            labels: Mutex::default(),
+            changes: watch::Sender::new(0),
+            announced: watch::Sender::new(0),
+            refusals: watch::Sender::new(0),
+        }
+    }
+
+    pub(crate) fn digest(&self, call: &ForwardedCall, caller: &str) -> RequestDigest {
         let host = &call.host;
         self.key.request(&RequestView {
             method: call.method.as_str(),
             host: host.rsplit_once(':').map_or(host, |(name, _)| name),
             path: &call.path,
-            caller: context.caller.as_str(),
+            caller,
             body: &call.body,
         })
     }
 
-    /// Starts a call on the target.
-    pub(crate) fn start(
+    /// Whether the request is refused; cheap unless requests are refused at present.
+    pub(crate) fn refuses(&self, call: &ForwardedCall, caller: &str) -> bool {
+        if self.suspects().refused() == 0 {
+            return false;
+        }
+        let digest = self.digest(call, caller);
+        self.standing(digest) == SuspectStanding::Refused
+    }
+
+    /// How the local target handles a request.
+    pub(crate) fn standing(&self, digest: RequestDigest) -> SuspectStanding {
+        let suspects = self.suspects();
+        if suspects.is_empty() {
+            return SuspectStanding::Trusted;
+        }
+        let is_familiar = self.answered().contains(digest);
+        suspects.standing(self.now_ms(), &digest, is_familiar)
+    }
+
+    /// Starts a call on the target; `None` if it must not run beside the calls that are running.
+    pub(crate) fn try_start(
         self: &Arc<Self>,
         target: &Arc<LiveTarget>,
         digest: RequestDigest,
     ) -> Option<RunGuard> {
-        let standing = SuspectStanding::Trusted;
+        let standing = self.standing(digest);
         target.runs().try_start(standing).then(|| RunGuard {
             watch: self.clone(),
             target: target.clone(),
@@ -76,10 +145,23 @@
         })
     }
 
-    /// Finds out whether the process has crashed after a connection to it broke.
+    /// Finds out whether the process has crashed after a connection to it broke, and waits until the
+    /// other sidecars of the service know of it.
     ///
     /// A crash breaks all connections, and no new one can be opened.
     pub(crate) async fn has_crashed(&self, target: &LiveTarget) -> bool {
+        if !self.probe(target).await {
+            return false;
+        }
+        let changes = *self.changes.borrow();
+        let mut announced = self.announced.subscribe();
+        let announcing = announced.wait_for(|announced| *announced >= changes);
+        // The news reach sidecars that can't be told now in the next exchange with them.
+        let _ = timeout(NEWS_TIMEOUT, announcing).await;
+        true
+    }
+
+    async fn probe(&self, target: &LiveTarget) -> bool {
         let broken_at = self.clock.now();
         let mut last_probe_at = target.probe.lock().await;
         if target.runs().has_crashed() {
@@ -102,39 +184,225 @@
 
     /// Records that the process has ended; `source` names the evidence in the log.
     pub(crate) fn record_end(&self, target: &LiveTarget, source: &str) {
-        if target.runs().has_crashed() {
-            return;
-        }
-        let suspects = target.runs().record_end();
-        if target.runs().has_crashed() {
-            self.record_crash(target, source, suspects);
-        }
+        let suspects = {
+            let mut runs = target.runs();
+            if runs.has_crashed() {
+                return;
+            }
+            let suspects = runs.record_end(self.clock.now());
+            if !runs.has_crashed() {
+                return;
+            }
+            suspects
+        };
+        counter!("banyantrestle_target_crashes_total").increment(1);
+        slog::warn!(self.logger, "target crashed"; "instance" => &target.incarnation.instance,
+            "source" => source, "unanswered" => suspects.len());
+        self.record_suspects(target, suspects);
     }
 
-    fn record_crash(&self, target: &LiveTarget, source: &str, suspects: Vec<CrashSuspect>) {
-        let incarnation = &target.incarnation;
+    fn record_suspects(&self, target: &LiveTarget, suspects: Vec<CrashSuspect>) {
+        if suspects.is_empty() {
+            return;
+        }
+        let instance = &target.incarnation.instance;
+        let started_ms = target.incarnation.started_ms;
         let report = CrashReport {
-            process: self.key.process(
-                self.own_address,
-                &incarnation.instance,
-                incarnation.started_ms,
-            ),
+            process: self.key.process(self.own_address, instance, started_ms),
             reporter: self.own_address,
-            at_ms: self.wall_clock.wall_ms(),
+            at_ms: self.now_ms(),
             suspects,
         };
-        counter!("banyantrestle_target_crashes_total").increment(1);
-        slog::warn!(self.logger, "target crashed"; "instance" => &incarnation.instance,
-            "source" => source, "unanswered" => report.suspects.len());
+        let convicted = {
+            let mut table = self.suspects();
+            let is_familiar = |digest| self.answered().contains(digest);
+            table.record_crash(report.at_ms, &report, is_familiar);
+            table.take_convicted()
+        };
         for suspect in report.suspects.iter().take(MAX_LOGGED_SUSPECTS) {
-            slog::info!(self.logger, "call unanswered by a crashed target";
-                "hash" => %suspect.digest, "instance" => &incarnation.instance,
-                "run_ms" => suspect.run_time.as_millis());
+            let label = self.label(suspect.digest);
+            slog::info!(self.logger, "request suspected"; "hash" => %suspect.digest,
+                "path" => label.path, "caller" => label.caller, "instance" => instance,
+                "run_ms" => suspect.run_time.as_millis(), "on_trial" => suspect.is_trial,
+                "standing" => %self.standing(suspect.digest));
+        }
+        if !convicted.is_empty() {
+            self.refusals.send_modify(|refusals| *refusals += 1);
+        }
+        self.report_convicted(&convicted);
+        self.announce_changes();
+    }
+
+    /// Merges records of other sidecars or of the store.
+    pub(crate) fn merge(&self, records: &[SuspectRecord]) {
+        let now_ms = self.now_ms();
+        let convicted = {
+            let mut table = self.suspects();
+            for record in records {
+                table.merge(now_ms, record);
+            }
+            table.take_convicted()
+        };
+        self.report_convicted(&convicted);
+    }
+
+    /// Logs the requests that are refused from now on.
+    fn report_convicted(&self, convicted: &[RequestDigest]) {
+        for digest in convicted {
+            let now_ms = self.now_ms();
+            let label = self.label(*digest);
+            let (crashes, held_s) = {
+                let table = self.suspects();
+                let Some(entry) = table.get(digest) else {
+                    continue;
+                };
+                let crashes = entry.open_crashes().map(|mark| {
+                    let age_ms = now_ms.saturating_sub(mark.at_ms);
+                    format!("{} {age_ms} ms ago ({})", mark.reporter, mark.evidence)
+                });
+                let until_ms = entry.refusal().map_or(now_ms, |refusal| refusal.until_ms);
+                let crashes: Vec<_> = crashes.collect();
+                (crashes.join(", "), until_ms.saturating_sub(now_ms) / 1_000)
+            };
+            counter!("banyantrestle_requests_convicted_total").increment(1);
+            slog::warn!(self.logger, "request refused: it crashes its targets"; "hash" => %digest,
+                "path" => label.path, "caller" => label.caller, "held_s" => held_s,
+                "crashes" => crashes);
         }
     }
+
+    /// Keeps the path and the caller of a request for the log.
+    pub(crate) fn note_label(&self, digest: RequestDigest, call: &ForwardedCall, caller: &str) {
+        let mut labels = self.labels.lock().unwrap_or_else(PoisonError::into_inner);
+        if labels.len() >= MAX_LABELS {
+            let table = self.suspects();
+            labels.retain(|digest, _| table.get(digest).is_some());
+        }
+        if labels.len() < MAX_LABELS {
+            labels.entry(digest).or_insert_with(|| RequestLabel {
+                path: call.path.clone(),
+                caller: caller.into(),
+            });
+        }
+    }
+
+    fn label(&self, digest: RequestDigest) -> RequestLabel {
+        let labels = self.labels.lock().unwrap_or_else(PoisonError::into_inner);
+        labels
+            .get(&digest)
+            .cloned()
+            .unwrap_or_else(|| RequestLabel {
+                path: "unknown".into(),
+                caller: "unknown".into(),
+            })
+    }
+
+    /// Lets a request run again by the operators' decision; false if it is not refused.
+    pub(crate) fn lift(&self, digest: RequestDigest) -> bool {
+        let is_lifted = self.suspects().lift(self.now_ms(), digest);
+        if is_lifted {
+            slog::warn!(self.logger, "refusal lifted by an operator"; "hash" => %digest);
+            self.refusals.send_modify(|refusals| *refusals += 1);
+            self.announce_changes();
+        }
+        is_lifted
+    }
+
+    /// The refused requests for operators, one line each.
+    pub(crate) fn refusals_text(&self) -> String {
+        let now_ms = self.now_ms();
+        let records = self.suspects().refusal_records();
+        let lines = records.iter().filter_map(|record| {
+            let refusal = record.entry.refusal()?;
+            let held_s = refusal.until_ms.saturating_sub(now_ms) / 1_000;
+            let crashes = record.entry.open_crashes().count();
+            let label = self.label(record.digest);
+            Some(format!(
+                "{} crashes={crashes} convictions={} held_s={held_s} caller={} path={}\n",
+                record.digest, refusal.convictions, label.caller, label.path
+            ))
+        });
+        lines.collect()
+    }
+
+    /// Drops old entries and reports the size of the table.
+    pub(crate) fn expire(&self) {
+        let mut table = self.suspects();
+        if !table.is_empty() {
+            table.expire(self.now_ms());
+        }
+        gauge!("banyantrestle_suspected_requests").set(as_gauge(table.len()));
+        gauge!("banyantrestle_refused_requests").set(as_gauge(table.refused()));
+    }
+
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.wall_clock.wall_ms()
+    }
+
+    /// Changes of the table that other sidecars are to be told.
+    pub(crate) fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Refusals that this sidecar has begun or ended.
+    pub(crate) fn refusal_changes(&self) -> watch::Receiver<u64> {
+        self.refusals.subscribe()
+    }
+
+    /// Marks changes as told to the other sidecars of the service.
+    pub(crate) fn set_announced(&self, changes: u64) {
+        self.announced.send_replace(changes);
+    }
+
+    fn announce_changes(&self) {
+        self.changes.send_modify(|changes| *changes += 1);
+    }
+
+    pub(crate) fn suspects(&self) -> MutexGuard<'_, SuspectTable> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn answered(&self) -> MutexGuard<'_, AnsweredRequests> {
+        self.answered.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn record_answer(&self, digest: RequestDigest) {
+        self.answered().record(digest);
+        let (was_refused, is_cleared) = {
+            let mut table = self.suspects();
+            if table.is_empty() {
+                return;
+            }
+            let refused = table.refused();
+            let is_cleared = table.record_answer(self.now_ms(), digest);
+            (table.refused() < refused, is_cleared)
+        };
+        if was_refused {
+            slog::warn!(self.logger, "refusal ended: a target has answered the request";
+                "hash" => %digest);
+            self.refusals.send_modify(|refusals| *refusals += 1);
+        }
+        if is_cleared {
+            self.announce_changes();
+        }
+    }
+
+    /// Withdraws a crash of a process that has answered a call since.
+    fn retract_crash(&self, target: &LiveTarget) {
+        let instance = &target.incarnation.instance;
+        let started_ms = target.incarnation.started_ms;
+        let process = self.key.process(self.own_address, instance, started_ms);
+        slog::warn!(self.logger, "target has not crashed; it answers"; "instance" => instance);
+        self.suspects().retract_crash(process);
+        self.announce_changes();
+    }
 }
 
 impl RunGuard {
+    pub(crate) fn digest(&self) -> Option<RequestDigest> {
+        self.run.map(|run| run.digest)
+    }
+
     pub(crate) fn finish(mut self, end: RunEnd) {
         self.end_run(end);
     }
@@ -147,25 +415,24 @@
         tokio::spawn(async move { watch.has_crashed(&target).await });
     }
 
-    pub(crate) fn digest(&self) -> Option<RequestDigest> {
-        self.run.map(|run| run.digest)
-    }
-
     fn end_run(&mut self, end: RunEnd) {
         let Some(run) = self.run.take() else {
             return;
         };
         let now = self.watch.clock.now();
-        let late_suspect = {
+        let (late_suspect, was_alive) = {
             let mut runs = self.target.runs();
-            if end == RunEnd::Answered {
-                runs.record_sign_of_life(now);
-            }
-            runs.finish(now, run, end)
+            let was_alive = end == RunEnd::Answered && runs.record_answer(now, run.started_at);
+            (runs.finish(now, run, end), was_alive)
         };
+        if was_alive {
+            self.watch.retract_crash(&self.target);
+        }
+        if end == RunEnd::Answered {
+            self.watch.record_answer(run.digest);
+        }
         if let Some(suspect) = late_suspect {
-            let source = "call ended after the crash";
-            self.watch.record_crash(&self.target, source, vec![suspect]);
+            self.watch.record_suspects(&self.target, vec![suspect]);
         }
     }
 }
@@ -189,3 +456,7 @@
     let closing = timeout(PROBE_READ_TIME, stream.read(&mut buffer)).await;
     closing.is_err()
 }
+
+fn as_gauge(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
--- a/src/sidecar/forwarded_call.rs
+++ b/src/sidecar/forwarded_call.rs
@@ -1,8 +1,12 @@
 use {
     super::{
-        HeaderNames, HopContext, attempt_report::ATTEMPT_FAILURE_HEADER,
-        failure_cause::CAUSE_HEADER, hop_context::HOP_CONTEXT_HEADER, load_header::LOAD_HEADER,
-        pressure_report::PRESSURE_HEADER, target_incarnation::LEAVING_HEADER,
+        HeaderNames, HopContext,
+        attempt_report::{ATTEMPT_FAILURE_HEADER, TRIAL_PEER_HEADER},
+        failure_cause::CAUSE_HEADER,
+        hop_context::HOP_CONTEXT_HEADER,
+        load_header::LOAD_HEADER,
+        pressure_report::PRESSURE_HEADER,
+        target_incarnation::LEAVING_HEADER,
         tree_cost::TREE_COST_HEADER,
     },
     crate::{net::remove_hop_by_hop_headers, time::TimePoint},
@@ -17,7 +21,7 @@
 };
 
 /// Headers that are exchanged between sidecars only.
-const SIDECAR_HEADERS: [&str; 7] = [
+const SIDECAR_HEADERS: [&str; 8] = [
     HOP_CONTEXT_HEADER,
     TREE_COST_HEADER,
     LOAD_HEADER,
@@ -25,6 +29,7 @@
     PRESSURE_HEADER,
     CAUSE_HEADER,
     LEAVING_HEADER,
+    TRIAL_PEER_HEADER,
 ];
 
 /// A request that is forwarded to a target.
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -2,7 +2,9 @@
     super::{
         HeaderNames, HopContext, PlatformAdapter, RetryRequest, SlotOutcome,
         admin_service::record_leaving,
-        attempt_report::{ATTEMPT_FAILURE_HEADER, AttemptFailure, AttemptReport, RelayBody},
+        attempt_report::{
+            ATTEMPT_FAILURE_HEADER, AttemptFailure, AttemptReport, RelayBody, TRIAL_PEER_HEADER,
+        },
         config_watch::CONFIG_PATH,
         failure_cause::CAUSE_HEADER,
         forwarded_call::{ForwardedCall, copy_headers, header_text, remove_sidecar_headers},
@@ -15,12 +17,13 @@
         sidecar_state::SidecarState,
         slot_semaphore::SlotRefusal,
         streamed_run::StreamedRun,
+        suspect_exchange::{SUSPECTS_PATH, serve_suspects},
         target_incarnation::TargetIncarnation,
         target_notice::apply_response_notice,
         tree_cost::TREE_COST_HEADER,
     },
     crate::{
-        crash::RunEnd,
+        crash::{RequestDigest, RunEnd, SuspectStanding, choose_trial_target},
         net::{
             ResponseBody, ResponsePrefix, SendFailure, TargetConnection, clean_response_headers,
             read_request, read_response, remove_content_length, set_header,
@@ -66,6 +69,9 @@
 ) -> Response<RelayBody> {
     let (mut head, body) = request.into_parts();
     let Some(context) = head.headers.remove(HOP_CONTEXT_HEADER) else {
+        if head.uri.path() == SUSPECTS_PATH {
+            return serve_suspects(&state, body).await;
+        }
         return serve_config(&state, head.uri.path());
     };
     let now = state.clock.now();
@@ -127,6 +133,13 @@
             response
         }
     };
+    if let Some(trial_peer) = report.trial_peer {
+        set_header(
+            response.headers_mut(),
+            TRIAL_PEER_HEADER,
+            &trial_peer.to_string(),
+        );
+    }
     let (load, leaving) = {
         let target_status = state.target();
         let live = target_status.live.as_ref();
@@ -187,6 +200,10 @@
     call: &ForwardedCall,
     context: &HopContext,
 ) -> AttemptReport {
+    let digest = state.crash_watch.digest(call, context.caller.as_str());
+    if let Some(report) = refuse_suspect(state, digest) {
+        return report;
+    }
     if context.is_retry() && !acquire_retry(state, target, context) {
         return AttemptReport::failed(AttemptFailure::NoRetries);
     }
@@ -205,6 +222,15 @@
         }
         Err(_) => return AttemptReport::failed(AttemptFailure::DeadlineTooNear),
     };
+    let started_at = permit.started_at();
+    let Some(run) = state.crash_watch.try_start(target, digest) else {
+        if context.is_retry() {
+            state.retry_budget().return_unused(context.rank);
+        }
+        let report = refuse_suspect(state, digest);
+        return report.unwrap_or_else(|| AttemptReport::failed(AttemptFailure::SuspectBusy));
+    };
+    let run = StreamedRun { permit, run };
     if !context.is_retry() {
         let now = state.clock.now();
         state.retry_budget().record_first_attempt(now, context.rank);
@@ -212,12 +238,6 @@
     if target.semaphore.rate_limit().is_some() {
         metrics::counter!("banyantrestle_rate_limited_calls_total").increment(1);
     }
-    let digest = state.crash_watch.digest(call, context);
-    let started_at = permit.started_at();
-    let Some(run) = state.crash_watch.start(target, digest) else {
-        return AttemptReport::failed(AttemptFailure::TargetClosed);
-    };
-    let run = StreamedRun { permit, run };
     let running = state.running.insert(&call.id, context.clone());
     let result = match timeout_at(deadline, send_to_target(state, target, call, context, run)).await
     {
@@ -238,6 +258,28 @@
         tree_cost,
         load: None,
         cause,
+        trial_peer: None,
+    }
+}
+
+/// Refuses a request that crashes its targets, or that may run on another target only.
+fn refuse_suspect<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    digest: RequestDigest,
+) -> Option<AttemptReport> {
+    match state.crash_watch.standing(digest) {
+        SuspectStanding::Trusted | SuspectStanding::Suspect => None,
+        SuspectStanding::Refused => Some(AttemptReport::failed(AttemptFailure::RequestRefused)),
+        SuspectStanding::OnTrial => {
+            let view = state.membership.view().borrow().clone();
+            let serving = view.of_service(&state.settings.service);
+            let serving = serving.filter(|record| record.accepts_new_calls());
+            let trial_peer = choose_trial_target(digest, serving.map(|record| record.mesh))?;
+            (trial_peer != state.settings.listen.mesh).then(|| AttemptReport {
+                trial_peer: Some(trial_peer),
+                ..AttemptReport::failed(AttemptFailure::SuspectElsewhere)
+            })
+        }
     }
 }
 
@@ -327,13 +369,13 @@
                 slog::info!(state.log.logger, "request to the target failed"; "request" => &call.id,
                     "failure" => %kind, "error" => %failure.into_error());
             }
-            end_failed_run(state, target, call, context, target_run, end).await;
-            Err(kind)
+            let crash = end_failed_run(state, target, call, context, target_run, end).await;
+            Err(crash.unwrap_or(kind))
         }
     }
 }
 
-/// Ends a call that got no complete response, and finds out whether the target has crashed.
+/// Ends a call that got no complete response; returns the failure if the target has crashed.
 async fn end_failed_run<P: PlatformAdapter>(
     state: &SidecarState<P>,
     target: &LiveTarget,
@@ -341,17 +383,23 @@
     context: &HopContext,
     target_run: StreamedRun,
     end: RunEnd,
-) {
-    let digest = target_run.run.digest();
+) -> Option<AttemptFailure> {
+    let digest = target_run.run.digest()?;
+    let caller = context.caller.as_str();
+    state.crash_watch.note_label(digest, call, caller);
     target_run.finish(SlotOutcome::Failed, end);
-    if end == RunEnd::Broken
-        && state.crash_watch.has_crashed(target).await
-        && state.log.try_acquire(LineCategory::Failure)
-    {
+    if end != RunEnd::Broken || !state.crash_watch.has_crashed(target).await {
+        return None;
+    }
+    if state.log.try_acquire(LineCategory::Failure) {
         slog::info!(state.log.logger, "target crashed under a call"; "request" => &call.id,
-            "hash" => digest.map(|digest| digest.to_string()), "path" => &call.path,
-            "caller" => %context.caller, "instance" => &target.incarnation.instance);
+            "hash" => %digest, "path" => &call.path, "caller" => caller,
+            "instance" => &target.incarnation.instance);
     }
+    Some(match state.crash_watch.standing(digest) {
+        SuspectStanding::Refused => AttemptFailure::RequestRefused,
+        _ => AttemptFailure::TargetCrashed,
+    })
 }
 
 /// Checks the response of the target and frees the slot; a long response holds the slot until it
@@ -422,8 +470,9 @@
                 slog::info!(state.log.logger, "response of the target was cut off";
                     "request" => &call.id, "error" => %error);
             }
-            end_failed_run(state, target, call, context, target_run, RunEnd::Broken).await;
-            Err(AttemptFailure::BadResponse)
+            let end = RunEnd::Broken;
+            let crash = end_failed_run(state, target, call, context, target_run, end).await;
+            Err(crash.unwrap_or(AttemptFailure::BadResponse))
         }
     }
 }
--- a/src/sidecar/local_response.rs
+++ b/src/sidecar/local_response.rs
@@ -40,6 +40,8 @@
     #[strum(serialize = "time-over")]
     DeadlinePassed,
     TooDeep,
+    /// Targets have crashed each time they ran the request.
+    CrashesTargets,
 }
 
 /// Explains a logged outcome of an attempt or of a whole request.
@@ -65,6 +67,9 @@
             Self::NotRun => "no target accepted the request; not run",
             Self::Unknown => "the request may have run; its outcome is unknown",
             Self::DeadlinePassed => "the deadline of the route or of the caller had passed",
+            Self::CrashesTargets => {
+                "targets have crashed each time they ran the request; it is not run again"
+            }
             Self::TooDeep => "the call chain was deeper than the limit",
         }
     }
@@ -78,6 +83,8 @@
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
             Self::TooDeep => StatusCode::LOOP_DETECTED,
+            // Callers repeat a request after a server error, and would crash further targets.
+            Self::CrashesTargets => StatusCode::BAD_REQUEST,
         }
     }
 }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -52,6 +52,7 @@
 mod queue_pressure;
 mod rank_rates;
 mod rate_bucket;
+mod refusal_store;
 mod request_log;
 mod response_notice;
 mod route_config;
@@ -67,6 +68,7 @@
 mod slot_scheduler;
 mod slot_semaphore;
 mod streamed_run;
+mod suspect_exchange;
 mod target_incarnation;
 mod target_notice;
 mod target_report;
@@ -87,6 +89,7 @@
     },
     pressure_report::{PressureReport, ServicePressure},
     queue_pressure::QueuePressure,
+    refusal_store::REFUSAL_TABLE,
     response_notice::{RateStatement, ResponseNotice},
     route_config::{CallerLimits, RouteConfig},
     route_rule::{RouteRetrySafety, RouteRule, WeightedService},
--- a/src/sidecar/outbound_service.rs
+++ b/src/sidecar/outbound_service.rs
@@ -38,7 +38,9 @@
 
 /// Time after which a child call is sent again that the rate limits of all targets have refused.
 const RATE_LIMIT_DELAY: Duration = Duration::from_millis(50);
-/// Random factor of that time.
+/// Time after which a call is sent again that another suspect has kept from running.
+const SUSPECT_DELAY: Duration = Duration::from_millis(50);
+/// Random factor of these times.
 const RETRY_JITTER: Range<f64> = 0.5..1.5;
 
 /// A call that entered at this sidecar.
@@ -80,8 +82,8 @@
 ) -> Response<RelayBody> {
     let names = state.platform.headers();
     let (head, body) = request.into_parts();
-    let id = header_text(&head.headers, &names.request_id).unwrap_or_default();
-    let id = id.to_owned();
+    let id = header_text(&head.headers, &names.request_id);
+    let id = id.unwrap_or_default().to_owned();
     let respond = |failure, delay| {
         report_local_response(state, &id, failure);
         local_response(failure, &id, delay, names)
@@ -108,6 +110,10 @@
         Err(failure) => return respond(failure, None),
     };
     let call = ForwardedCall::new(head, body, names);
+    let caller = state.settings.service.as_str();
+    if state.crash_watch.refuses(&call, caller) {
+        return respond(RequestFailure::CrashesTargets, None);
+    }
     let Some(mut context) = build_context(state, &rule, parent.as_deref(), arrived_at, deadline)
     else {
         return respond(RequestFailure::TooDeep, None);
@@ -147,10 +153,8 @@
         _ = drain_deadline => return respond(RequestFailure::Unknown, None),
     };
     if result.is_err() {
-        // The cost is not known; a slot is assumed to have been held until the deadline.
-        let mut tree_cost = TreeCost::default();
-        tree_cost.add(&service, arrived_at.until(deadline), 0.0);
-        record_cost(state, &rule, parent.as_deref(), &tree_cost, false);
+        let elapsed = arrived_at.until(deadline);
+        record_timeout(state, &rule, parent.as_deref(), &service, elapsed);
         cause = Some(FailureCause::new(
             &service,
             RequestFailure::DeadlinePassed.into(),
@@ -175,6 +179,20 @@
     }
 }
 
+/// Records the cost of a call that reached its deadline. It is not known; a slot is assumed to have
+/// been held until then.
+fn record_timeout<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    rule: &RouteRule,
+    parent: Option<&RunningCall>,
+    service: &ServiceName,
+    elapsed: Duration,
+) {
+    let mut tree_cost = TreeCost::default();
+    tree_cost.add(service, elapsed, 0.0);
+    record_cost(state, rule, parent, &tree_cost, false);
+}
+
 /// Decides whether a request that starts a chain may run; the error is the time until there is room
 /// for it.
 fn admit_request<'a, P: PlatformAdapter>(
@@ -213,14 +231,12 @@
     let mut history = AttemptHistory::default();
     let mut tried = TriedTargets::default();
     let mut failed_response = None;
+    // Sidecar beside the only target that may run the call.
+    let mut trial_peer: Option<SocketAddr> = None;
     loop {
         context.earlier_attempts = history.delivered();
-        let now = state.clock.now();
-        let chosen = {
-            let mut peers = state.peers();
-            let service = &context.service;
-            peers.choose(now, service, &tried, rule.max_attempts, &mut rand::rng())
-        };
+        let service = &context.service;
+        let chosen = choose_peer(state, service, &tried, rule.max_attempts, trial_peer.take());
         let Some(peer) = chosen else {
             // The request that the call belongs to has been admitted, and its work would be lost.
             if parent.is_some() && tried.has_rate_limited() {
@@ -229,14 +245,14 @@
                 continue;
             }
             log_failed_attempt(state, call, &context, None, AttemptFailure::NoTarget.into());
-            cause.get_or_insert_with(|| {
-                FailureCause::new(&context.service, AttemptFailure::NoTarget.into())
-            });
-            return match failed_response {
-                Some(response) => Ok(response),
-                None if history.has_not_run() => Err(RequestFailure::NotRun),
-                None => Err(RequestFailure::Unknown),
+            cause
+                .get_or_insert_with(|| FailureCause::new(service, AttemptFailure::NoTarget.into()));
+            let failure = if history.has_not_run() {
+                RequestFailure::NotRun
+            } else {
+                RequestFailure::Unknown
             };
+            return failed_response.ok_or(failure);
         };
         let mut report = send_attempt(state, call, &context, peer).await;
         record_pressure(state, &context.service, &mut report.tree_cost);
@@ -249,6 +265,7 @@
             is_complete,
         );
         let has_child_calls = report.has_child_calls();
+        trial_peer = report.trial_peer;
         let result = match report.result {
             Ok(response) if !response.status().is_server_error() => {
                 log_response(state, call, &context, peer, response.status(), None);
@@ -283,28 +300,60 @@
             }
             Err(failure) => {
                 log_failed_attempt(state, call, &context, Some(peer), failure.into());
+                if failure == AttemptFailure::SuspectBusy {
+                    sleep(SUSPECT_DELAY.mul_f64(rand::random_range(RETRY_JITTER))).await;
+                    trial_peer = Some(peer);
+                }
                 failure.attempt_outcome()
             }
         };
         tried.record(peer, attempt_outcome);
         let time_left = state.clock.now().until(context.deadline);
-        match history.next_step(
+        let step = history.next_step(
             attempt_outcome,
             rule.is_idempotent(),
             rule.max_attempts,
             time_left,
-        ) {
-            NextStep::Retry => {}
-            NextStep::RespondNotRun => return Err(RequestFailure::NotRun),
-            NextStep::RespondUnknown if has_timed_out => {
-                return Err(RequestFailure::DeadlinePassed);
-            }
-            NextStep::RespondUnknown => return Err(RequestFailure::Unknown),
-            NextStep::RelayFailure => return failed_response.ok_or(RequestFailure::Unknown),
+        );
+        if step != NextStep::Retry {
+            return final_response(step, failed_response, has_timed_out);
         }
     }
 }
 
+/// Response to a call that is not sent again.
+fn final_response(
+    step: NextStep,
+    failed_response: Option<Response<RelayBody>>,
+    has_timed_out: bool,
+) -> Result<Response<RelayBody>, RequestFailure> {
+    match step {
+        NextStep::RespondNotRun => Err(RequestFailure::NotRun),
+        NextStep::RespondRefused => Err(RequestFailure::CrashesTargets),
+        NextStep::RelayFailure => failed_response.ok_or(RequestFailure::Unknown),
+        NextStep::RespondUnknown if has_timed_out => Err(RequestFailure::DeadlinePassed),
+        NextStep::RespondUnknown | NextStep::Retry => Err(RequestFailure::Unknown),
+    }
+}
+
+/// The target to send a call to, which is counted as in flight there: the one that alone may run the
+/// call, or the best of those that remain.
+fn choose_peer<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    service: &ServiceName,
+    tried: &TriedTargets,
+    max_attempts: u32,
+    trial_peer: Option<SocketAddr>,
+) -> Option<SocketAddr> {
+    let now = state.clock.now();
+    let mut peers = state.peers();
+    if let Some(peer) = trial_peer {
+        peers.start_call(service, peer);
+        return Some(peer);
+    }
+    peers.choose(now, service, tried, max_attempts, &mut rand::rng())
+}
+
 fn is_success(result: &Result<Response<RelayBody>, AttemptFailure>) -> bool {
     let response = result.as_ref().ok();
     response.is_some_and(|response| response.status().is_success())
--- a/src/sidecar/peer_call.rs
+++ b/src/sidecar/peer_call.rs
@@ -2,7 +2,9 @@
     super::{
         FailureCause, HopContext, PeerOutcome, PlatformAdapter, PressureReport, TargetLoad,
         TreeCost,
-        attempt_report::{ATTEMPT_FAILURE_HEADER, AttemptFailure, AttemptReport},
+        attempt_report::{
+            ATTEMPT_FAILURE_HEADER, AttemptFailure, AttemptReport, TRIAL_PEER_HEADER,
+        },
         failure_cause::CAUSE_HEADER,
         forwarded_call::ForwardedCall,
         inbound_service::run_on_local_target,
@@ -93,11 +95,17 @@
             AttemptFailure::NoTarget
             | AttemptFailure::TargetClosed
             | AttemptFailure::TargetStalled
-            | AttemptFailure::TargetConnectFailed,
+            | AttemptFailure::TargetConnectFailed
+            | AttemptFailure::TargetCrashed,
         ) => PeerOutcome::Refused,
         Err(AttemptFailure::RateLimited) => PeerOutcome::RateLimited,
         Err(
-            AttemptFailure::QueueFull | AttemptFailure::DeadlineTooNear | AttemptFailure::NoRetries,
+            AttemptFailure::QueueFull
+            | AttemptFailure::DeadlineTooNear
+            | AttemptFailure::NoRetries
+            | AttemptFailure::RequestRefused
+            | AttemptFailure::SuspectElsewhere
+            | AttemptFailure::SuspectBusy,
         ) => PeerOutcome::Inconclusive,
         Err(
             AttemptFailure::Shed
@@ -164,6 +172,8 @@
     let tree_cost = take_header_text(&mut head.headers, TREE_COST_HEADER);
     let load = take_header_text(&mut head.headers, LOAD_HEADER);
     let failure = take_header_text(&mut head.headers, ATTEMPT_FAILURE_HEADER);
+    let trial_peer = take_header_text(&mut head.headers, TRIAL_PEER_HEADER);
+    let trial_peer = trial_peer.and_then(|text| text.parse().ok());
     let cause = take_header_text(&mut head.headers, CAUSE_HEADER);
     let cause = cause.and_then(|text| FailureCause::decode(&text));
     if let Some(text) = take_header_text(&mut head.headers, PRESSURE_HEADER) {
@@ -200,6 +210,7 @@
         tree_cost,
         load,
         cause,
+        trial_peer,
     }
 }
 
--- a/src/sidecar/peer_table.rs
+++ b/src/sidecar/peer_table.rs
@@ -263,6 +263,15 @@
         Some(candidates.swap_remove(best?.0).start_call())
     }
 
+    /// Counts a call as in flight at a target that was not chosen by [`Self::choose`].
+    pub fn start_call(&mut self, service: &ServiceName, peer: SocketAddr) {
+        let peers = self.services.get_mut(service);
+        let mut entries = peers.into_iter().flat_map(|peers| &mut peers.entries);
+        if let Some(entry) = entries.find(|entry| entry.address == peer) {
+            entry.start_call();
+        }
+    }
+
     /// Time until a target of the service takes a call, if all of them have rate limits that this
     /// sidecar has used up; `None` if one takes calls now.
     pub fn rate_limit_delay(
--- a/src/sidecar/sidecar_daemon.rs
+++ b/src/sidecar/sidecar_daemon.rs
@@ -8,14 +8,15 @@
         inbound_service::serve_inbound,
         leaving_peers::LeavingPeers,
         outbound_service::serve_outbound,
+        refusal_store::keep_refusals,
         request_log::RequestLog,
         running_calls::RunningCalls,
         sidecar_state::{SidecarPhase, SidecarState, TargetStatus},
+        suspect_exchange::{announce_suspects, compare_suspects},
         unread_fields::UnreadFields,
     },
     crate::{
         auth::SharedKey,
-        crash::DigestKey,
         daemon::process_recorder,
         error::StepError,
         membership::{MemberId, MembershipHandle, MembershipSettings},
@@ -98,6 +99,7 @@
             readiness: bind(settings.listen.readiness).await?,
             admin: bind(settings.listen.admin).await?,
         };
+        let refusal_store = table.clone();
         let membership = MembershipHandle::start(
             membership_settings(&settings, process_clock),
             table,
@@ -111,13 +113,13 @@
             clock,
             platform,
             log: RequestLog::new(logger.clone(), clock),
-            crash_watch: Arc::new(CrashWatch {
-                key: DigestKey::derive(&settings.deployment),
-                own_address: settings.listen.mesh,
+            crash_watch: Arc::new(CrashWatch::new(
+                &settings.deployment,
+                settings.listen.mesh,
                 clock,
-                wall_clock: process_clock,
+                process_clock,
                 logger,
-            }),
+            )),
             unread_fields: UnreadFields::default(),
             membership,
             mesh_pool: MeshPool::new(MESH_SILENCE_LIMIT),
@@ -145,6 +147,7 @@
             internal_shutdown: ListenerShutdown::default(),
         };
         daemon.spawn_tasks(source, timers);
+        tokio::spawn(keep_refusals(daemon.state.clone(), refusal_store));
         daemon.spawn_listeners(sockets);
         Ok(daemon)
     }
@@ -160,6 +163,8 @@
         tokio::spawn(watch_members(self.state.clone()));
         tokio::spawn(wait_until_ready(self.state.clone()));
         tokio::spawn(watch_target(self.state.clone()));
+        tokio::spawn(announce_suspects(self.state.clone()));
+        tokio::spawn(compare_suspects(self.state.clone()));
         let state = Arc::downgrade(&self.state);
         timers.run_periodically(LOAD_REPORT_INTERVAL, move |_| {
             let Some(state) = state.upgrade() else {
--- a/src/sidecar/tried_targets.rs
+++ b/src/sidecar/tried_targets.rs
@@ -21,11 +21,15 @@
     /// Records the outcome of an attempt at the target of `peer`.
     pub fn record(&mut self, peer: SocketAddr, outcome: AttemptOutcome) {
         match outcome {
-            AttemptOutcome::NotSent | AttemptOutcome::NoRetries => self.undelivered.push(peer),
+            AttemptOutcome::NotSent
+            | AttemptOutcome::NoRetries
+            | AttemptOutcome::RequestRefused => self.undelivered.push(peer),
             AttemptOutcome::RateLimited => self.rate_limited.push(peer),
             AttemptOutcome::Shed if self.refused.contains(&peer) => {}
             AttemptOutcome::Shed => self.refused.push(peer),
-            AttemptOutcome::Unknown | AttemptOutcome::TargetError => {
+            AttemptOutcome::Unknown
+            | AttemptOutcome::TargetError
+            | AttemptOutcome::TargetCrashed => {
                 self.refused.retain(|refused| *refused != peer);
                 self.possibly_run.push(peer);
             }
