--- a/tests/crash/target_runs.rs
+++ b/tests/crash/target_runs.rs
@@ -80,7 +80,7 @@
             RunEnd::Abandoned,
         );
     }
-    let now = start + Duration::from_millis(3_000);
+    let now = start + Duration::from_secs(3);
     assert!(!runs.record_answer(now, start));
     let suspects = runs.record_end(now);
     assert_eq!(suspects.len(), 1);
