--- a/src/crash/target_runs.rs
+++ b/src/crash/target_runs.rs
@@ -98,8 +98,9 @@
             ended_at: now,
             is_broken: end == RunEnd::Broken,
         };
-        if self.has_crashed() {
-            return Some(unanswered.suspect());
+        if let ProcessFate::Crashed { at } = self.fate {
+            // A call that started later has not reached the process.
+            return (run.started_at <= at).then(|| unanswered.suspect());
         }
         if self.unanswered.len() >= MAX_UNANSWERED_RUNS {
             self.unanswered.pop_front();
--- a/tests/crash/target_runs.rs
+++ b/tests/crash/target_runs.rs
@@ -97,6 +97,16 @@
     assert_eq!(late.map(|suspect| suspect.digest), Some(digest("late")));
 }
 
+#[test]
+fn call_that_starts_after_the_crash_is_no_suspect() {
+    let mut runs = TargetRuns::default();
+    runs.record_end(TimePoint::from_millis(5));
+    assert!(runs.try_start(SuspectStanding::OnTrial));
+    let now = TimePoint::from_millis(20);
+    let late = runs.finish(now, run("late", SuspectStanding::OnTrial), RunEnd::Broken);
+    assert_eq!(late, None);
+}
+
 #[test]
 fn answer_to_a_later_call_shows_that_there_was_no_crash() {
     let mut runs = TargetRuns::default();
