Find out at once that a target with a broken connection is alive

On a target whose responses break off now and then, each of them would have been held back for 50 ms and cost a connection. Another answer of the process, 2 ms or more after the break, settles it.

--- a/src/crash/target_runs.rs
+++ b/src/crash/target_runs.rs
@@ -59,6 +59,7 @@
     running_suspects: usize,
     is_trial_running: bool,
     unanswered: VecDeque<UnansweredRun>,
+    last_answer_at: Option<TimePoint>,
     fate: ProcessFate,
 }
 
@@ -123,6 +124,7 @@
     /// Records a response of the process to a call that started at `started_at`: it has survived the
     /// calls that ended well before. True if it was taken for crashed.
     pub fn record_answer(&mut self, now: TimePoint, started_at: TimePoint) -> bool {
+        self.last_answer_at = Some(now);
         self.unanswered
             .retain(|unanswered| now.since(unanswered.ended_at) < ABANDONED_RUN_TIME);
         let was_crashed = matches!(self.fate, ProcessFate::Crashed { at } if at < started_at);
@@ -132,6 +134,12 @@
         was_crashed
     }
 
+    /// Time of the last response to any call.
+    #[must_use]
+    pub const fn last_answer_at(&self) -> Option<TimePoint> {
+        self.last_answer_at
+    }
+
     /// Records that the process is leaving, so that its end is no crash.
     pub fn record_leaving(&mut self) {
         if self.fate == ProcessFate::Running {
--- a/src/sidecar/crash_watch.rs
+++ b/src/sidecar/crash_watch.rs
@@ -29,7 +29,7 @@
 /// Time in which a live target accepts a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time for which a live target keeps a new connection open without a request.
-const PROBE_READ_TIME: Duration = Duration::from_millis(20);
+const PROBE_READ_TIME: Duration = Duration::from_millis(10);
 /// Time for which the failure of a call is held back until the other sidecars of the service know
 /// of the crash; a further attempt of the call may reach them next.
 const NEWS_TIMEOUT: Duration = Duration::from_millis(100);
@@ -108,13 +108,17 @@
         })
     }
 
-    /// Whether the request is refused; cheap unless requests are refused at present.
-    pub(crate) fn refuses(&self, call: &ForwardedCall, caller: &str) -> bool {
+    /// Digest of the request if it is refused; cheap unless requests are refused at present.
+    pub(crate) fn refused_digest(
+        &self,
+        call: &ForwardedCall,
+        caller: &str,
+    ) -> Option<RequestDigest> {
         if self.suspects().refused() == 0 {
-            return false;
+            return None;
         }
         let digest = self.digest(call, caller);
-        self.standing(digest) == SuspectStanding::Refused
+        (self.standing(digest) == SuspectStanding::Refused).then_some(digest)
     }
 
     /// How the local target handles a request.
@@ -170,9 +174,18 @@
         if last_probe_at.is_some_and(|probed_at| probed_at >= broken_at) {
             return false;
         }
+        // An answer that arrives well after the break shows that the process is alive.
+        let is_alive = |target: &LiveTarget| {
+            let last_answer_at = target.runs().last_answer_at();
+            last_answer_at.is_some_and(|at| at > broken_at + BREAK_CHECK_INTERVAL)
+        };
         let deadline = broken_at + BREAK_TIME;
         while target.runs().running() > 0 && self.clock.now() < deadline {
             sleep(BREAK_CHECK_INTERVAL).await;
+            if is_alive(target) {
+                *last_probe_at = Some(self.clock.now());
+                return false;
+            }
         }
         *last_probe_at = Some(self.clock.now());
         if accepts_connections(target.pool.target()).await {
--- a/src/sidecar/outbound_service.rs
+++ b/src/sidecar/outbound_service.rs
@@ -13,6 +13,7 @@
     },
     crate::{
         context::ServiceName,
+        crash::RequestDigest,
         net::{RequestArrival, RequestError, read_request},
         time::TimePoint,
     },
@@ -111,8 +112,9 @@
     };
     let call = ForwardedCall::new(head, body, names);
     let caller = state.settings.service.as_str();
-    if state.crash_watch.refuses(&call, caller) {
-        return respond(RequestFailure::CrashesTargets, None);
+    if let Some(digest) = state.crash_watch.refused_digest(&call, caller) {
+        report_crashing_request(state, &call, &rule, digest);
+        return local_response(RequestFailure::CrashesTargets, &id, None, names);
     }
     let Some(mut context) = build_context(state, &rule, parent.as_deref(), arrived_at, deadline)
     else {
@@ -503,6 +505,22 @@
     }
 }
 
+fn report_crashing_request<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    call: &ForwardedCall,
+    rule: &RouteRule,
+    digest: RequestDigest,
+) {
+    let failure = RequestFailure::CrashesTargets;
+    metrics::counter!("banyantrestle_final_answers_total", "reason" => failure.to_string())
+        .increment(1);
+    if state.log.try_acquire(LineCategory::Refused) {
+        slog::info!(state.log.logger, "ended here"; "request" => &call.id,
+            "reason" => %failure, "route" => &rule.name, "path" => &call.path,
+            "caller" => %state.settings.service, "hash" => %digest);
+    }
+}
+
 fn report_local_response<P: PlatformAdapter>(
     state: &SidecarState<P>,
     id: &str,
--- a/standins/src/upstream/upstream_standin.rs
+++ b/standins/src/upstream/upstream_standin.rs
@@ -33,6 +33,8 @@
 const CALL_COUNT_MARKER: &str = "/calls/";
 /// Path segment of the requests that crash each target that begins to run them.
 const CRASH_MARKER: &str = "/crash";
+/// Path segment of the requests whose own calls crash the targets that run them.
+const INNER_CRASH_MARKER: &str = "/inner-crash";
 /// Time from the start of such a request to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(30);
 /// Interval between attempts to listen again on the address of a crashed target.
@@ -273,6 +275,11 @@
             return true;
         };
         let count: u32 = count.parse().unwrap_or_default();
+        let inner_path = if path.contains(INNER_CRASH_MARKER) {
+            "/leaf/crash"
+        } else {
+            "/leaf/1"
+        };
         for number in 0..count {
             let request = TextRequest {
                 headers: vec![
@@ -280,7 +287,7 @@
                     (REQUEST_ID, format!("{id}.{number}")),
                     ("x-banyantrestle-deadline-ms", "700".into()),
                 ],
-                ..TextRequest::get("/leaf/1")
+                ..TextRequest::get(inner_path)
             };
             let response = request.send(self.outbound).await;
             if !response.is_ok_and(|response| response.status.is_success()) {
--- a/tests/sidecar/attempt_history.rs
+++ b/tests/sidecar/attempt_history.rs
@@ -8,10 +8,31 @@
 #[test]
 fn next_step_after_each_outcome() {
     use {
-        AttemptOutcome::{NoRetries, NotSent, Shed, TargetError, Unknown},
-        NextStep::{RelayFailure, RespondNotRun, RespondUnknown, Retry},
+        AttemptOutcome::{
+            NoRetries, NotSent, RequestRefused, Shed, TargetCrashed, TargetError, Unknown,
+        },
+        NextStep::{RelayFailure, RespondNotRun, RespondRefused, RespondUnknown, Retry},
     };
-    let cases: [(&str, bool, &[AttemptOutcome], NextStep); 12] = [
+    let cases: [(&str, bool, &[AttemptOutcome], NextStep); 16] = [
+        ("first crash, idempotent", true, &[TargetCrashed], Retry),
+        (
+            "first crash, not idempotent",
+            false,
+            &[TargetCrashed],
+            RespondUnknown,
+        ),
+        (
+            "second crash, idempotent",
+            true,
+            &[TargetCrashed, NotSent, TargetCrashed],
+            RespondUnknown,
+        ),
+        (
+            "refused after a crash",
+            true,
+            &[TargetCrashed, RequestRefused],
+            RespondRefused,
+        ),
         ("not sent, not idempotent", false, &[NotSent], Retry),
         ("shed, not idempotent", false, &[Shed], Retry),
         ("unknown, not idempotent", false, &[Unknown], RespondUnknown),
