Count a target that fell silent and was replaced as crashed

Its connections do not break, and its calls end at their deadlines; the sidecar had dropped them with the target when its heartbeats ceased.

--- a/src/sidecar/admin_service.rs
+++ b/src/sidecar/admin_service.rs
@@ -177,6 +177,15 @@
             live.runs().record_leaving();
         }
     }
+    if change == TargetChange::Started
+        && let Some(silent) = target_status.silent.take()
+        && let Some((heartbeat, _)) = target_status.tracker.current()
+        && heartbeat.incarnation() != silent.incarnation
+    {
+        state
+            .crash_watch
+            .record_end(&silent, "silent, then replaced by another process");
+    }
     match (change, target_status.tracker.current()) {
         (TargetChange::Started, Some((heartbeat, TargetPhase::Serving))) => {
             let live = LiveTarget::new(heartbeat, state.settings.target, state.clock);
@@ -223,6 +232,7 @@
         let is_lost = is_overdue && target_status.live.as_ref().is_some_and(is_idle_or_stalled);
         if is_lost && let Some(live) = target_status.live.take() {
             live.semaphore.close();
+            target_status.silent = Some(live);
             target_status.tracker.remove();
         }
         is_lost
--- a/src/sidecar/sidecar_daemon.rs
+++ b/src/sidecar/sidecar_daemon.rs
@@ -137,6 +137,7 @@
             target: Mutex::new(TargetStatus {
                 tracker,
                 live: None,
+                silent: None,
             }),
             retry_budget: Mutex::new(TargetRetryBudget::new(settings.retry_limits, now)),
             settings,
--- a/src/sidecar/sidecar_state.rs
+++ b/src/sidecar/sidecar_state.rs
@@ -48,6 +48,8 @@
     pub(crate) tracker: TargetTracker,
     /// The target process that accepts calls now.
     pub(crate) live: Option<Arc<LiveTarget>>,
+    /// The process before it, if its heartbeats ceased; it may have crashed.
+    pub(crate) silent: Option<Arc<LiveTarget>>,
 }
 
 /// State that all tasks of one sidecar share.
