--- a/tests/processes_faults.rs
+++ b/tests/processes_faults.rs
@@ -170,3 +170,73 @@
     let report = load.stop().await;
     check_guarantees(&report, &fleet.ledger);
 }
+
+/// Targets that all calls crash: each is closed while it runs one, and another takes its place.
+struct CrashingTargets {
+    fleet: ProcessFleet,
+    crashes: u32,
+}
+
+impl CrashingTargets {
+    /// Sends one call and crashes each target that begins to run it.
+    async fn call(&mut self, daemon: usize, attempt: &str) {
+        let client = self.fleet.client(daemon);
+        let call = browse_call("a", attempt);
+        let calling = tokio::spawn(async move { client.call(&call).await });
+        while !calling.is_finished() {
+            for index in 0..CRASHING_TARGETS {
+                if self.fleet.targets[index].in_flight() > 0 {
+                    self.crashes += 1;
+                    self.restart(index).await;
+                }
+            }
+            sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    async fn restart(&mut self, index: usize) {
+        let target = TargetStandin::start_with_daemon(
+            slow_settings(),
+            self.fleet.daemons[index].listen.local,
+            self.fleet.ledger.clone(),
+        );
+        let target = target.await.expect("a free port");
+        drop(std::mem::replace(&mut self.fleet.targets[index], target));
+    }
+}
+
+const CRASHING_TARGETS: usize = 3;
+
+fn slow_settings() -> standins::target::TargetSettings {
+    let mut settings = target_settings("a");
+    settings.mean_service_time = Duration::from_millis(60);
+    settings
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_crashes_its_targets_is_not_retried_without_end() {
+    let mut fleet = ProcessFleet::with_services(&["a", "a", "a", "b"]).await;
+    fleet.wait_until_served(3, "a", 20).await;
+    let daemon = CRASHING_TARGETS;
+    for index in 0..CRASHING_TARGETS {
+        let local = fleet.daemons[index].listen.local;
+        let target =
+            TargetStandin::start_with_daemon(slow_settings(), local, fleet.ledger.clone()).await;
+        fleet.targets[index] = target.expect("a free port");
+    }
+    fleet.wait_until_served(daemon, "a", 20).await;
+    let mut targets = CrashingTargets { fleet, crashes: 0 };
+    let mut number = 0;
+    while targets.crashes < 3 {
+        targets.call(daemon, &format!("crash-{number}")).await;
+        number += 1;
+    }
+    sleep(Duration::from_secs(3)).await;
+    let proved = targets.crashes;
+    for number in 0..6 {
+        targets.call(daemon, &format!("late-{number}")).await;
+        sleep(Duration::from_millis(300)).await;
+    }
+    let late = targets.crashes - proved;
+    assert!(late <= 3, "{late} crashes later than 3 s after the third");
+}
