Crashing requests: terms of the field in place of a court's

A suspect runs isolated where it was on trial, and is refused where it was convicted. Names, comments, log values and the counter banyantrestle_refusals_total; no change of a decision.

--- a/benches/crash.rs
+++ b/benches/crash.rs
@@ -32,7 +32,7 @@
     let suspects = (0..SUSPECTS).map(|number| CrashSuspect {
         digest: digest(key, number),
         run_time: Duration::from_millis(40),
-        is_trial: false,
+        is_isolated: false,
     });
     CrashReport {
         process: ProcessDigest(process),
--- a/src/crash/crash_mark.rs
+++ b/src/crash/crash_mark.rs
@@ -26,10 +26,10 @@
     Familiar,
     /// Other requests that might be the cause ran beside it.
     Shared,
-    /// It was on trial, and another request that the target had never answered ran beside it.
-    SharedTrial,
-    /// It was on trial, and every other request had been answered before.
-    Trial,
+    /// It ran in isolation, and another request that the target had never answered ran beside it.
+    IsolatedShared,
+    /// It ran in isolation, and every other request had been answered before.
+    Isolated,
 }
 
 /// A crash under which a request was running.
--- a/src/crash/crash_report.rs
+++ b/src/crash/crash_report.rs
@@ -9,8 +9,8 @@
     pub digest: RequestDigest,
     /// Time from the start of the call to the end of its connection.
     pub run_time: Duration,
-    /// Whether the call ran as a trial until the process crashed.
-    pub is_trial: bool,
+    /// Whether the call ran in isolation until the process crashed.
+    pub is_isolated: bool,
 }
 
 /// Crash of a target process, with the calls that it had not answered.
--- a/src/crash/request_refusal.rs
+++ b/src/crash/request_refusal.rs
@@ -4,7 +4,7 @@
     std::time::Duration,
 };
 
-/// Time for which a request is refused after its first conviction; it doubles with each further one.
+/// Time for which a request is refused after its first refusal; it doubles with each further one.
 pub const FIRST_REFUSAL_TIME: Duration = Duration::from_secs(3_600);
 /// Bound of that time.
 pub const MAX_REFUSAL_TIME: Duration = Duration::from_secs(24 * 3_600);
@@ -15,16 +15,16 @@
 /// epoch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RequestRefusal {
-    /// Number of convictions so far.
-    pub convictions: u32,
+    /// Number of count so far.
+    pub count: u32,
     pub since_ms: u64,
     pub until_ms: u64,
 }
 
 impl RequestRefusal {
-    pub(super) fn new(convictions: u32, since_ms: u64) -> Self {
+    pub(super) fn new(count: u32, since_ms: u64) -> Self {
         let mut refusal = Self {
-            convictions,
+            count,
             since_ms,
             until_ms: 0,
         };
@@ -34,7 +34,7 @@
 
     /// Length of the refusal, in ms.
     pub(super) fn hold_ms(&self) -> u64 {
-        let doublings = self.convictions.saturating_sub(1).min(MAX_DOUBLINGS);
+        let doublings = self.count.saturating_sub(1).min(MAX_DOUBLINGS);
         as_millis(MAX_REFUSAL_TIME.min(FIRST_REFUSAL_TIME * 2_u32.pow(doublings)))
     }
 }
--- a/src/crash/suspect_entry.rs
+++ b/src/crash/suspect_entry.rs
@@ -4,16 +4,16 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
-/// Maximum number of crashes that are kept for one request; the earliest is dropped, and cleared ones
-/// before the others.
+/// Maximum number of crashes that are kept for one request; the earliest is dropped, and cleared
+/// ones before the others.
 pub const MAX_CRASHES: usize = 12;
-/// Crashes under a request from which it runs on trial only.
-pub const TRIAL_CRASHES: usize = 2;
+/// Crashes under a request from which it runs in isolation only.
+pub const ISOLATION_CRASHES: usize = 2;
 /// The same number for a request that the targets had answered before.
-pub const FAMILIAR_TRIAL_CRASHES: usize = 6;
-/// Crashes under a request from which it is refused if one of them was on trial, though with another
-/// possible cause. A crash on trial without another possible cause always suffices.
-pub const SHARED_TRIAL_CRASHES: usize = 4;
+pub const FAMILIAR_ISOLATION_CRASHES: usize = 6;
+/// Crashes under a request from which it is refused if one of them was in isolation, though with
+/// another possible cause. A crash in isolation without another possible cause always suffices.
+pub const SHARED_REFUSAL_CRASHES: usize = 4;
 /// Time for which a crash counts against a request that no target answers.
 pub const MARK_RETENTION: Duration = Duration::from_secs(3_600);
 /// Time for which an answered request is remembered, so that a late report of an earlier crash does
@@ -52,7 +52,7 @@
             return if now_ms < refusal.until_ms {
                 SuspectStanding::Refused
             } else {
-                SuspectStanding::OnTrial
+                SuspectStanding::Isolated
             };
         }
         let all = self.open_crashes().count();
@@ -60,8 +60,8 @@
         let unexplained = unexplained
             .filter(|mark| !is_familiar && mark.evidence > CrashEvidence::Familiar)
             .count();
-        if unexplained >= TRIAL_CRASHES || all >= FAMILIAR_TRIAL_CRASHES {
-            SuspectStanding::OnTrial
+        if unexplained >= ISOLATION_CRASHES || all >= FAMILIAR_ISOLATION_CRASHES {
+            SuspectStanding::Isolated
         } else if unexplained > 0 {
             SuspectStanding::Suspect
         } else {
@@ -88,24 +88,24 @@
         }
     }
 
-    /// Refuses the request if the crashes on trial suffice; true if it was not refused before.
-    pub(super) fn convict(&mut self, now_ms: u64) -> bool {
+    /// Refuses the request if the crashes in isolation suffice; true if it was not refused before.
+    pub(super) fn refuse_if_proved(&mut self, now_ms: u64) -> bool {
         let previous = self.refusal();
         let probation_start = previous.map_or(0, |refusal| refusal.until_ms);
-        let has_crashed_on = |evidence| {
+        let has_crash_with = |evidence| {
             let mut crashes = self.open_crashes();
             crashes.any(|mark| mark.evidence == evidence && mark.at_ms >= probation_start)
         };
-        let is_convicted = has_crashed_on(CrashEvidence::Trial)
-            || has_crashed_on(CrashEvidence::SharedTrial)
-                && self.open_crashes().count() >= SHARED_TRIAL_CRASHES;
-        if !is_convicted || previous.is_some_and(|refusal| now_ms < refusal.until_ms) {
+        let is_proved = has_crash_with(CrashEvidence::Isolated)
+            || has_crash_with(CrashEvidence::IsolatedShared)
+                && self.open_crashes().count() >= SHARED_REFUSAL_CRASHES;
+        if !is_proved || previous.is_some_and(|refusal| now_ms < refusal.until_ms) {
             return false;
         }
-        // A lifted refusal counts too: of two refusals, the one with more convictions is the later.
-        let convictions = self.refusal.map_or(0, |refusal| refusal.convictions) + 1;
+        // A lifted refusal counts too: of two refusals, the one with the higher count is the later.
+        let count = self.refusal.map_or(0, |refusal| refusal.count) + 1;
         let since_ms = now_ms.max(self.lifted_ms + 1);
-        self.refusal = Some(RequestRefusal::new(convictions, since_ms));
+        self.refusal = Some(RequestRefusal::new(count, since_ms));
         true
     }
 
@@ -140,7 +140,7 @@
     /// Whether all daemons need the entry, rather than those whose targets it has crashed.
     #[must_use]
     pub fn is_shared_widely(&self) -> bool {
-        self.refusal.is_some() || self.crashes.len() >= TRIAL_CRASHES
+        self.refusal.is_some() || self.crashes.len() >= ISOLATION_CRASHES
     }
 
     #[must_use]
--- a/src/crash/suspect_standing.rs
+++ b/src/crash/suspect_standing.rs
@@ -8,11 +8,11 @@
 pub enum SuspectStanding {
     #[default]
     Trusted,
-    /// A target has crashed under it; it runs beside no request on trial.
+    /// A target has crashed under it; it runs beside no isolated request.
     Suspect,
     /// Several targets have crashed under it. It runs on one target of the service at a time, and
     /// beside no other suspect.
-    OnTrial,
+    Isolated,
     /// It crashes the targets that run it.
     Refused,
 }
--- a/src/crash/suspect_table.rs
+++ b/src/crash/suspect_table.rs
@@ -19,14 +19,14 @@
 
 /// Requests that were running when targets crashed, and what follows for them.
 ///
-/// The table is empty unless targets crash. Entries of all daemons merge; the changes that are to be
-/// sent to others are collected until [`Self::take_changes`].
+/// The table is empty unless targets crash. Entries of all daemons merge; the changes that are to
+/// be sent to others are collected until [`Self::take_changes`].
 #[derive(Clone, Debug, Default)]
 pub struct SuspectTable {
     entries: HashMap<RequestDigest, SuspectEntry>,
     changed: BTreeSet<RequestDigest>,
     /// Requests that were refused for the first time since the last report.
-    convicted: Vec<RequestDigest>,
+    newly_refused: Vec<RequestDigest>,
     refused: usize,
 }
 
@@ -68,7 +68,7 @@
 
     /// Records a crash of a target.
     ///
-    /// A crash under a request on trial is put down to that request alone, unless another request
+    /// A crash under an isolated request is put down to that request alone, unless another request
     /// that the target had never answered was running too.
     pub fn record_crash(
         &mut self,
@@ -76,19 +76,19 @@
         report: &CrashReport,
         is_familiar: impl Fn(RequestDigest) -> bool,
     ) {
-        let trial = report.suspects.iter().find(|suspect| suspect.is_trial);
-        let trial = trial.map(|suspect| suspect.digest);
+        let isolated = report.suspects.iter().find(|suspect| suspect.is_isolated);
+        let isolated = isolated.map(|suspect| suspect.digest);
         let mut others = report.suspects.iter().map(|suspect| suspect.digest);
-        let has_other_cause = others.any(|digest| Some(digest) != trial && !is_familiar(digest));
+        let has_other_cause = others.any(|digest| Some(digest) != isolated && !is_familiar(digest));
         for suspect in &report.suspects {
-            let is_trial = Some(suspect.digest) == trial;
-            let evidence = match (is_trial, has_other_cause) {
-                (true, false) => CrashEvidence::Trial,
-                (true, true) => CrashEvidence::SharedTrial,
+            let is_isolated = Some(suspect.digest) == isolated;
+            let evidence = match (is_isolated, has_other_cause) {
+                (true, false) => CrashEvidence::Isolated,
+                (true, true) => CrashEvidence::IsolatedShared,
                 (false, _) if is_familiar(suspect.digest) => CrashEvidence::Familiar,
                 (false, _) => CrashEvidence::Shared,
             };
-            if trial.is_some() && evidence == CrashEvidence::Familiar {
+            if isolated.is_some() && evidence == CrashEvidence::Familiar {
                 continue;
             }
             let mark = CrashMark {
@@ -154,8 +154,8 @@
     }
 
     /// Removes and returns the requests that this table has newly refused.
-    pub fn take_convicted(&mut self) -> Vec<RequestDigest> {
-        std::mem::take(&mut self.convicted)
+    pub fn take_newly_refused(&mut self) -> Vec<RequestDigest> {
+        std::mem::take(&mut self.newly_refused)
     }
 
     /// Records for another daemon, those with most against them first.
@@ -218,8 +218,8 @@
         let entry = self.entries.entry(digest).or_default();
         let before = entry.clone();
         entry.merge(news);
-        if entry.convict(now_ms) {
-            self.convicted.push(digest);
+        if entry.refuse_if_proved(now_ms) {
+            self.newly_refused.push(digest);
         }
         self.refused += usize::from(entry.refusal().is_some());
         self.refused -= usize::from(before.refusal().is_some());
--- a/src/crash/target_runs.rs
+++ b/src/crash/target_runs.rs
@@ -36,7 +36,7 @@
 pub struct TargetRuns {
     running: usize,
     running_suspects: usize,
-    is_trial_running: bool,
+    is_isolated_running: bool,
     unanswered: VecDeque<UnansweredRun>,
     last_answer_at: Option<TimePoint>,
     fate: ProcessFate,
@@ -45,19 +45,19 @@
 impl TargetRuns {
     /// Starts a call; false if it must not run beside the suspects that are running.
     ///
-    /// A request on trial runs beside no other suspect, so that a crash can be told to be its own.
+    /// An isolated request runs beside no other suspect, so that a crash can be told to be its own.
     #[must_use]
     pub fn try_start(&mut self, standing: SuspectStanding) -> bool {
         let is_allowed = match standing {
             SuspectStanding::Trusted => true,
-            SuspectStanding::Suspect => !self.is_trial_running,
-            SuspectStanding::OnTrial => self.running_suspects == 0,
+            SuspectStanding::Suspect => !self.is_isolated_running,
+            SuspectStanding::Isolated => self.running_suspects == 0,
             SuspectStanding::Refused => false,
         };
         if is_allowed {
             self.running += 1;
             self.running_suspects += usize::from(standing != SuspectStanding::Trusted);
-            self.is_trial_running |= standing == SuspectStanding::OnTrial;
+            self.is_isolated_running |= standing == SuspectStanding::Isolated;
         }
         is_allowed
     }
@@ -68,7 +68,7 @@
         self.running = self.running.saturating_sub(1);
         let is_suspect = run.standing != SuspectStanding::Trusted;
         self.running_suspects -= usize::from(is_suspect).min(self.running_suspects);
-        self.is_trial_running &= run.standing != SuspectStanding::OnTrial;
+        self.is_isolated_running &= run.standing != SuspectStanding::Isolated;
         let is_unanswered = matches!(end, RunEnd::Broken | RunEnd::Abandoned);
         if !is_unanswered || self.fate == ProcessFate::Leaving {
             return None;
@@ -100,8 +100,8 @@
         matches!(self.fate, ProcessFate::Crashed { .. })
     }
 
-    /// Records a response of the process to a call that started at `started_at`: it has survived the
-    /// calls that ended well before. True if it was taken for crashed.
+    /// Records a response of the process to a call that started at `started_at`: it has survived
+    /// the calls that ended well before. True if it was taken for crashed.
     pub fn record_answer(&mut self, now: TimePoint, started_at: TimePoint) -> bool {
         self.last_answer_at = Some(now);
         self.unanswered
@@ -143,7 +143,7 @@
         CrashSuspect {
             digest: self.run.digest,
             run_time: self.ended_at.since(self.run.started_at),
-            is_trial: self.is_broken && self.run.standing == SuspectStanding::OnTrial,
+            is_isolated: self.is_broken && self.run.standing == SuspectStanding::Isolated,
         }
     }
 }
--- a/src/sidecar/attempt_report.rs
+++ b/src/sidecar/attempt_report.rs
@@ -10,8 +10,9 @@
 /// and why.
 pub(crate) const ATTEMPT_FAILURE_HEADER: &str = "bt-outcome";
 
-/// Response header with the mesh address of the sidecar beside the only target that may run the call.
-pub(crate) const TRIAL_PEER_HEADER: &str = "bt-trial";
+/// Response header with the mesh address of the sidecar beside the only target that may run the
+/// call.
+pub(crate) const ONLY_PEER_HEADER: &str = "bt-only";
 
 /// Body of a response that the sidecar relays or creates itself.
 pub(crate) type RelayBody = ResponseBody<ResponseRun>;
@@ -43,7 +44,8 @@
     RequestRefused,
     /// Targets have crashed under the request, and it runs on one other target only.
     SuspectElsewhere,
-    /// Targets have crashed under the request, and it does not run beside the calls that are running.
+    /// Targets have crashed under the request, and it does not run beside the calls that are
+    /// running.
     SuspectBusy,
     /// The connection to the target can't be opened.
     #[strum(serialize = "connect-failed")]
@@ -141,7 +143,7 @@
     /// Cause of the failure, if a child call is the cause.
     pub(crate) cause: Option<FailureCause>,
     /// Sidecar beside the only target that may run the call.
-    pub(crate) trial_peer: Option<SocketAddr>,
+    pub(crate) only_peer: Option<SocketAddr>,
 }
 
 impl AttemptReport {
@@ -156,7 +158,7 @@
             tree_cost: TreeCost::default(),
             load: None,
             cause: None,
-            trial_peer: None,
+            only_peer: None,
         }
     }
 }
--- a/src/sidecar/crash_watch.rs
+++ b/src/sidecar/crash_watch.rs
@@ -128,8 +128,8 @@
         })
     }
 
-    /// Finds out whether the process has crashed after a connection to it broke, and waits until the
-    /// other sidecars of the service know of it.
+    /// Finds out whether the process has crashed after a connection to it broke, and waits until
+    /// the other sidecars of the service know of it.
     ///
     /// A crash breaks all connections, and no new one can be opened.
     pub(crate) async fn has_crashed(&self, target: &LiveTarget) -> bool {
@@ -205,42 +205,42 @@
             at_ms: self.now_ms(),
             suspects,
         };
-        let convicted = {
+        let refused = {
             let mut table = self.suspects();
             let is_familiar = |digest| self.answered().contains(digest);
             table.record_crash(report.at_ms, &report, is_familiar);
-            table.take_convicted()
+            table.take_newly_refused()
         };
         for suspect in report.suspects.iter().take(MAX_LOGGED_SUSPECTS) {
             let label = self.labels.get(suspect.digest);
             slog::info!(self.logger, "request suspected"; "hash" => %suspect.digest,
                 "path" => label.path, "caller" => label.caller, "instance" => instance,
-                "run_ms" => suspect.run_time.as_millis(), "on_trial" => suspect.is_trial,
+                "run_ms" => suspect.run_time.as_millis(), "isolated" => suspect.is_isolated,
                 "standing" => %self.standing(suspect.digest));
         }
-        if !convicted.is_empty() {
+        if !refused.is_empty() {
             self.refusals.send_modify(|refusals| *refusals += 1);
         }
-        self.report_convicted(&convicted);
+        self.report_refused(&refused);
         self.announce_changes();
     }
 
     /// Merges records of other sidecars or of the store.
     pub(crate) fn merge(&self, records: &[SuspectRecord]) {
         let now_ms = self.now_ms();
-        let convicted = {
+        let refused = {
             let mut table = self.suspects();
             for record in records {
                 table.merge(now_ms, record);
             }
-            table.take_convicted()
+            table.take_newly_refused()
         };
-        self.report_convicted(&convicted);
+        self.report_refused(&refused);
     }
 
     /// Logs the requests that are refused from now on.
-    fn report_convicted(&self, convicted: &[RequestDigest]) {
-        for digest in convicted {
+    fn report_refused(&self, refused: &[RequestDigest]) {
+        for digest in refused {
             let now_ms = self.now_ms();
             let label = self.labels.get(*digest);
             let (crashes, held_s) = {
@@ -256,7 +256,7 @@
                 let crashes: Vec<_> = crashes.collect();
                 (crashes.join(", "), until_ms.saturating_sub(now_ms) / 1_000)
             };
-            counter!("banyantrestle_requests_convicted_total").increment(1);
+            counter!("banyantrestle_refusals_total").increment(1);
             slog::warn!(self.logger, "request refused: it crashes its targets"; "hash" => %digest,
                 "path" => label.path, "caller" => label.caller, "held_s" => held_s,
                 "crashes" => crashes);
@@ -291,8 +291,8 @@
             let crashes = record.entry.open_crashes().count();
             let label = self.labels.get(record.digest);
             Some(format!(
-                "{} crashes={crashes} convictions={} held_s={held_s} caller={} path={}\n",
-                record.digest, refusal.convictions, label.caller, label.path
+                "{} crashes={crashes} count={} held_s={held_s} caller={} path={}\n",
+                record.digest, refusal.count, label.caller, label.path
             ))
         });
         lines.collect()
--- a/src/sidecar/forwarded_call.rs
+++ b/src/sidecar/forwarded_call.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         HeaderNames, HopContext,
-        attempt_report::{ATTEMPT_FAILURE_HEADER, TRIAL_PEER_HEADER},
+        attempt_report::{ATTEMPT_FAILURE_HEADER, ONLY_PEER_HEADER},
         failure_cause::CAUSE_HEADER,
         hop_context::HOP_CONTEXT_HEADER,
         load_header::LOAD_HEADER,
@@ -29,7 +29,7 @@
     PRESSURE_HEADER,
     CAUSE_HEADER,
     LEAVING_HEADER,
-    TRIAL_PEER_HEADER,
+    ONLY_PEER_HEADER,
 ];
 
 /// A request that is forwarded to a target.
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -3,7 +3,7 @@
         HeaderNames, HopContext, PlatformAdapter, RetryRequest, SlotOutcome,
         admin_service::record_leaving,
         attempt_report::{
-            ATTEMPT_FAILURE_HEADER, AttemptFailure, AttemptReport, RelayBody, TRIAL_PEER_HEADER,
+            ATTEMPT_FAILURE_HEADER, AttemptFailure, AttemptReport, ONLY_PEER_HEADER, RelayBody,
         },
         config_watch::CONFIG_PATH,
         failure_cause::CAUSE_HEADER,
@@ -23,7 +23,7 @@
         tree_cost::TREE_COST_HEADER,
     },
     crate::{
-        crash::{RequestDigest, RunEnd, SuspectStanding, choose_trial_target},
+        crash::{RequestDigest, RunEnd, SuspectStanding, choose_isolation_target},
         net::{
             ResponseBody, ResponsePrefix, SendFailure, TargetConnection, clean_response_headers,
             read_request, read_response, remove_content_length, set_header,
@@ -133,11 +133,11 @@
             response
         }
     };
-    if let Some(trial_peer) = report.trial_peer {
+    if let Some(only_peer) = report.only_peer {
         set_header(
             response.headers_mut(),
-            TRIAL_PEER_HEADER,
-            &trial_peer.to_string(),
+            ONLY_PEER_HEADER,
+            &only_peer.to_string(),
         );
     }
     let (load, leaving) = {
@@ -258,7 +258,7 @@
         tree_cost,
         load: None,
         cause,
-        trial_peer: None,
+        only_peer: None,
     }
 }
 
@@ -270,13 +270,13 @@
     match state.crash_watch.standing(digest) {
         SuspectStanding::Trusted | SuspectStanding::Suspect => None,
         SuspectStanding::Refused => Some(AttemptReport::failed(AttemptFailure::RequestRefused)),
-        SuspectStanding::OnTrial => {
+        SuspectStanding::Isolated => {
             let view = state.membership.view().borrow().clone();
             let serving = view.of_service(&state.settings.service);
             let serving = serving.filter(|record| record.accepts_new_calls());
-            let trial_peer = choose_trial_target(digest, serving.map(|record| record.mesh))?;
-            (trial_peer != state.settings.listen.mesh).then(|| AttemptReport {
-                trial_peer: Some(trial_peer),
+            let only_peer = choose_isolation_target(digest, serving.map(|record| record.mesh))?;
+            (only_peer != state.settings.listen.mesh).then(|| AttemptReport {
+                only_peer: Some(only_peer),
                 ..AttemptReport::failed(AttemptFailure::SuspectElsewhere)
             })
         }
--- a/src/sidecar/outbound_service.rs
+++ b/src/sidecar/outbound_service.rs
@@ -234,11 +234,11 @@
     let mut tried = TriedTargets::default();
     let mut failed_response = None;
     // Sidecar beside the only target that may run the call.
-    let mut trial_peer: Option<SocketAddr> = None;
+    let mut only_peer: Option<SocketAddr> = None;
     loop {
         context.earlier_attempts = history.delivered();
         let service = &context.service;
-        let chosen = choose_peer(state, service, &tried, rule.max_attempts, trial_peer.take());
+        let chosen = choose_peer(state, service, &tried, rule.max_attempts, only_peer.take());
         let Some(peer) = chosen else {
             // The request that the call belongs to has been admitted, and its work would be lost.
             if parent.is_some() && tried.has_rate_limited() {
@@ -267,7 +267,7 @@
             is_complete,
         );
         let has_child_calls = report.has_child_calls();
-        trial_peer = report.trial_peer;
+        only_peer = report.only_peer;
         let result = match report.result {
             Ok(response) if !response.status().is_server_error() => {
                 log_response(state, call, &context, peer, response.status(), None);
@@ -304,7 +304,7 @@
                 log_failed_attempt(state, call, &context, Some(peer), failure.into());
                 if failure == AttemptFailure::SuspectBusy {
                     sleep(SUSPECT_DELAY.mul_f64(rand::random_range(RETRY_JITTER))).await;
-                    trial_peer = Some(peer);
+                    only_peer = Some(peer);
                 }
                 failure.attempt_outcome()
             }
@@ -338,18 +338,18 @@
     }
 }
 
-/// The target to send a call to, which is counted as in flight there: the one that alone may run the
-/// call, or the best of those that remain.
+/// The target to send a call to, which is counted as in flight there: the one that alone may run
+/// the call, or the best of those that remain.
 fn choose_peer<P: PlatformAdapter>(
     state: &SidecarState<P>,
     service: &ServiceName,
     tried: &TriedTargets,
     max_attempts: u32,
-    trial_peer: Option<SocketAddr>,
+    only_peer: Option<SocketAddr>,
 ) -> Option<SocketAddr> {
     let now = state.clock.now();
     let mut peers = state.peers();
-    if let Some(peer) = trial_peer {
+    if let Some(peer) = only_peer {
         peers.start_call(service, peer);
         return Some(peer);
     }
--- a/src/sidecar/peer_call.rs
+++ b/src/sidecar/peer_call.rs
@@ -2,9 +2,7 @@
     super::{
         FailureCause, HopContext, PeerOutcome, PlatformAdapter, PressureReport, TargetLoad,
         TreeCost,
-        attempt_report::{
-            ATTEMPT_FAILURE_HEADER, AttemptFailure, AttemptReport, TRIAL_PEER_HEADER,
-        },
+        attempt_report::{ATTEMPT_FAILURE_HEADER, AttemptFailure, AttemptReport, ONLY_PEER_HEADER},
         failure_cause::CAUSE_HEADER,
         forwarded_call::ForwardedCall,
         inbound_service::run_on_local_target,
@@ -172,8 +170,8 @@
     let tree_cost = take_header_text(&mut head.headers, TREE_COST_HEADER);
     let load = take_header_text(&mut head.headers, LOAD_HEADER);
     let failure = take_header_text(&mut head.headers, ATTEMPT_FAILURE_HEADER);
-    let trial_peer = take_header_text(&mut head.headers, TRIAL_PEER_HEADER);
-    let trial_peer = trial_peer.and_then(|text| text.parse().ok());
+    let only_peer = take_header_text(&mut head.headers, ONLY_PEER_HEADER);
+    let only_peer = only_peer.and_then(|text| text.parse().ok());
     let cause = take_header_text(&mut head.headers, CAUSE_HEADER);
     let cause = cause.and_then(|text| FailureCause::decode(&text));
     if let Some(text) = take_header_text(&mut head.headers, PRESSURE_HEADER) {
@@ -210,7 +208,7 @@
         tree_cost,
         load,
         cause,
-        trial_peer,
+        only_peer,
     }
 }
 
--- a/src/sidecar/refusal_store.rs
+++ b/src/sidecar/refusal_store.rs
@@ -36,7 +36,7 @@
 /// Keeps the refusals in the store, where they outlast a loss of all sidecars, until the process
 /// ends.
 ///
-/// Rows are read at the start and written when a request is convicted or its refusal ends. Both are
+/// Rows are read at the start and written when a request is refused or its refusal ends. Both are
 /// rare, so a write reads all rows first.
 pub(crate) async fn keep_refusals<P, T>(state: Arc<SidecarState<P>>, store: T)
 where
--- a/src/sidecar/suspect_exchange.rs
+++ b/src/sidecar/suspect_exchange.rs
@@ -69,8 +69,8 @@
     }
 }
 
-/// Compares the suspects with those of other sidecars at the start, and in intervals while there are
-/// any. This repairs what a sidecar has missed.
+/// Compares the suspects with those of other sidecars at the start, and in intervals while there
+/// are any. This repairs what a sidecar has missed.
 pub(crate) async fn compare_suspects<P: PlatformAdapter>(state: Arc<SidecarState<P>>) {
     let mut views = state.membership.view();
     while exchange_peers(&state).is_empty() {
--- a/tests/crash/fleet_model.rs
+++ b/tests/crash/fleet_model.rs
@@ -6,7 +6,7 @@
         crash::{
             AnsweredRequests, CrashReport, DigestKey, ProcessDigest, RecordScope, RequestDigest,
             RequestView, RunEnd, SuspectRecord, SuspectStanding, SuspectTable, TargetRun,
-            TargetRuns, choose_trial_target,
+            TargetRuns, choose_isolation_target,
         },
         time::TimePoint,
     },
@@ -83,7 +83,7 @@
     pub innocent_requests: u64,
     /// Innocent requests that were refused as deadly, and how many different ones.
     pub falsely_refused: u64,
-    pub falsely_convicted: usize,
+    pub falsely_refused_requests: usize,
     /// Innocent requests that got no answer at the second try of their callers.
     pub innocent_failures: u64,
 }
@@ -359,12 +359,12 @@
             self.refuse(call);
             return;
         }
-        if standing == SuspectStanding::OnTrial {
+        if standing == SuspectStanding::Isolated {
             let daemons = (0..self.targets.len()).map(address);
-            let trial = choose_trial_target(call.digest, daemons);
-            let trial = (0..self.targets.len()).find(|&target| Some(address(target)) == trial);
-            if trial != Some(target) {
-                call.pinned = trial;
+            let only = choose_isolation_target(call.digest, daemons);
+            let only = (0..self.targets.len()).find(|&target| Some(address(target)) == only);
+            if only != Some(target) {
+                call.pinned = only;
                 self.retry_undelivered(call, 1..3);
                 return;
             }
@@ -522,7 +522,7 @@
 
     fn announce(&mut self, from: usize) {
         let records = self.targets[from].table.take_changes();
-        self.targets[from].table.take_convicted();
+        self.targets[from].table.take_newly_refused();
         if records.is_empty() {
             return;
         }
@@ -577,7 +577,7 @@
             });
         self.outcome.late_arrivals = late.collect();
         self.outcome.crashes = self.crash_times.iter().map(Vec::len).collect();
-        self.outcome.falsely_convicted = self.refused.len();
+        self.outcome.falsely_refused_requests = self.refused.len();
         self.outcome
     }
 }
--- a/tests/crash/fleet_rates.rs
+++ b/tests/crash/fleet_rates.rs
@@ -45,22 +45,25 @@
     for (fronts, targets) in FLEETS {
         let mut scenario = scenario(targets, 0);
         change(&mut scenario);
-        let (mut most_late, mut most_crashes, mut convicted, mut refused, mut requests, mut failed) =
-            (0, 0, 0, 0, 0, 0);
+        let mut total = FleetOutcome::default();
+        let (mut most_late, mut most_crashes) = (0, 0);
         for seed in 1..=seeds {
             let outcome = FleetModel::run(scenario, seed);
             most_late = most_late.max(outcome.late_arrivals.iter().copied().max().unwrap_or(0));
             most_crashes = most_crashes.max(outcome.crashes.iter().copied().max().unwrap_or(0));
-            convicted += outcome.falsely_convicted;
-            refused += outcome.falsely_refused;
-            requests += outcome.innocent_requests;
-            failed += outcome.innocent_failures;
+            total.falsely_refused_requests += outcome.falsely_refused_requests;
+            total.falsely_refused += outcome.falsely_refused;
+            total.innocent_requests += outcome.innocent_requests;
+            total.innocent_failures += outcome.innocent_failures;
             outcomes.push((fronts, outcome));
         }
         println!(
-            "{name}, {fronts} fronts: most late arrivals {most_late}, most crashes {most_crashes}; \
-             {convicted} innocent requests convicted, {refused} of {requests} refused, {failed} \
-             failed"
+            "{name}, {fronts} fronts: most late arrivals {most_late}, most crashes {most_crashes}; of \
+             {} innocent requests {} refused ({} different ones), {} failed",
+            total.innocent_requests,
+            total.falsely_refused,
+            total.falsely_refused_requests,
+            total.innocent_failures
         );
     }
     outcomes
@@ -74,7 +77,7 @@
             "{name}, {fronts} fronts: late arrivals {late:?}"
         );
         assert_eq!(
-            (outcome.falsely_convicted, outcome.falsely_refused),
+            (outcome.falsely_refused_requests, outcome.falsely_refused),
             (0, 0),
             "{name}, {fronts} fronts: innocent requests refused"
         );
@@ -100,13 +103,13 @@
 }
 
 #[test]
-fn targets_that_fail_by_themselves_convict_nobody() {
+fn targets_that_fail_by_themselves_refuse_nobody() {
     let outcomes = play("own crashes", |scenario| scenario.own_crash_ms = 9_000);
     check("own crashes", &outcomes);
 }
 
 #[test]
-fn crashes_of_a_third_of_all_targets_convict_nobody() {
+fn crashes_of_a_third_of_all_targets_refuse_nobody() {
     let outcomes = play("mass crashes", |scenario| {
         scenario.mass_crash_ms = &[4_000, 8_000, 12_000, 16_000, 20_000, 24_000];
     });
--- a/tests/crash/suspect_table.rs
+++ b/tests/crash/suspect_table.rs
@@ -1,6 +1,6 @@
 use {
     banyantrestle::crash::{
-        CrashReport, CrashSuspect, DigestKey, FAMILIAR_TRIAL_CRASHES, FIRST_REFUSAL_TIME,
+        CrashReport, CrashSuspect, DigestKey, FAMILIAR_ISOLATION_CRASHES, FIRST_REFUSAL_TIME,
         MAX_EXCHANGED_RECORDS, MAX_SUSPECTS, ProcessDigest, RecordScope, RequestDigest,
         RequestView, SuspectRecord, SuspectStanding, SuspectTable,
     },
@@ -21,10 +21,10 @@
 }
 
 fn report(process: u64, suspects: &[(&str, bool)]) -> CrashReport {
-    let suspects = suspects.iter().map(|(path, is_trial)| CrashSuspect {
+    let suspects = suspects.iter().map(|(path, is_isolated)| CrashSuspect {
         digest: digest(path),
         run_time: Duration::from_millis(40),
-        is_trial: *is_trial,
+        is_isolated: *is_isolated,
     });
     CrashReport {
         process: ProcessDigest(process),
@@ -42,8 +42,8 @@
     table.standing(NOW_MS, &digest(path), false)
 }
 
-/// A table in which the request has ended three targets, the last one on trial.
-fn convicting_table() -> SuspectTable {
+/// A table in which the request has ended three targets, the last one in isolation.
+fn refusing_table() -> SuspectTable {
     let mut table = SuspectTable::default();
     crash(&mut table, 1, &[("deadly", false)]);
     crash(&mut table, 2, &[("deadly", false)]);
@@ -52,43 +52,43 @@
 }
 
 #[test]
-fn request_is_refused_after_a_crash_on_trial() {
+fn request_is_refused_after_a_crash_isolated() {
     let mut table = SuspectTable::default();
     assert_eq!(standing(&table, "deadly"), SuspectStanding::Trusted);
     crash(&mut table, 1, &[("deadly", false), ("beside", false)]);
     assert_eq!(standing(&table, "deadly"), SuspectStanding::Suspect);
     crash(&mut table, 2, &[("deadly", false)]);
-    assert_eq!(standing(&table, "deadly"), SuspectStanding::OnTrial);
+    assert_eq!(standing(&table, "deadly"), SuspectStanding::Isolated);
     assert_eq!(standing(&table, "beside"), SuspectStanding::Suspect);
     crash(&mut table, 3, &[("deadly", true)]);
     assert_eq!(standing(&table, "deadly"), SuspectStanding::Refused);
-    assert_eq!(table.take_convicted(), [digest("deadly")]);
+    assert_eq!(table.take_newly_refused(), [digest("deadly")]);
     assert_eq!(table.refused(), 1);
 }
 
 #[test]
-fn crashes_off_trial_convict_nobody() {
+fn crashes_outside_isolation_refuse_nobody() {
     let mut table = SuspectTable::default();
     for process in 0..20 {
         crash(&mut table, process, &[("beside", false)]);
     }
-    assert_eq!(standing(&table, "beside"), SuspectStanding::OnTrial);
+    assert_eq!(standing(&table, "beside"), SuspectStanding::Isolated);
 }
 
 #[test]
-fn crash_on_trial_beside_another_possible_cause_convicts_from_the_fourth_crash() {
+fn crash_isolated_beside_another_possible_cause_refuses_from_the_fourth_crash() {
     let mut table = SuspectTable::default();
     crash(&mut table, 1, &[("deadly", false)]);
     crash(&mut table, 2, &[("deadly", false)]);
     crash(&mut table, 3, &[("deadly", true), ("new", false)]);
-    assert_eq!(standing(&table, "deadly"), SuspectStanding::OnTrial);
+    assert_eq!(standing(&table, "deadly"), SuspectStanding::Isolated);
     assert_eq!(standing(&table, "new"), SuspectStanding::Suspect);
     crash(&mut table, 4, &[("deadly", true), ("other", false)]);
     assert_eq!(standing(&table, "deadly"), SuspectStanding::Refused);
 }
 
 #[test]
-fn familiar_requests_beside_a_trial_are_not_charged() {
+fn familiar_requests_beside_an_isolated_one_are_not_marked() {
     let mut table = SuspectTable::default();
     crash(&mut table, 1, &[("deadly", false)]);
     crash(&mut table, 2, &[("deadly", false)]);
@@ -99,20 +99,20 @@
 }
 
 #[test]
-fn familiar_request_goes_on_trial_only_after_many_crashes() {
+fn familiar_request_goes_isolated_only_after_many_crashes() {
     let mut table = SuspectTable::default();
-    for process in 0..FAMILIAR_TRIAL_CRASHES {
+    for process in 0..FAMILIAR_ISOLATION_CRASHES {
         let expected = SuspectStanding::Trusted;
         assert_eq!(standing(&table, "listing"), expected, "{process} crashes");
         let crash = report(process as u64, &[("listing", false)]);
         table.record_crash(NOW_MS, &crash, |_| true);
     }
-    assert_eq!(standing(&table, "listing"), SuspectStanding::OnTrial);
+    assert_eq!(standing(&table, "listing"), SuspectStanding::Isolated);
 }
 
 #[test]
 fn answer_clears_a_suspect_and_ends_a_refusal() {
-    let mut table = convicting_table();
+    let mut table = refusing_table();
     assert!(table.record_answer(NOW_MS, digest("deadly")));
     assert_eq!(standing(&table, "deadly"), SuspectStanding::Trusted);
     assert!(!table.record_answer(NOW_MS, digest("deadly")), "no news");
@@ -127,7 +127,7 @@
 
 #[test]
 fn older_copy_does_not_revive_an_ended_refusal() {
-    let older = convicting_table();
+    let older = refusing_table();
     let mut table = older.clone();
     assert!(table.lift(NOW_MS + 1, digest("deadly")));
     for record in older.records(RecordScope::Fleet) {
@@ -143,7 +143,7 @@
 
 #[test]
 fn request_is_refused_again_after_its_refusal_was_lifted() {
-    let mut table = convicting_table();
+    let mut table = refusing_table();
     table.lift(NOW_MS, digest("deadly"));
     let older = table.clone();
     crash(&mut table, 4, &[("deadly", false)]);
@@ -156,8 +156,8 @@
 }
 
 #[test]
-fn expired_refusal_leaves_one_trial_and_doubles_with_the_next_crash() {
-    let mut table = convicting_table();
+fn expired_refusal_leaves_one_isolated_run_and_doubles_with_the_next_crash() {
+    let mut table = refusing_table();
     let hour = u64::try_from(FIRST_REFUSAL_TIME.as_millis()).expect("an hour");
     let deadly = digest("deadly");
     let later = NOW_MS + hour + 1;
@@ -167,7 +167,7 @@
     );
     assert_eq!(
         table.standing(later, &deadly, false),
-        SuspectStanding::OnTrial
+        SuspectStanding::Isolated
     );
     let crash = CrashReport {
         at_ms: later,
@@ -181,7 +181,7 @@
     );
     assert_eq!(
         table.standing(at_end, &deadly, false),
-        SuspectStanding::OnTrial
+        SuspectStanding::Isolated
     );
 }
 
@@ -199,7 +199,7 @@
 
 #[test]
 fn retracted_crash_does_not_count() {
-    let mut table = convicting_table();
+    let mut table = refusing_table();
     let mut fresh = SuspectTable::default();
     crash(&mut fresh, 1, &[("deadly", false)]);
     crash(&mut fresh, 2, &[("deadly", false)]);
@@ -211,7 +211,7 @@
 
 #[test]
 fn table_keeps_its_bounds_and_its_refusals() {
-    let mut table = convicting_table();
+    let mut table = refusing_table();
     for number in 0..2 * MAX_SUSPECTS {
         let path = format!("flood/{number}");
         crash(&mut table, 100 + number as u64, &[(&path, false)]);
@@ -223,7 +223,7 @@
     assert_eq!(
         records[0].digest,
         digest("deadly"),
-        "the gravest come first"
+        "refused ones come first"
     );
 }
 
@@ -251,7 +251,7 @@
     Crash {
         process: u64,
         request: u8,
-        is_trial: bool,
+        is_isolated: bool,
     },
     Answer {
         request: u8,
@@ -264,8 +264,8 @@
 fn arbitrary_change() -> impl Strategy<Value = TableChange> {
     let request = 0..3_u8;
     prop_oneof![
-        4 => (0..12_u64, request.clone(), any::<bool>()).prop_map(|(process, request, is_trial)| {
-            TableChange::Crash { process, request, is_trial }
+        4 => (0..12_u64, request.clone(), any::<bool>()).prop_map(|(process, request, is_isolated)| {
+            TableChange::Crash { process, request, is_isolated }
         }),
         1 => request.clone().prop_map(|request| TableChange::Answer { request }),
         1 => request.prop_map(|request| TableChange::Lift { request }),
@@ -277,9 +277,9 @@
         TableChange::Crash {
             process,
             request,
-            is_trial,
+            is_isolated,
         } => {
-            let crash = report(*process, &[(&request.to_string(), *is_trial)]);
+            let crash = report(*process, &[(&request.to_string(), *is_isolated)]);
             let crash = CrashReport {
                 at_ms: now_ms,
                 ..crash
--- a/tests/crash/target_runs.rs
+++ b/tests/crash/target_runs.rs
@@ -68,7 +68,7 @@
 }
 
 #[test]
-fn answer_acquits_the_calls_that_ended_well_before() {
+fn answer_clears_the_calls_that_ended_well_before() {
     let mut runs = TargetRuns::default();
     let start = TimePoint::from_millis(0);
     for path in ["early", "late"] {
@@ -101,9 +101,9 @@
 fn call_that_starts_after_the_crash_is_no_suspect() {
     let mut runs = TargetRuns::default();
     runs.record_end(TimePoint::from_millis(5));
-    assert!(runs.try_start(SuspectStanding::OnTrial));
+    assert!(runs.try_start(SuspectStanding::Isolated));
     let now = TimePoint::from_millis(20);
-    let late = runs.finish(now, run("late", SuspectStanding::OnTrial), RunEnd::Broken);
+    let late = runs.finish(now, run("late", SuspectStanding::Isolated), RunEnd::Broken);
     assert_eq!(late, None);
 }
 
@@ -123,18 +123,18 @@
 }
 
 #[test]
-fn requests_on_trial_run_beside_no_other_suspect() {
-    use SuspectStanding::{OnTrial, Refused, Suspect, Trusted};
+fn requests_isolated_run_beside_no_other_suspect() {
+    use SuspectStanding::{Isolated, Refused, Suspect, Trusted};
     // Standings of the calls that run, standing of the next one, whether it may start.
     let cases: [(&[SuspectStanding], SuspectStanding, bool); 9] = [
         (&[], Trusted, true),
-        (&[], OnTrial, true),
+        (&[], Isolated, true),
         (&[], Refused, false),
-        (&[Trusted, Trusted], OnTrial, true),
-        (&[Suspect], OnTrial, false),
-        (&[OnTrial], OnTrial, false),
-        (&[OnTrial], Suspect, false),
-        (&[OnTrial], Trusted, true),
+        (&[Trusted, Trusted], Isolated, true),
+        (&[Suspect], Isolated, false),
+        (&[Isolated], Isolated, false),
+        (&[Isolated], Suspect, false),
+        (&[Isolated], Trusted, true),
         (&[Suspect], Suspect, true),
     ];
     for (running, next, is_allowed) in cases {
@@ -147,14 +147,14 @@
 }
 
 #[test]
-fn ended_trial_lets_the_next_one_start() {
+fn end_of_an_isolated_call_lets_the_next_one_start() {
     let mut runs = TargetRuns::default();
     let now = TimePoint::from_millis(20);
-    assert!(runs.try_start(SuspectStanding::OnTrial));
+    assert!(runs.try_start(SuspectStanding::Isolated));
     runs.finish(
         now,
-        run("first", SuspectStanding::OnTrial),
+        run("first", SuspectStanding::Isolated),
         RunEnd::Answered,
     );
-    assert!(runs.try_start(SuspectStanding::OnTrial));
+    assert!(runs.try_start(SuspectStanding::Isolated));
 }
