Client accounts: keys, freshness, quotas and ranks

Cause: nothing in src/sidecar or platform/ knew tenants, keys or limits.

Change: - src/accounts: decisions without clocks and sockets. AccountTable finds accounts by a keyed hash of their keys; ConfigProof, ProofRule and ProofSchedule say how long keys are accepted and whom to ask; CreditLedger and CreditPurse share a limit between up to six quota owners and all fronts. - src/sidecar/account_gate: asks the store and other sidecars for what these need. - src/sidecar/outbound: the flat outbound_service in stages (admission, forwarding, retry delays, log). - RankScale: the account's priority before the route's; levels of the admission by rank. - The key is removed at the front, the account's name is set beside the target; the recognition of crashing requests counts the account as part of the caller.

--- a/src/error/step_error.rs
+++ b/src/error/step_error.rs
@@ -18,6 +18,8 @@
     CallTarget,
     CallMesh,
     ExchangeSuspects,
+    RequestCredits,
+    RequestProof,
     SendGossip,
     ReceiveGossip,
     /// Anti-entropy exchange of member records over TCP.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 //! assert!(purchase > browse);
 //! ```
 
+pub mod accounts;
 pub mod admission;
 pub mod auth;
 pub mod claims;
--- a/src/sidecar/admitted_request.rs
+++ b/src/sidecar/admitted_request.rs
@@ -15,10 +15,11 @@
     pub(super) fn admit(
         state: &'a SidecarState<P>,
         rule: &'a RouteRule,
+        rank: u8,
         now: TimePoint,
     ) -> Result<Self, IngressRefusal> {
         let route = &rule.name;
-        let queue_rank = state.admission().admit(now, route, rule.rank)?;
+        let queue_rank = state.admission().admit(now, route, rank)?;
         Ok(Self {
             state,
             route,
--- a/src/sidecar/attempt_report.rs
+++ b/src/sidecar/attempt_report.rs
@@ -35,6 +35,8 @@
     QueueFull,
     TargetStalled,
     DeadlineTooNear,
+    /// The key of the account may have been removed since it was checked.
+    KeyUnproven,
     /// The rate limit that the target has named is exhausted.
     RateLimited,
     /// The retry budget of the service is exhausted.
@@ -81,6 +83,9 @@
             Self::QueueFull => "the queue of the target was full; not run",
             Self::TargetStalled => "the target was stalled; not run",
             Self::DeadlineTooNear => "the call could not have met its deadline; not run",
+            Self::KeyUnproven => {
+                "the key of the account may have been removed since it was checked; not run"
+            }
             Self::RateLimited => "the rate limit that the target has named was exhausted; not run",
             Self::NoRetries => "the retry budget of the service was exhausted; not run again",
             Self::RequestRefused => {
@@ -116,6 +121,7 @@
             | Self::QueueFull
             | Self::TargetStalled
             | Self::DeadlineTooNear
+            | Self::KeyUnproven
             | Self::SuspectElsewhere
             | Self::SuspectBusy
             | Self::TargetConnectFailed => AttemptOutcome::NotSent,
--- a/src/sidecar/config_watch.rs
+++ b/src/sidecar/config_watch.rs
@@ -5,8 +5,10 @@
         unread_fields::FieldSource,
     },
     crate::{
+        accounts::AccountTable,
         error::{ProcessStep, StepError},
         net::{SendFailure, read_request},
+        time::TimePoint,
     },
     bytes::Bytes,
     http::{Request, StatusCode},
@@ -32,19 +34,29 @@
 /// Maximum size of a document, in bytes.
 const MAX_DOCUMENT_BYTES: usize = 8 * 1024 * 1024;
 
+/// What became of a document.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DocumentStanding {
+    InForce,
+    /// A newer version is in force.
+    Outdated,
+    /// It is not valid; the version in force stays.
+    Rejected,
+}
+
 /// Puts a document in force if its version is newer than the active one; `origin` names its source
 /// in the log.
 pub(crate) async fn apply_document<P: PlatformAdapter>(
     state: &SidecarState<P>,
     document: Bytes,
     origin: &str,
-) {
+) -> DocumentStanding {
     let config = match state.platform.parse_config(&document) {
         Ok(config) => Arc::new(config),
         Err(error) => {
             slog::warn!(state.log.logger, "invalid configuration rejected";
                 "origin" => origin, "error" => error);
-            return;
+            return DocumentStanding::Rejected;
         }
     };
     for name in state.platform.unread_config_fields(&document) {
@@ -57,17 +69,29 @@
             .as_ref()
             .is_none_or(|active| active.config.version < version);
         if is_newer {
-            *current = Some(ActiveConfig { config, document });
+            *current = Some(ActiveConfig {
+                config: config.clone(),
+                document,
+            });
         }
         is_newer
     });
     if is_newer {
+        state.admission().reset_ranks();
+        let accounts = config.accounts.as_ref();
         slog::info!(state.log.logger, "configuration in force";
-            "version" => version, "origin" => origin);
+            "version" => version, "origin" => origin,
+            "accounts" => accounts.map_or(0, AccountTable::len));
         metrics::counter!("banyantrestle_plan_version").absolute(version);
         // Gossip announces the configuration version in the fields for a policy's version and hash.
         state.membership.set_policy_in_force(version, version).await;
     }
+    let active = state.config();
+    if active.is_some_and(|active| active.version == version) {
+        DocumentStanding::InForce
+    } else {
+        DocumentStanding::Outdated
+    }
 }
 
 /// Follows the configuration in the store until the process ends.
@@ -78,10 +102,11 @@
     let mut retry_delay = MIN_RETRY_DELAY;
     let mut is_store_lost = false;
     loop {
+        let asked_at = state.clock.now();
         let error = match source.read().await {
             Ok(row) => {
                 let position = row.position;
-                apply_row(&state, row).await;
+                apply_row(&state, row, asked_at).await;
                 if std::mem::take(&mut is_store_lost) {
                     slog::info!(state.log.logger, "store regained");
                 }
@@ -112,7 +137,9 @@
         match source.wait_for_change(position, MAX_FEED_WAIT).await {
             Ok(FeedEvent::Changed(row)) if position.precedes(row.position) => {
                 position = row.position;
-                apply_row(state, row).await;
+                if let Some(document) = row.document {
+                    apply_document(state, document, "store").await;
+                }
             }
             Ok(_) => {
                 slog::info!(state.log.logger,
@@ -125,10 +152,25 @@
     }
 }
 
-async fn apply_row<P: PlatformAdapter>(state: &SidecarState<P>, row: ConfigRow) {
-    if let Some(document) = row.document {
-        apply_document(state, document, "store").await;
+/// Applies a row that was requested at `asked_at`; returns whether it proves that the configuration
+/// in force was the newest then.
+///
+/// Changes that the store's feed brings are no such proof: it may leave later ones out for a while.
+pub(crate) async fn apply_row<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    row: ConfigRow,
+    asked_at: TimePoint,
+) -> bool {
+    let Some(document) = row.document else {
+        return false;
+    };
+    // A document that is not valid is no configuration, so the one in force is still the newest.
+    let standing = apply_document(state, document, "store").await;
+    let is_proof = standing != DocumentStanding::Outdated && row.is_current;
+    if is_proof {
+        state.accounts.record_proof(asked_at);
     }
+    is_proof
 }
 
 /// Fetches versions that gossip announces and the store's feed does not deliver.
@@ -142,7 +184,9 @@
             continue;
         }
         match fetch_from_peer(&state, announced.holder).await {
-            Ok(document) => apply_document(&state, document, "peer").await,
+            Ok(document) => {
+                apply_document(&state, document, "peer").await;
+            }
             Err(error) => slog::warn!(state.log.logger,
                 "configuration not fetched from the peer; waiting for the store or gossip";
                 "step" => %error.step, "peer" => &error.peer, "error" => %error.source),
--- a/src/sidecar/forwarded_call.rs
+++ b/src/sidecar/forwarded_call.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         HeaderNames, HopContext,
+        account_gate::PROOF_HEADER,
         attempt_report::{ATTEMPT_FAILURE_HEADER, ONLY_PEER_HEADER},
         failure_cause::CAUSE_HEADER,
         hop_context::HOP_CONTEXT_HEADER,
@@ -21,7 +22,7 @@
 };
 
 /// Headers that are exchanged between sidecars only.
-const SIDECAR_HEADERS: [&str; 8] = [
+const SIDECAR_HEADERS: [&str; 9] = [
     HOP_CONTEXT_HEADER,
     TREE_COST_HEADER,
     LOAD_HEADER,
@@ -30,6 +31,7 @@
     CAUSE_HEADER,
     LEAVING_HEADER,
     ONLY_PEER_HEADER,
+    PROOF_HEADER,
 ];
 
 /// A request that is forwarded to a target.
@@ -56,7 +58,7 @@
         let id = header_text(&headers, &names.request_id).unwrap_or_default();
         let id = id.to_owned();
         remove_hop_by_hop_headers(&mut headers);
-        for name in [HOST, CONTENT_LENGTH, EXPECT] {
+        for name in [&HOST, &CONTENT_LENGTH, &EXPECT, &names.account] {
             headers.remove(name);
         }
         remove_sidecar_headers(&mut headers);
@@ -70,6 +72,11 @@
         }
     }
 
+    /// Removes the key of the caller's account, which no other process is shown.
+    pub(crate) fn remove_credential(&mut self, names: &HeaderNames) {
+        self.headers.remove(&names.credential);
+    }
+
     /// Builds the request to a peer sidecar.
     pub(crate) fn to_peer_request(
         &self,
@@ -111,6 +118,10 @@
         headers.insert(&names.expected_instance, HeaderValue::from_str(instance)?);
         let caller = HeaderValue::from_str(context.caller.as_str())?;
         headers.insert(&names.caller_service, caller);
+        if let Some(account) = context.account.as_ref().filter(|_| context.depth == 0) {
+            let account = HeaderValue::from_bytes(account.as_bytes())?;
+            headers.insert(&names.account, account);
+        }
         Ok(request)
     }
 }
--- a/src/sidecar/hop_context.rs
+++ b/src/sidecar/hop_context.rs
@@ -1,13 +1,14 @@
 use {
     crate::{context::ServiceName, time::TimePoint},
-    std::time::Duration,
+    form_urlencoded::byte_serialize,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Request header with the context, sent from one sidecar to the next.
 pub(crate) const HOP_CONTEXT_HEADER: &str = "bt-hop";
 
 /// Maximum length of a decoded context header, in bytes.
-const MAX_HEADER_BYTES: usize = 256;
+const MAX_HEADER_BYTES: usize = 2_048;
 /// Maximum depth of a call chain.
 pub const MAX_CALL_DEPTH: u8 = 32;
 /// Maximum age of the root request, and maximum time until the deadline, in a decoded header.
@@ -34,6 +35,11 @@
     /// Whether a call above this one in the chain is a retry.
     pub is_inherited_retry: bool,
     pub is_idempotent: bool,
+    /// Client account of the root request.
+    pub account: Option<Arc<str>>,
+    /// Time until which the key of the account is known to be valid; `None` for calls that carry no
+    /// key.
+    pub key_valid_until: Option<TimePoint>,
 }
 
 impl HopContext {
@@ -48,7 +54,7 @@
     #[must_use]
     pub fn encode(&self, now: TimePoint) -> String {
         format!(
-            "{};{};{};{};{};{};{};{}{}",
+            "{};{};{};{};{};{};{};{}{};{};{}",
             self.service,
             self.caller,
             self.rank,
@@ -58,6 +64,12 @@
             self.earlier_attempts,
             if self.is_inherited_retry { "r" } else { "" },
             if self.is_idempotent { "i" } else { "" },
+            self.account
+                .as_deref()
+                .map_or_else(String::new, encode_name),
+            self.key_valid_until.map_or_else(String::new, |end| {
+                now.until(end).as_millis().to_string()
+            }),
         )
     }
 
@@ -77,11 +89,20 @@
         let depth = fields.next()?.parse().ok()?;
         let earlier_attempts = fields.next()?.parse().ok()?;
         let flags = fields.next()?;
+        let account = match fields.next()? {
+            "" => None,
+            name => Some(decode_name(name)?),
+        };
+        let key_validity = match fields.next()? {
+            "" => None,
+            millis => Some(Duration::from_millis(millis.parse().ok()?)),
+        };
         let is_flag = |flag: char| matches!(flag, 'r' | 'i');
         let is_valid = fields.next().is_none()
             && depth <= MAX_CALL_DEPTH
             && age <= MAX_TIME_OFFSET
             && remaining <= MAX_TIME_OFFSET
+            && key_validity.is_none_or(|validity| validity <= MAX_TIME_OFFSET)
             && flags.chars().all(is_flag);
         is_valid.then(|| Self {
             service,
@@ -93,6 +114,33 @@
             earlier_attempts,
             is_inherited_retry: flags.contains('r'),
             is_idempotent: flags.contains('i'),
+            account,
+            key_valid_until: key_validity.map(|validity| now + validity),
         })
     }
+
+    /// Who makes the call, for telling apart equal requests of different callers.
+    #[must_use]
+    pub(crate) fn caller_identity(&self) -> String {
+        caller_identity(&self.caller, self.account.as_deref())
+    }
+}
+
+/// Text that differs between callers: the service on their VM and their account.
+pub(crate) fn caller_identity(caller: &ServiceName, account: Option<&str>) -> String {
+    match account {
+        Some(account) => format!("{caller}{SEPARATOR}{account}"),
+        None => caller.to_string(),
+    }
+}
+
+/// Percent-encodes the name of an account, which may contain the separator.
+fn encode_name(name: &str) -> String {
+    byte_serialize(name.as_bytes()).collect()
+}
+
+/// Decodes the name of an account; `None` if it is not encoded properly.
+fn decode_name(text: &str) -> Option<Arc<str>> {
+    let (name, value) = form_urlencoded::parse(text.as_bytes()).next()?;
+    (value.is_empty() && !name.is_empty()).then(|| Arc::from(name.as_ref()))
 }
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         HeaderNames, HopContext, PlatformAdapter, RetryRequest, SlotOutcome,
+        account_gate::{CREDITS_PATH, PROOF_HEADER, PROOF_PATH, serve_credits, serve_proof},
         admin_service::record_leaving,
         attempt_report::{
             ATTEMPT_FAILURE_HEADER, AttemptFailure, AttemptReport, ONLY_PEER_HEADER, RelayBody,
@@ -69,10 +70,12 @@
 ) -> Response<RelayBody> {
     let (mut head, body) = request.into_parts();
     let Some(context) = head.headers.remove(HOP_CONTEXT_HEADER) else {
-        if head.uri.path() == SUSPECTS_PATH {
-            return serve_suspects(&state, body).await;
-        }
-        return serve_config(&state, head.uri.path());
+        return match head.uri.path() {
+            SUSPECTS_PATH => serve_suspects(&state, body).await,
+            CREDITS_PATH => serve_credits(&state, body).await,
+            PROOF_PATH => serve_proof(&state),
+            path => serve_config(&state, path),
+        };
     };
     let now = state.clock.now();
     let context = context.to_str().ok();
@@ -160,6 +163,9 @@
     if !report.tree_cost.services().is_empty() {
         set_unindexed_header(headers, TREE_COST_HEADER, &report.tree_cost.encode());
     }
+    if let Some(text) = state.proof_report() {
+        set_unindexed_header(headers, PROOF_HEADER, &text);
+    }
     if let Some(cause) = &report.cause {
         set_unindexed_header(headers, CAUSE_HEADER, &cause.to_string());
     }
@@ -200,7 +206,7 @@
     call: &ForwardedCall,
     context: &HopContext,
 ) -> AttemptReport {
-    let digest = state.crash_watch.digest(call, context.caller.as_str());
+    let digest = state.crash_watch.digest(call, &context.caller_identity());
     if let Some(report) = refuse_suspect(state, digest) {
         return report;
     }
@@ -333,6 +339,10 @@
         target_run.finish_not_run();
         return Err(AttemptFailure::DeadlineTooNear);
     }
+    if context.key_valid_until.is_some_and(|end| now >= end) {
+        target_run.finish_not_run();
+        return Err(AttemptFailure::KeyUnproven);
+    }
     let names = state.platform.headers();
     let request = match call.to_target_request(context, &target.incarnation.instance, names, now) {
         Ok(request) => request,
@@ -385,7 +395,7 @@
     end: RunEnd,
 ) -> Option<AttemptFailure> {
     let digest = target_run.run.digest()?;
-    let caller = context.caller.as_str();
+    let caller = &context.caller_identity();
     state.crash_watch.note_label(digest, call, caller);
     target_run.finish(SlotOutcome::Failed, end);
     if end != RunEnd::Broken || !state.crash_watch.has_crashed(target).await {
--- a/src/sidecar/ingress_admission.rs
+++ b/src/sidecar/ingress_admission.rs
@@ -1,7 +1,8 @@
 use {
     super::{
         PressureReport, QueuePressure, ServiceLimiter, TreeCost, pressure_report::ServicePressure,
-        route_cost::RouteCost, service_limiter::CHEAP_LEVEL, service_ranks::ServiceRanks,
+        rank_set::RankSet, route_cost::RouteCost, service_limiter::MAX_RANK_LEVEL,
+        service_ranks::ServiceRanks,
     },
     crate::{context::ServiceName, time::TimePoint},
     std::{collections::HashMap, time::Duration},
@@ -77,7 +78,7 @@
         let Some(cost) = self.routes.get_mut(route) else {
             return Ok(rank);
         };
-        cost.rank = rank;
+        cost.ranks.insert(rank);
         for (service, slot_seconds) in &cost.services {
             let Some(limiter) = self.limiters.get_mut(service) else {
                 continue;
@@ -102,8 +103,9 @@
                 continue;
             };
             limiter.charge(level, *slot_seconds);
-            if level == CHEAP_LEVEL && limiter.has_urgent_queue() {
-                queue_rank = ranks.map_or(rank, |ranks| queue_rank.max(ranks.highest));
+            let is_cheap = ranks.is_some_and(|ranks| ranks.is_cheap(rank, *slot_seconds));
+            if is_cheap && limiter.has_urgent_queue() {
+                queue_rank = ranks.map_or(rank, |ranks| queue_rank.max(ranks.band_highest(rank)));
             }
         }
         cost.in_flight += 1;
@@ -128,7 +130,7 @@
         }
         let unknown = self.routes.values().filter(|cost| cost.is_unknown());
         let in_flight: u32 = unknown
-            .filter(|cost| cost.rank >= rank)
+            .filter(|cost| cost.ranks.highest() >= Some(rank))
             .map(|cost| cost.in_flight)
             .sum();
         let lowest = self.ranks.get(&loaded.name).map(|ranks| ranks.lowest);
@@ -168,7 +170,7 @@
     pub fn record_cost(&mut self, route: &str, rank: u8, tree_cost: &TreeCost, is_complete: bool) {
         if self.routes.len() < MAX_ROUTES || self.routes.contains_key(route) {
             let cost = self.routes.entry(route.to_owned()).or_default();
-            cost.rank = rank;
+            cost.ranks.insert(rank);
             if is_complete {
                 cost.record_full_cost(tree_cost);
             } else {
@@ -231,6 +233,13 @@
         self.limiters.get(service)
     }
 
+    /// Forgets the ranks of the requests so far, whose order another configuration may change.
+    pub fn reset_ranks(&mut self) {
+        for cost in self.routes.values_mut() {
+            cost.ranks = RankSet::default();
+        }
+    }
+
     /// Updates the rate limits; `fair_share` is one sidecar's share of the concurrency limit of a
     /// service.
     pub fn tick<F>(&mut self, now: TimePoint, fair_share: F)
@@ -240,6 +249,8 @@
         for (service, limiter) in &mut self.limiters {
             let ranks = self.ranks.get(service);
             let affordable_queue = ranks.and_then(|ranks| ranks.affordable_queue);
+            let top_level = ranks.map_or(MAX_RANK_LEVEL, ServiceRanks::top_level);
+            limiter.set_top_level(top_level);
             limiter.tick(now, fair_share(service), affordable_queue);
         }
         let limiters = self.limiters.iter();
@@ -254,16 +265,15 @@
     }
 
     /// Caches the ranks that reach each service; computing them per request would be too slow.
-    /// Routes of unknown cost may reach any service, so they count for the lowest rank of each.
+    /// Routes of unknown cost may reach any service, so they count for the lowest rank of each; one
+    /// of which no request has been admitted counts below all others.
     fn update_ranks(&mut self) {
         self.ranks.clear();
         for cost in self.routes.values() {
             for (service, slot_seconds) in &cost.services {
-                let route = ServiceRanks {
-                    lowest: cost.rank,
-                    highest: cost.rank,
-                    highest_rank_cost: *slot_seconds,
-                    affordable_queue: cost.affordable_queue(*slot_seconds),
+                let queue = cost.affordable_queue(*slot_seconds);
+                let Some(route) = ServiceRanks::of_route(cost.ranks, *slot_seconds, queue) else {
+                    continue;
                 };
                 if let Some(ranks) = self.ranks.get_mut(service) {
                     ranks.merge(route);
@@ -272,10 +282,17 @@
                 }
             }
         }
+        let mut scale = RankSet::default();
+        for cost in self.routes.values() {
+            scale.merge(cost.ranks);
+        }
+        for ranks in self.ranks.values_mut() {
+            ranks.set_scale(scale);
+        }
         let unknown = self.routes.values().filter(|cost| cost.is_unknown());
-        if let Some(lowest) = unknown.map(|cost| cost.rank).min() {
+        if let Some(lowest) = unknown.map(|cost| cost.ranks.lowest().unwrap_or(0)).min() {
             for ranks in self.ranks.values_mut() {
-                ranks.lowest = ranks.lowest.min(lowest);
+                ranks.include_rank(lowest);
             }
         }
     }
--- a/src/sidecar/local_response.rs
+++ b/src/sidecar/local_response.rs
@@ -32,6 +32,16 @@
     /// rank.
     #[strum(serialize = "no-room")]
     NoCapacity,
+    /// The request carries no key of an account, or not in the platform's form.
+    NoKey,
+    /// No account holds the key that the request carries.
+    UnknownKey,
+    /// It is not known whether the key is still valid.
+    KeyUnproven,
+    /// The account has used up its limit.
+    QuotaExhausted,
+    /// No quota owner of the account could be reached.
+    QuotaUnknown,
     /// No target accepted the request, and it has not run.
     NotRun,
     /// The request may have run; its outcome is unknown.
@@ -64,6 +74,13 @@
             Self::NoCapacity => {
                 "a service that the request calls had no capacity for its rank; not run"
             }
+            Self::NoKey => "the request carried no key of an account, or a malformed one; not run",
+            Self::UnknownKey => "no account of the configuration holds the key; not run",
+            Self::KeyUnproven => {
+                "the sidecar could not prove that its configuration was new enough for keys; not run"
+            }
+            Self::QuotaExhausted => "the account had used up its limit; not run",
+            Self::QuotaUnknown => "no quota owner of the account could be reached; not run",
             Self::NotRun => "no target accepted the request; not run",
             Self::Unknown => "the request may have run; its outcome is unknown",
             Self::DeadlinePassed => "the deadline of the route or of the caller had passed",
@@ -74,9 +91,28 @@
         }
     }
 
+    /// Whether the request has not run and may be repeated soon.
+    pub(crate) const fn is_temporary(self) -> bool {
+        matches!(self, Self::NotRun | Self::KeyUnproven)
+    }
+
+    /// Whether the request has not run on any target.
+    pub(crate) const fn has_not_run(self) -> bool {
+        matches!(
+            self,
+            Self::NotRun | Self::KeyUnproven | Self::NoKey | Self::UnknownKey
+        )
+    }
+
     const fn status(self) -> StatusCode {
         match self {
-            Self::NoConfig | Self::NoCapacity | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoConfig
+            | Self::NoCapacity
+            | Self::KeyUnproven
+            | Self::QuotaUnknown
+            | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoKey | Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::QuotaExhausted => StatusCode::TOO_MANY_REQUESTS,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -27,6 +27,7 @@
 //! assert!(matches!(scheduler.request(now, 1, now, deadline), SlotDecision::Queued(_)));
 //! ```
 
+mod account_gate;
 mod admin_service;
 mod admitted_request;
 mod attempt_history;
@@ -43,7 +44,7 @@
 mod live_target;
 mod load_header;
 mod local_response;
-mod outbound_service;
+mod outbound;
 mod peer_call;
 mod peer_subset;
 mod peer_table;
@@ -51,6 +52,8 @@
 mod pressure_report;
 mod queue_pressure;
 mod rank_rates;
+mod rank_scale;
+mod rank_set;
 mod rate_bucket;
 mod refusal_store;
 mod request_labels;
@@ -88,7 +91,8 @@
     ingress_admission::{IngressAdmission, IngressRefusal},
     peer_table::{PeerOutcome, PeerTable},
     platform_adapter::{
-        ConfigRow, ConfigSource, FeedEvent, FeedPosition, HeaderNames, PlatformAdapter,
+        CallerCredential, ConfigRow, ConfigSource, ConfigStanding, FeedEvent, FeedPosition,
+        HeaderNames, PlatformAdapter,
     },
     pressure_report::{PressureReport, ServicePressure},
     queue_pressure::QueuePressure,
--- /dev/null
+++ b/src/sidecar/outbound/outbound_service.rs
@@ -0,0 +1,370 @@
+use {
+    super::{
+        super::{
+            FailureCause, HopContext, MAX_CALL_DEPTH, PlatformAdapter, RouteConfig, RouteRule,
+            account_gate::{RequestAccount, check_credential},
+            attempt_report::RelayBody,
+            forwarded_call::{ForwardedCall, header_text, request_host},
+            local_response::{RequestFailure, local_response},
+            running_calls::RunningCall,
+            sidecar_state::{SidecarPhase, SidecarState},
+        },
+        call_forwarding::{CallOrigin, OutboundCall, forward_with_retries, record_timeout},
+        outbound_log::{report_crashing_request, report_local_response},
+        request_admission::{RequestRefusal, RootRequest, admit_account, admit_request},
+        retry_delay::{DEFAULT_RETRY_DELAY, retry_after},
+    },
+    crate::{
+        context::ServiceName,
+        net::{RequestArrival, RequestError, read_request},
+        time::TimePoint,
+    },
+    bytes::Bytes,
+    http::{
+        HeaderValue, Request, Response,
+        header::{CONNECTION, CONTENT_LENGTH},
+        request::Parts,
+    },
+    hyper::body::{Body, Incoming},
+    rand::RngExt,
+    std::{sync::Arc, time::Duration},
+    tokio::time::timeout_at,
+};
+
+/// A call whose route is known.
+struct RoutedCall {
+    config: Arc<RouteConfig>,
+    rule: Arc<RouteRule>,
+    /// Call that the local target is running and makes this call for; `None` if the call starts a
+    /// chain.
+    parent: Option<Arc<RunningCall>>,
+    /// Account of a call that starts a chain and carries a key.
+    account: Option<RequestAccount>,
+    arrived_at: TimePoint,
+    deadline: TimePoint,
+}
+
+impl RoutedCall {
+    /// Rank by the account and the route.
+    fn rank(&self) -> u8 {
+        let account = self.account.as_ref().map(|account| &*account.rule);
+        self.config.request_rank(&self.rule, account)
+    }
+
+    fn origin(&self) -> CallOrigin<'_> {
+        CallOrigin {
+            rule: &self.rule,
+            rank: self.rank(),
+            parent: self.parent.as_deref(),
+        }
+    }
+}
+
+/// Response of the sidecar itself to a call that is not forwarded.
+struct LocalAnswer {
+    failure: RequestFailure,
+    retry_after: Option<Duration>,
+    /// Whether the reason has been logged.
+    is_reported: bool,
+}
+
+impl From<RequestFailure> for LocalAnswer {
+    fn from(failure: RequestFailure) -> Self {
+        Self {
+            failure,
+            retry_after: None,
+            is_reported: false,
+        }
+    }
+}
+
+impl From<RequestRefusal> for LocalAnswer {
+    fn from(refusal: RequestRefusal) -> Self {
+        Self {
+            failure: refusal.failure,
+            retry_after: Some(refusal.retry_after),
+            is_reported: true,
+        }
+    }
+}
+
+impl LocalAnswer {
+    fn with_delay(self, delay: Duration) -> Self {
+        Self {
+            retry_after: Some(delay),
+            ..self
+        }
+    }
+
+    fn reported(self) -> Self {
+        Self {
+            is_reported: true,
+            ..self
+        }
+    }
+}
+
+/// Serves the callers on the VM and the local target's own calls.
+///
+/// A pipelined request has arrived while the one before it was handled, and its time runs from
+/// then.
+pub(crate) async fn serve_outbound<P: PlatformAdapter>(
+    state: Arc<SidecarState<P>>,
+    request: Request<Incoming>,
+    arrival: RequestArrival,
+) -> Response<RelayBody> {
+    let arrived_at = arrival.arrived_at;
+    let _token = state.in_flight.token();
+    let mut response = handle_request(&state, request, arrived_at).await;
+    if state.phase() >= SidecarPhase::Draining {
+        let headers = response.headers_mut();
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    let status = response.status().as_u16().to_string();
+    let elapsed = state.clock.now().since(arrived_at);
+    metrics::histogram!("banyantrestle_outbound_seconds", "status" => status).record(elapsed);
+    response
+}
+
+async fn handle_request<P: PlatformAdapter>(
+    state: &Arc<SidecarState<P>>,
+    request: Request<Incoming>,
+    arrived_at: TimePoint,
+) -> Response<RelayBody> {
+    let names = state.platform.headers();
+    let (head, body) = request.into_parts();
+    let id = header_text(&head.headers, &names.request_id);
+    let id = id.unwrap_or_default().to_owned();
+    let result = match find_route(state, &head, &id, arrived_at) {
+        Ok(routed) => run_call(state, routed, head, body).await,
+        Err(answer) => Err(answer),
+    };
+    result.unwrap_or_else(|answer| {
+        if !answer.is_reported {
+            report_local_response(state, &id, answer.failure);
+        }
+        local_response(answer.failure, &id, answer.retry_after, names)
+    })
+}
+
+/// Finds the route, the parent and the account of a call.
+fn find_route<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    head: &Parts,
+    id: &str,
+    arrived_at: TimePoint,
+) -> Result<RoutedCall, LocalAnswer> {
+    let no_config = || LocalAnswer::from(RequestFailure::NoConfig).with_delay(DEFAULT_RETRY_DELAY);
+    let config = state.config().ok_or_else(no_config)?;
+    let rule = config.find(request_host(head), head.uri.path()).cloned();
+    let rule = rule.ok_or(RequestFailure::NoRoute)?;
+    let parent = state.running.parent_of(id);
+    let account = if parent.is_some() {
+        None
+    } else {
+        check_credential(state, &config, &rule, &head.headers).map_err(|refusal| {
+            let failure = RequestFailure::from(refusal);
+            let answer = LocalAnswer::from(failure);
+            if failure == RequestFailure::KeyUnproven {
+                answer.with_delay(retry_after(&rule, DEFAULT_RETRY_DELAY))
+            } else {
+                answer
+            }
+        })?
+    };
+    let deadline = call_deadline(state, head, &rule, parent.as_deref(), arrived_at);
+    if state.clock.now() >= deadline {
+        let answer = LocalAnswer::from(RequestFailure::NotRun);
+        return Err(answer.with_delay(retry_after(&rule, DEFAULT_RETRY_DELAY)));
+    }
+    Ok(RoutedCall {
+        config,
+        rule,
+        parent,
+        account,
+        arrived_at,
+        deadline,
+    })
+}
+
+/// Reads, admits and forwards a call.
+async fn run_call<P: PlatformAdapter>(
+    state: &Arc<SidecarState<P>>,
+    routed: RoutedCall,
+    head: Parts,
+    body: Incoming,
+) -> Result<Response<RelayBody>, LocalAnswer> {
+    let names = state.platform.headers();
+    let started_at = state.clock.now();
+    let time_left = started_at.until(routed.deadline);
+    let body = read_body(&head, body, routed.config.limits.body_bytes, time_left).await?;
+    let mut call = ForwardedCall::new(head, body, names);
+    if routed.config.accounts.is_some() {
+        call.remove_credential(names);
+    }
+    let mut context = build_context(state, &routed).ok_or(RequestFailure::TooDeep)?;
+    let caller = context.caller_identity();
+    if let Some(digest) = state.crash_watch.refused_digest(&call, &caller) {
+        report_crashing_request(state, &call, &routed.rule, digest);
+        return Err(LocalAnswer::from(RequestFailure::CrashesTargets).reported());
+    }
+    let service = context.service.clone();
+    let mut admission = None;
+    if routed.parent.is_none() {
+        let root = RootRequest {
+            id: &call.id,
+            config: &routed.config,
+            rule: &routed.rule,
+            service: &service,
+            account: routed.account.as_ref(),
+        };
+        let mut credit = admit_account(state, root).await?;
+        let admitted = admit_request(state, root, started_at)?;
+        context.rank = admitted.queue_rank;
+        if let Some(credit) = &mut credit {
+            credit.spend();
+        }
+        admission = Some((admitted, credit));
+    }
+    let outbound = OutboundCall {
+        call: &call,
+        origin: routed.origin(),
+        account: routed.account.clone(),
+        context,
+    };
+    let result = forward_until_deadline(state, outbound, &routed, &service).await;
+    match result {
+        Ok(response) => {
+            if let Some((admitted, _)) = &admission
+                && response.status().is_success()
+            {
+                admitted.record_latency(routed.arrived_at, &routed.rule);
+            }
+            Ok(response)
+        }
+        Err(failure) => {
+            if let Some((_, Some(credit))) = &mut admission
+                && failure.has_not_run()
+            {
+                credit.keep_unspent();
+            }
+            let delay = failure_delay(state, failure, &routed.rule, &service);
+            Err(LocalAnswer {
+                retry_after: delay,
+                ..failure.into()
+            })
+        }
+    }
+}
+
+/// Forwards a call until its deadline or the end of the sidecar's shutdown.
+async fn forward_until_deadline<P: PlatformAdapter>(
+    state: &Arc<SidecarState<P>>,
+    outbound: OutboundCall<'_>,
+    routed: &RoutedCall,
+    service: &ServiceName,
+) -> Result<Response<RelayBody>, RequestFailure> {
+    let deadline_instant = state.clock.instant_of(routed.deadline);
+    let mut phase = state.phase.subscribe();
+    let drain_deadline = phase.wait_for(|phase| *phase == SidecarPhase::Stopping);
+    let mut cause = None;
+    let forwarding = timeout_at(
+        deadline_instant,
+        forward_with_retries(state, outbound, &mut cause),
+    );
+    let result = tokio::select! {
+        result = forwarding => result,
+        _ = drain_deadline => return Err(RequestFailure::Unknown),
+    };
+    if result.is_err() {
+        let elapsed = routed.arrived_at.until(routed.deadline);
+        record_timeout(state, routed.origin(), service, elapsed);
+        let failure = RequestFailure::DeadlinePassed;
+        cause = Some(FailureCause::new(service, failure.into()));
+    }
+    if let Some(parent) = &routed.parent
+        && let Some(cause) = cause
+    {
+        parent.record_failure(cause);
+    }
+    result.unwrap_or(Err(RequestFailure::DeadlinePassed))
+}
+
+/// The earliest deadline that the caller, the route and the parent call allow.
+fn call_deadline<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    head: &Parts,
+    rule: &RouteRule,
+    parent: Option<&RunningCall>,
+    arrived_at: TimePoint,
+) -> TimePoint {
+    let names = state.platform.headers();
+    let text = header_text(&head.headers, &names.deadline_ms);
+    let millis = text.and_then(|text| text.parse().ok());
+    let timeout = millis.map_or(rule.timeout, Duration::from_millis);
+    let deadline = arrived_at + timeout.min(rule.timeout);
+    parent.map_or(deadline, |parent| deadline.min(parent.context.deadline))
+}
+
+fn build_context<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    routed: &RoutedCall,
+) -> Option<HopContext> {
+    let rule = &routed.rule;
+    let service = rule.choose_service(rand::rng().random())?.clone();
+    let parent_context = routed.parent.as_ref().map(|parent| &parent.context);
+    let depth = parent_context.map_or(0, |parent_context| parent_context.depth + 1);
+    let account = routed.account.as_ref();
+    let name = account.map(|account| account.rule.name.clone());
+    (depth <= MAX_CALL_DEPTH).then(|| HopContext {
+        service,
+        caller: state.settings.service.clone(),
+        rank: parent_context.map_or_else(|| routed.rank(), |parent_context| parent_context.rank),
+        root_start: parent_context.map_or(routed.arrived_at, |parent_context| {
+            parent_context.root_start
+        }),
+        deadline: routed.deadline,
+        depth,
+        earlier_attempts: 0,
+        is_inherited_retry: parent_context.is_some_and(HopContext::is_retry),
+        is_idempotent: rule.is_idempotent(),
+        account: parent_context.map_or(name, |parent_context| parent_context.account.clone()),
+        key_valid_until: account.map(|account| account.valid_until),
+    })
+}
+
+/// Reads a whole body; fails at once if the declared length exceeds the limit.
+async fn read_body(
+    head: &Parts,
+    body: Incoming,
+    limit: usize,
+    timeout: Duration,
+) -> Result<Bytes, RequestFailure> {
+    let length = header_text(&head.headers, &CONTENT_LENGTH);
+    let length: Option<usize> = length.and_then(|text| text.parse().ok());
+    if length.is_some_and(|length| length > limit) {
+        return Err(RequestFailure::BodyTooLarge);
+    }
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let result = read_request(body, limit, timeout).await;
+    result.map_err(|error| match error {
+        RequestError::TooLarge { .. } => RequestFailure::BodyTooLarge,
+        RequestError::TooSlow { .. } | RequestError::Broken(_) => RequestFailure::BodyLate,
+    })
+}
+
+/// Retry delay of a caller whose request has failed; `None` if it may have run.
+fn failure_delay<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    failure: RequestFailure,
+    rule: &RouteRule,
+    service: &ServiceName,
+) -> Option<Duration> {
+    let now = state.clock.now();
+    failure.is_temporary().then(|| {
+        let delay = state.peers().rate_limit_delay(now, service, true);
+        retry_after(rule, delay.unwrap_or(DEFAULT_RETRY_DELAY))
+    })
+}
--- a/src/sidecar/peer_call.rs
+++ b/src/sidecar/peer_call.rs
@@ -2,6 +2,7 @@
     super::{
         FailureCause, HopContext, PeerOutcome, PlatformAdapter, PressureReport, TargetLoad,
         TreeCost,
+        account_gate::PROOF_HEADER,
         attempt_report::{ATTEMPT_FAILURE_HEADER, AttemptFailure, AttemptReport, ONLY_PEER_HEADER},
         failure_cause::CAUSE_HEADER,
         forwarded_call::ForwardedCall,
@@ -100,6 +101,7 @@
         Err(
             AttemptFailure::QueueFull
             | AttemptFailure::DeadlineTooNear
+            | AttemptFailure::KeyUnproven
             | AttemptFailure::NoRetries
             | AttemptFailure::RequestRefused
             | AttemptFailure::SuspectElsewhere
@@ -134,8 +136,15 @@
         }
     };
     let deadline = state.clock.instant_of(context.deadline) + POOL_TIMEOUT_MARGIN;
+    let asked_at = state.clock.now();
     match state.mesh_pool.send(peer, request, deadline).await {
-        Ok(response) => read_report(state, response, context, peer).await,
+        Ok(mut response) => {
+            if let Some(text) = take_header_text(response.headers_mut(), PROOF_HEADER) {
+                let version = state.config().map_or(0, |config| config.version);
+                state.accounts.merge_proof(version, asked_at, &text);
+            }
+            read_report(state, response, context, peer).await
+        }
         Err(failure) => {
             let kind = match failure {
                 SendFailure::NotSent(_) => AttemptFailure::PeerUnreachable,
--- a/src/sidecar/platform_adapter.rs
+++ b/src/sidecar/platform_adapter.rs
@@ -2,7 +2,7 @@
     super::{RouteConfig, TargetReport},
     crate::error::StepError,
     bytes::Bytes,
-    http::{HeaderName, Method},
+    http::{HeaderMap, HeaderName, Method},
     std::{future::Future, time::Duration},
 };
 
@@ -27,6 +27,10 @@
     pub leaving: HeaderName,
     /// Service of the target that makes the call.
     pub caller_service: HeaderName,
+    /// Key of the caller's account.
+    pub credential: HeaderName,
+    /// Name of the caller's account, for the target.
+    pub account: HeaderName,
 }
 
 impl HeaderNames {
@@ -48,10 +52,22 @@
     }
 }
 
+/// Key that a request carries.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum CallerCredential<'a> {
+    Missing,
+    /// Not in the platform's form, or there are several.
+    Malformed,
+    Key(&'a [u8]),
+}
+
 /// Adapter for the header names and document formats of a platform; it holds no policy.
 pub trait PlatformAdapter: Send + Sync + 'static {
     fn headers(&self) -> &HeaderNames;
 
+    /// Finds the key of the caller's account.
+    fn read_credential<'a>(&self, headers: &'a HeaderMap) -> CallerCredential<'a>;
+
     fn is_readiness_check(&self, method: &Method, path: &str) -> bool;
 
     /// Parses a target's report; `None` if the request is not a report.
@@ -102,6 +118,18 @@
 pub struct ConfigRow {
     pub position: FeedPosition,
     pub document: Option<Bytes>,
+    /// Whether the store is known to have answered with its present state.
+    pub is_current: bool,
+}
+
+/// Result of asking whether the configuration is still the one that was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConfigStanding {
+    Unchanged,
+    /// Something in the store has changed; the configuration has to be read again.
+    Changed,
+    /// The answer is not of the store's present state.
+    Outdated,
 }
 
 /// Result of waiting for a change.
@@ -113,13 +141,22 @@
 }
 
 /// Store that holds the operator's configuration.
-pub trait ConfigSource: Send + Sync + 'static {
+pub trait ConfigSource: Clone + Send + Sync + 'static {
     /// Reads the current configuration.
     ///
     /// # Errors
     /// The store refused the request or did not respond.
     fn read(&self) -> impl Future<Output = Result<ConfigRow, StepError>> + Send;
 
+    /// Asks whether anything has changed after `position`; much cheaper than [`Self::read`].
+    ///
+    /// # Errors
+    /// The store refused the request or did not respond.
+    fn confirm(
+        &self,
+        position: FeedPosition,
+    ) -> impl Future<Output = Result<ConfigStanding, StepError>> + Send;
+
     /// Waits until something has changed after `position`, `max_wait` has passed, or the epoch is no
     /// longer that of `position`.
     ///
--- a/src/sidecar/route_config.rs
+++ b/src/sidecar/route_config.rs
@@ -1,5 +1,6 @@
 use {
-    super::RouteRule,
+    super::{RouteRule, rank_scale::RankScale},
+    crate::accounts::{AccountRule, AccountTable},
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
 
@@ -31,7 +32,9 @@
     pub version: u64,
     pub limits: CallerLimits,
     hosts: HashMap<String, HashMap<String, Arc<RouteRule>>>,
-    lowest_rank: u8,
+    /// Client accounts; `None` if requests need no key.
+    pub accounts: Option<AccountTable>,
+    ranks: RankScale,
 }
 
 impl RouteConfig {
@@ -42,9 +45,9 @@
         rules: impl IntoIterator<Item = RouteRule>,
     ) -> Self {
         let mut hosts: HashMap<String, HashMap<String, Arc<RouteRule>>> = HashMap::new();
-        let mut lowest_rank = u8::MAX;
+        let mut route_ranks = Vec::new();
         for rule in rules {
-            lowest_rank = lowest_rank.min(rule.rank);
+            route_ranks.push(rule.rank);
             let prefixes = hosts.entry(rule.host.to_ascii_lowercase()).or_default();
             prefixes.insert(rule.prefix.clone(), Arc::new(rule));
         }
@@ -52,14 +55,31 @@
             version,
             limits,
             hosts,
-            lowest_rank,
+            accounts: None,
+            ranks: RankScale::new(route_ranks),
         }
     }
 
-    /// Whether requests of this rank go before those of another route.
+    /// Adds the client accounts; requests of routes that are not public need a key then.
+    #[must_use]
+    pub fn with_accounts(mut self, accounts: AccountTable) -> Self {
+        let priorities = accounts.accounts().map(|account| account.priority);
+        self.ranks = self.ranks.with_account_priorities(priorities.collect());
+        self.accounts = Some(accounts);
+        self
+    }
+
+    /// Rank of a request: by the priority of its account first, by its route second.
+    #[must_use]
+    pub fn request_rank(&self, rule: &RouteRule, account: Option<&AccountRule>) -> u8 {
+        let priority = account.map(|account| account.priority);
+        self.ranks.rank(priority, rule.rank)
+    }
+
+    /// Whether requests of this rank go before others.
     #[must_use]
     pub fn is_urgent(&self, rank: u8) -> bool {
-        rank > self.lowest_rank
+        rank > self.ranks.lowest()
     }
 
     /// Finds the rule of the host with the longest prefix of `path`; a port in `host` is ignored.
--- a/src/sidecar/route_cost.rs
+++ b/src/sidecar/route_cost.rs
@@ -1,4 +1,7 @@
-use {super::TreeCost, crate::context::ServiceName};
+use {
+    super::{TreeCost, rank_set::RankSet},
+    crate::context::ServiceName,
+};
 
 /// Weight of the newest request in the mean cost of a route, after the warm-up.
 const COST_SAMPLE_WEIGHT: f64 = 0.05;
@@ -16,7 +19,8 @@
 /// Mean cost of the requests of one route.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RouteCost {
-    pub(super) rank: u8,
+    /// Ranks of its requests since the configuration came into force.
+    pub(super) ranks: RankSet,
     requests: u32,
     pub(super) in_flight: u32,
     timing: Option<RouteTiming>,
--- a/src/sidecar/route_rule.rs
+++ b/src/sidecar/route_rule.rs
@@ -29,8 +29,11 @@
     pub latency_objective: Duration,
     /// Maximum number of targets that may run one attempt of a caller.
     pub max_attempts: u32,
-    /// Rank of the class; under load, lower ranks are refused first.
+    /// Rank of the class; under load, lower ranks are refused first. That of the account goes before
+    /// it.
     pub rank: u8,
+    /// Whether requests need no key of an account.
+    pub is_public: bool,
     /// Has at least one entry.
     pub traffic_split: Vec<WeightedService>,
 }
--- a/src/sidecar/service_limiter.rs
+++ b/src/sidecar/service_limiter.rs
@@ -7,7 +7,7 @@
 /// Number of levels in which requests are admitted.
 const LEVEL_COUNT: usize = CHEAP_LEVEL as usize + 1;
 /// Level of requests that hardly take capacity from others. It is limited by its own load alone.
-pub(super) const CHEAP_LEVEL: u8 = 4;
+pub(super) const CHEAP_LEVEL: u8 = 15;
 /// Highest level of a rank; ranks further above the lowest share it.
 pub(super) const MAX_RANK_LEVEL: u8 = CHEAP_LEVEL - 1;
 /// Bounds of the queue of the lowest rank, relative to the slots that higher ranks leave it, and
@@ -16,9 +16,12 @@
 const MAX_LOWEST_QUEUE: f64 = 0.5;
 const DEFAULT_LOWEST_QUEUE: f64 = 0.15;
 /// Urgent pressure at which a service is held for the first level above the lowest, and the
-/// increase with each further one.
+/// increase with each further one and over all of them.
 const URGENT_SETPOINT: f64 = 1.6;
-const SETPOINT_STEP: f64 = 0.25;
+const MAX_SETPOINT_STEP: f64 = 0.25;
+const SETPOINT_RANGE: f64 = 0.5;
+/// The same for requests that hardly take capacity.
+const CHEAP_SETPOINT: f64 = 2.35;
 /// Pressure above which an ingress sidecar starts to limit.
 const LIMIT_START_PRESSURE: f64 = 1.0;
 /// Pressure below which nothing is refused, since slots are free.
@@ -88,6 +91,8 @@
     share: f64,
     /// Queue of the lowest rank, relative to the slots that higher ranks leave it.
     lowest_queue: f64,
+    /// Level of the highest rank in use.
+    top_level: u8,
     tokens: [f64; LEVEL_COUNT],
     /// Moving average of the admitted slot seconds per second by level.
     admitted_loads: [f64; LEVEL_COUNT],
@@ -104,6 +109,7 @@
             base_rate: None,
             share: 1.0,
             lowest_queue: DEFAULT_LOWEST_QUEUE,
+            top_level: MAX_RANK_LEVEL,
             tokens: [0.0; LEVEL_COUNT],
             admitted_loads: [0.0; LEVEL_COUNT],
             updated_at: now,
@@ -217,6 +223,11 @@
         Duration::try_from_secs_f64(missing / rate).unwrap_or(Duration::MAX)
     }
 
+    /// Sets the level of the highest rank.
+    pub(super) fn set_top_level(&mut self, level: u8) {
+        self.top_level = level;
+    }
+
     /// Updates the rate and the tokens; `fair_share` is the rate of each sidecar if all need the
     /// same, `affordable_queue` the queue that requests of the lowest rank can afford, relative to
     /// the slots that they use.
@@ -298,14 +309,23 @@
     /// Distance of the pressure below the setpoint of the level.
     fn pressure_error(&self, level: u8, base_rate: f64) -> f64 {
         if level > 0 {
-            let setpoint = URGENT_SETPOINT + SETPOINT_STEP * f64::from(level - 1);
-            return setpoint - self.pressure.urgent;
+            return self.setpoint(level) - self.pressure.urgent;
         }
         let higher_load: f64 = self.admitted_loads[1..].iter().sum();
         let lowest_share = (1.0 - higher_load / base_rate).clamp(0.0, 1.0);
         1.0 + self.lowest_queue * lowest_share - self.pressure.total
     }
 
+    /// Urgent pressure at which the service is held for a level above the lowest.
+    fn setpoint(&self, level: u8) -> f64 {
+        if level == CHEAP_LEVEL {
+            return CHEAP_SETPOINT;
+        }
+        let steps = self.top_level.saturating_sub(1).max(1);
+        let step = MAX_SETPOINT_STEP.min(SETPOINT_RANGE / f64::from(steps));
+        URGENT_SETPOINT + step * f64::from(level.saturating_sub(1).min(steps))
+    }
+
     /// Factor of the rate for the difference between the pressure and the setpoint of the level.
     fn correction(&self, level: u8, base_rate: f64) -> f64 {
         let error = self.pressure_error(level, base_rate);
--- a/src/sidecar/sidecar_daemon.rs
+++ b/src/sidecar/sidecar_daemon.rs
@@ -2,12 +2,13 @@
     super::{
         ConfigSource, IngressAdmission, PeerTable, PlatformAdapter, SidecarSettings,
         TargetRetryBudget, TargetTracker,
+        account_gate::{AccountState, keep_proof},
         admin_service::{expire_target, serve_admin, serve_readiness},
         config_watch::{watch_gossip, watch_store},
         crash_watch::CrashWatch,
         inbound_service::serve_inbound,
         leaving_peers::LeavingPeers,
-        outbound_service::serve_outbound,
+        outbound::serve_outbound,
         refusal_store::keep_refusals,
         request_log::RequestLog,
         running_calls::RunningCalls,
@@ -128,6 +129,7 @@
             recorder: process_recorder(),
             phase: watch::Sender::new(SidecarPhase::Starting),
             config: watch::Sender::new(None),
+            accounts: AccountState::new(settings.proof_rule, now),
             leaving_peers: LeavingPeers::default(),
             peers: Mutex::new(PeerTable::new(
                 settings.listen.mesh,
@@ -159,6 +161,7 @@
     }
 
     fn spawn_tasks<S: ConfigSource>(&self, source: S, timers: TimerService) {
+        tokio::spawn(keep_proof(self.state.clone(), source.clone()));
         tokio::spawn(watch_store(self.state.clone(), source));
         tokio::spawn(watch_gossip(self.state.clone()));
         tokio::spawn(watch_members(self.state.clone()));
--- a/src/sidecar/sidecar_settings.rs
+++ b/src/sidecar/sidecar_settings.rs
@@ -1,6 +1,9 @@
 use {
     super::RetryLimits,
-    crate::context::ServiceName,
+    crate::{
+        accounts::{ProofRule, QuotaTolerance},
+        context::ServiceName,
+    },
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -38,4 +41,7 @@
     /// Time from the stop signal until the process is killed.
     pub shutdown_grace: Duration,
     pub retry_limits: RetryLimits,
+    /// How long keys of accounts are accepted without news of the configuration.
+    pub proof_rule: ProofRule,
+    pub quota_tolerance: QuotaTolerance,
 }
--- a/src/sidecar/sidecar_state.rs
+++ b/src/sidecar/sidecar_state.rs
@@ -1,9 +1,9 @@
 use {
     super::{
         IngressAdmission, PeerTable, PlatformAdapter, RouteConfig, SidecarSettings,
-        TargetRetryBudget, TargetTracker, crash_watch::CrashWatch, leaving_peers::LeavingPeers,
-        live_target::LiveTarget, request_log::RequestLog, running_calls::RunningCalls,
-        unread_fields::UnreadFields,
+        TargetRetryBudget, TargetTracker, account_gate::AccountState, crash_watch::CrashWatch,
+        leaving_peers::LeavingPeers, live_target::LiveTarget, request_log::RequestLog,
+        running_calls::RunningCalls, unread_fields::UnreadFields,
     },
     crate::{
         context::ServiceName,
@@ -70,6 +70,7 @@
     pub(crate) phase: watch::Sender<SidecarPhase>,
     pub(crate) config: watch::Sender<Option<ActiveConfig>>,
     pub(crate) crash_watch: Arc<CrashWatch>,
+    pub(crate) accounts: AccountState,
     /// Targets of other sidecars that have said that they are leaving.
     pub(crate) leaving_peers: LeavingPeers,
     pub(super) peers: Mutex<PeerTable>,
@@ -110,11 +111,23 @@
     /// Applies a membership view to the peer table and drops connections to peers that are no
     /// longer called.
     pub(crate) fn update_peers(&self, view: &MemberView) {
+        let now = self.clock.now();
+        self.accounts.update_members(now, view);
         let mut peers = self.peers();
-        peers.update(self.clock.now(), view);
+        peers.update(now, view);
         self.mesh_pool.retain(|peer| peers.contains(*peer));
     }
 
+    /// Encoded report of the proof of the configuration, for other sidecars; `None` if there is none.
+    pub(crate) fn proof_report(&self) -> Option<String> {
+        let config = self.config()?;
+        config.accounts.as_ref()?;
+        let report = self
+            .accounts
+            .proof_report(config.version, self.clock.now())?;
+        Some(report.encode())
+    }
+
     /// Updates the admission rates; each member gets an equal share of the concurrency limit of a
     /// service.
     pub(crate) fn tick_admission(&self) {
--- a/standins/src/upstream/run_recorder.rs
+++ b/standins/src/upstream/run_recorder.rs
@@ -13,6 +13,10 @@
     pub path: String,
     pub host: String,
     pub caller: String,
+    /// Values of the header with the account, each as the target received it.
+    pub accounts: Vec<String>,
+    /// Whether the target was shown a key.
+    pub has_credential: bool,
     pub deadline_ms: u64,
     pub body: Vec<u8>,
 }
--- a/standins/src/upstream/upstream_standin.rs
+++ b/standins/src/upstream/upstream_standin.rs
@@ -425,6 +425,7 @@
     fn recorded_run(&self, head: &Parts, body: Vec<u8>) -> RecordedRun {
         let path = head.uri.path_and_query().map_or("", |path| path.as_str());
         let deadline = header(&head.headers, "x-banyantrestle-deadline-ms");
+        let accounts = head.headers.get_all("x-banyantrestle-tenant-id").iter();
         RecordedRun {
             service: self.service.clone(),
             instance: self.instance(),
@@ -432,6 +433,10 @@
             path: path.into(),
             host: header(&head.headers, "host"),
             caller: header(&head.headers, "x-banyantrestle-caller-service"),
+            accounts: accounts
+                .map(|name| String::from_utf8_lossy(name.as_bytes()).into_owned())
+                .collect(),
+            has_credential: head.headers.contains_key("authorization"),
             deadline_ms: deadline.parse().unwrap_or_default(),
             body,
         }
--- a/tests/sidecar/rate_limit.rs
+++ b/tests/sidecar/rate_limit.rs
@@ -42,6 +42,8 @@
         rate_limit: name("limit"),
         leaving: name("leaving"),
         caller_service: name("caller"),
+        credential: name("credential"),
+        account: name("account"),
     }
 }
 
--- a/tests/sidecar/route_config.rs
+++ b/tests/sidecar/route_config.rs
@@ -24,6 +24,7 @@
         latency_objective: Duration::from_millis(300),
         max_attempts: 2,
         rank: 1,
+        is_public: false,
         traffic_split: split.iter().map(weighted).collect(),
     }
 }
