Keep accounts of low rank from being shut out

A request that is refused although its account's rank is not the highest is considered again with the highest rank: 0.35 of them, times the share of all requests that the sidecar admits. So the share of the lowest account stays above a quarter of that of all, and below that of the lowest route of the first account.

Model of one front (tests/sidecar/account_ranks.rs): at 8 times the capacity the last account gets 0.25 to 0.29 of the share of all.

--- a/src/sidecar/ingress_admission.rs
+++ b/src/sidecar/ingress_admission.rs
@@ -1,11 +1,14 @@
 use {
     super::{
         PressureReport, QueuePressure, ServiceLimiter, TreeCost, pressure_report::ServicePressure,
-        rank_set::RankSet, route_cost::RouteCost, service_limiter::MAX_RANK_LEVEL,
-        service_ranks::ServiceRanks,
+        rank_scale::account_band, rank_set::RankSet, route_cost::RouteCost,
+        service_limiter::MAX_RANK_LEVEL, service_ranks::ServiceRanks,
     },
     crate::{context::ServiceName, time::TimePoint},
-    std::{collections::HashMap, time::Duration},
+    std::{
+        collections::{BTreeMap, HashMap},
+        time::Duration,
+    },
 };
 
 /// Requests of routes with an unknown cost that may be in flight while a service is loaded, as a
@@ -16,6 +19,12 @@
 /// Time after which a caller whose request has an unknown cost may return; by then the first
 /// requests of the route have ended.
 const UNKNOWN_COST_DELAY: Duration = Duration::from_millis(300);
+/// Share of the requests refused for the rank of their account that are considered again with the
+/// highest rank, relative to the share of all requests that are admitted. So no account is shut out
+/// while others are served.
+const LIFTED_SHARE: f64 = 0.35;
+/// Weight of the newest request in the share of admitted requests.
+const ADMITTED_SHARE_WEIGHT: f64 = 0.01;
 /// Maximum number of routes whose cost is tracked.
 const MAX_ROUTES: usize = 4_096;
 /// Maximum number of services that have a limiter.
@@ -32,6 +41,10 @@
     routes: HashMap<String, RouteCost>,
     limiters: HashMap<ServiceName, ServiceLimiter>,
     ranks: HashMap<ServiceName, ServiceRanks>,
+    /// Requests of each rank to consider again, in parts of one.
+    lifts: BTreeMap<u8, f64>,
+    /// Moving average of the share of requests that are refused.
+    refused_share: f64,
     /// Most loaded service, while one is loaded.
     loaded_service: Option<LoadedService>,
 }
@@ -64,6 +77,38 @@
     /// The rate limit of a service that the request would reach is exhausted for its rank, or the
     /// cost of the route is unknown and enough such requests are in flight.
     pub fn admit(&mut self, now: TimePoint, route: &str, rank: u8) -> Result<u8, IngressRefusal> {
+        let mut result = self.admit_ranked(now, route, rank);
+        if let Err(refusal) = &result
+            && let Some(lifted_rank) = self.lifted_rank(&refusal.service, rank)
+        {
+            result = self.admit_ranked(now, route, lifted_rank);
+        }
+        let is_refused = f64::from(u8::from(result.is_err()));
+        self.refused_share += (is_refused - self.refused_share) * ADMITTED_SHARE_WEIGHT;
+        result
+    }
+
+    /// Rank with which a refused request is considered again; `None` if it is not.
+    fn lifted_rank(&mut self, service: &ServiceName, rank: u8) -> Option<u8> {
+        let highest = self.ranks.get(service)?.highest;
+        if account_band(rank) == account_band(highest) {
+            return None;
+        }
+        let lifts = self.lifts.entry(rank).or_default();
+        *lifts += LIFTED_SHARE * (1.0 - self.refused_share);
+        if *lifts < 1.0 {
+            return None;
+        }
+        *lifts -= 1.0;
+        Some(highest)
+    }
+
+    fn admit_ranked(
+        &mut self,
+        now: TimePoint,
+        route: &str,
+        rank: u8,
+    ) -> Result<u8, IngressRefusal> {
         if !self.routes.contains_key(route) {
             if self.routes.len() >= MAX_ROUTES {
                 return Ok(rank);
@@ -238,6 +283,7 @@
         for cost in self.routes.values_mut() {
             cost.ranks = RankSet::default();
         }
+        self.lifts.clear();
     }
 
     /// Updates the rate limits; `fair_share` is one sidecar's share of the concurrency limit of a
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the sidecar's decision logic, without clocks or sockets.
 
+mod account_ranks;
 mod admission_dynamics;
 mod attempt_history;
 mod headers;
