Count the times of a call from before a pause of the receiver

A sidecar that was stopped for some seconds read calls from its socket buffers and took their deadlines and the validity of their keys as of the moment of reading. So a call could run on a key that had been removed long before, or beyond its caller's deadline.

The tick of the admission tells how long the process was paused; what is read before or soon after the first tick counts from the beginning of the pause. It is refused as not run, and the front tries again.

--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -77,9 +77,10 @@
             path => serve_config(&state, path),
         };
     };
-    let now = state.clock.now();
+    // Its times count from when it was sent, which a pause of this process may have hidden.
+    let sent_at = state.pauses.earliest_arrival(state.clock.now());
     let context = context.to_str().ok();
-    let Some(context) = context.and_then(|text| HopContext::decode(text, now)) else {
+    let Some(context) = context.and_then(|text| HopContext::decode(text, sent_at)) else {
         slog::warn!(
             state.log.logger,
             "call refused: malformed context header from a peer"
--- a/src/sidecar/sidecar_daemon.rs
+++ b/src/sidecar/sidecar_daemon.rs
@@ -26,7 +26,7 @@
             serve_mesh,
         },
         table::TableStore,
-        time::{BootClock, ProcessClock, TimerService},
+        time::{BootClock, PauseDetector, ProcessClock, TimerService},
     },
     std::{
         net::SocketAddr,
@@ -112,6 +112,7 @@
         let tracker = TargetTracker::new(settings.service.clone(), settings.heartbeat_interval);
         let state = Arc::new(SidecarState {
             clock,
+            pauses: PauseDetector::new(now),
             platform,
             log: RequestLog::new(logger.clone(), clock),
             crash_watch: Arc::new(CrashWatch::new(
--- a/src/sidecar/sidecar_state.rs
+++ b/src/sidecar/sidecar_state.rs
@@ -9,7 +9,7 @@
         context::ServiceName,
         membership::{MemberView, MembershipHandle},
         net::MeshPool,
-        time::BootClock,
+        time::{BootClock, PauseDetector},
     },
     bytes::Bytes,
     metrics::gauge,
@@ -56,6 +56,7 @@
 #[derive(Debug)]
 pub(crate) struct SidecarState<P> {
     pub(crate) clock: BootClock,
+    pub(crate) pauses: PauseDetector,
     pub(crate) settings: SidecarSettings,
     pub(crate) platform: P,
     pub(crate) log: RequestLog,
@@ -131,6 +132,7 @@
     /// Updates the admission rates; each member gets an equal share of the concurrency limit of a
     /// service.
     pub(crate) fn tick_admission(&self) {
+        self.pauses.tick(self.clock.now());
         let members = self.membership.view().borrow().members.len().max(1);
         let ingress_count = f64::from(u32::try_from(members).unwrap_or(u32::MAX));
         let peers = self.peers();
--- a/src/time/mod.rs
+++ b/src/time/mod.rs
@@ -4,12 +4,14 @@
 
 mod boot_clock;
 mod decay_factor;
+mod pause_detector;
 mod process_clock;
 mod time_point;
 mod timer_service;
 
 pub use boot_clock::BootClock;
 pub(crate) use decay_factor::decay_factor;
+pub use pause_detector::PauseDetector;
 pub use process_clock::ProcessClock;
 pub use time_point::TimePoint;
 pub use timer_service::{TimerService, TimerTick};
