--- a/tests/accounts/quota_model.rs
+++ b/tests/accounts/quota_model.rs
@@ -331,7 +331,8 @@
         limit: AccountLimit,
     ) -> bool {
         // Each sidecar sends its counts to three others five times a second.
-        self.messages = now.as_millis() / 200 * 3 * u64::try_from(network.size).unwrap_or(0);
+        let elapsed_ms = now.as_millis() - TRAFFIC_START_MS;
+        self.messages = elapsed_ms / 200 * 3 * u64::try_from(network.size).unwrap_or(0);
         let admitted = self.admitted.entry(account).or_default();
         let window = TOLERANCE.window;
         let delay = Duration::from_millis(GOSSIP_DELAY_MS);
