Name the reasons for a missing credit; questions to owners whose callers have left

take_credit returned a nested option; it is an enum now. Credits that were requested for callers that have left counted as pending for good, so fewer were requested ahead; they count for the lifetime of a credit.

--- a/src/accounts/credit_purse.rs
+++ b/src/accounts/credit_purse.rs
@@ -33,8 +33,10 @@
     credits: u32,
     /// End of their lifetime.
     expires_at: TimePoint,
-    /// Credits that have been requested and not answered.
+    /// Credits that have been requested and not answered, and when the last were. A caller that
+    /// leaves while its request waits for the answer takes the answer with it.
     pending: u32,
+    pending_since: TimePoint,
     /// Moving average of the requests, as their number in one time constant.
     demand: f64,
     demand_updated_at: TimePoint,
@@ -89,8 +91,12 @@
         if let Some(index) = available {
             self.next_owner = index;
             let owner = self.owners[index].address;
+            if now.since(self.pending_since) >= CREDIT_LIFETIME {
+                self.pending = 0;
+            }
             let wanted = 1 + self.advance();
             self.pending += wanted;
+            self.pending_since = now;
             return CreditStep::Ask { owner, wanted };
         }
         let exhausted = self.owners.iter().filter(|owner| owner.is_exhausted);
--- a/src/sidecar/account_gate/credit_exchange.rs
+++ b/src/sidecar/account_gate/credit_exchange.rs
@@ -1,7 +1,10 @@
 use {
-    super::super::{
-        PlatformAdapter, attempt_report::RelayBody, request_log::LineCategory,
-        sidecar_state::SidecarState,
+    super::{
+        super::{
+            PlatformAdapter, attempt_report::RelayBody, request_log::LineCategory,
+            sidecar_state::SidecarState,
+        },
+        QuotaRefusal,
     },
     crate::{
         accounts::{AccountRule, CreditGrant, CreditStep},
@@ -73,12 +76,11 @@
     }
 }
 
-/// Takes a credit for a request of an account; the error is the time until the next one is due, or
-/// `None` if no quota owner could be asked.
+/// Takes a credit for a request of an account; `None` if the account has no limit.
 pub(crate) async fn take_credit<'a, P: PlatformAdapter>(
     state: &'a SidecarState<P>,
     account: &Arc<AccountRule>,
-) -> Result<Option<TakenCredit<'a, P>>, Option<Duration>> {
+) -> Result<Option<TakenCredit<'a, P>>, QuotaRefusal> {
     let Some(limit) = account.limit else {
         return Ok(None);
     };
@@ -100,7 +102,7 @@
                     is_spent: false,
                 }));
             }
-            CreditStep::LimitReached(wait) => return Err(Some(wait)),
+            CreditStep::LimitReached(wait) => return Err(QuotaRefusal::LimitReached(wait)),
             CreditStep::NoOwner if asked_at.since(started_at) >= MAX_OWNER_WAIT => break,
             CreditStep::NoOwner => sleep(OWNER_RETRY_INTERVAL).await,
             CreditStep::Ask { owner, wanted } => {
@@ -116,7 +118,7 @@
             }
         }
     }
-    Err(None)
+    Err(QuotaRefusal::NoOwner)
 }
 
 /// Asks an owner for credits; `None` if it does not answer.
--- a/src/sidecar/outbound/outbound_log.rs
+++ b/src/sidecar/outbound/outbound_log.rs
@@ -2,6 +2,7 @@
     super::{
         super::{
             FailureCause, HopContext, IngressRefusal, PlatformAdapter, RouteRule,
+            account_gate::QuotaRefusal,
             forwarded_call::ForwardedCall,
             local_response::{RATE_LIMIT_CAUSE, RequestFailure},
             request_log::LineCategory,
@@ -44,16 +45,14 @@
     }
 }
 
-/// Reports that the limit of the account is used up for `wait`, or that it is not known.
 pub(super) fn report_quota_refusal<P: PlatformAdapter>(
     state: &SidecarState<P>,
     request: RootRequest<'_>,
-    wait: Option<Duration>,
+    refusal: QuotaRefusal,
 ) {
-    let failure = if wait.is_some() {
-        RequestFailure::QuotaExhausted
-    } else {
-        RequestFailure::QuotaUnknown
+    let (failure, wait) = match refusal {
+        QuotaRefusal::LimitReached(wait) => (RequestFailure::QuotaExhausted, wait),
+        QuotaRefusal::NoOwner => (RequestFailure::QuotaUnknown, Duration::ZERO),
     };
     metrics::counter!("banyantrestle_final_answers_total", "reason" => failure.to_string())
         .increment(1);
@@ -62,7 +61,7 @@
         slog::info!(state.log.logger, "refused at the front"; "request" => request.id,
             "route" => &request.rule.name, "account" => request.account_name(),
             "cause" => %failure, "limit" => limit.map_or(0.0, |limit| limit.rate),
-            "wait_ms" => wait.unwrap_or_default().as_millis());
+            "wait_ms" => wait.as_millis());
     }
 }
 
--- a/src/sidecar/outbound/request_admission.rs
+++ b/src/sidecar/outbound/request_admission.rs
@@ -2,7 +2,9 @@
     super::{
         super::{
             PlatformAdapter, RouteConfig, RouteRule,
-            account_gate::{AccountRefusal, RequestAccount, TakenCredit, take_credit},
+            account_gate::{
+                AccountRefusal, QuotaRefusal, RequestAccount, TakenCredit, take_credit,
+            },
             admitted_request::AdmittedRequest,
             local_response::RequestFailure,
             sidecar_state::SidecarState,
@@ -61,14 +63,14 @@
     let Some(account) = request.account else {
         return Ok(None);
     };
-    take_credit(state, &account.rule).await.map_err(|wait| {
-        report_quota_refusal(state, request, wait);
-        match wait {
-            Some(wait) => RequestRefusal {
+    take_credit(state, &account.rule).await.map_err(|refusal| {
+        report_quota_refusal(state, request, refusal);
+        match refusal {
+            QuotaRefusal::LimitReached(wait) => RequestRefusal {
                 failure: RequestFailure::QuotaExhausted,
                 retry_after: retry_after_limit(request.rule, wait),
             },
-            None => RequestRefusal {
+            QuotaRefusal::NoOwner => RequestRefusal {
                 failure: RequestFailure::QuotaUnknown,
                 retry_after: retry_after(request.rule, DEFAULT_RETRY_DELAY),
             },
