A caller that sends a key does not pass for a target

A request whose id began with that of a call that runs beside the same sidecar was taken for a call of that target, also with a key: it drew nothing from its account's limit, and no account was named. Calls of targets carry no key, so a request with one starts a chain of its own.

Test: accounts::a_caller_with_a_key_does_not_pass_for_a_target.

--- a/src/sidecar/outbound/outbound_service.rs
+++ b/src/sidecar/outbound/outbound_service.rs
@@ -1,7 +1,8 @@
 use {
     super::{
         super::{
-            FailureCause, HopContext, MAX_CALL_DEPTH, PlatformAdapter, RouteConfig, RouteRule,
+            CallerCredential, FailureCause, HopContext, MAX_CALL_DEPTH, PlatformAdapter,
+            RouteConfig, RouteRule,
             account_gate::{RequestAccount, check_credential},
             attempt_report::RelayBody,
             forwarded_call::{ForwardedCall, header_text, request_host},
@@ -158,7 +159,14 @@
     let config = state.config().ok_or_else(no_config)?;
     let rule = config.find(request_host(head), head.uri.path()).cloned();
     let rule = rule.ok_or(RequestFailure::NoRoute)?;
-    let parent = state.running.parent_of(id);
+    // Calls of targets carry no key, so a caller that sends one can't pass for a target.
+    let has_key = config.accounts.is_some()
+        && state.platform.read_credential(&head.headers) != CallerCredential::Missing;
+    let parent = if has_key {
+        None
+    } else {
+        state.running.parent_of(id)
+    };
     let account = if parent.is_some() {
         None
     } else {
--- a/src/time/pause_detector.rs
+++ b/src/time/pause_detector.rs
@@ -39,7 +39,8 @@
         }
     }
 
-    /// Records that the process runs; to be called several times in the time from which it counts as paused.
+    /// Records that the process runs; to be called several times in the time after which it counts as
+    /// paused.
     pub fn tick(&self, now: TimePoint) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         let length = now.since(state.last_tick);
