Lift requests of low-ranked accounts only while they get too little

Suspected cause: a quarter of all refused requests of lower-ranked accounts came in with the highest rank, whether their accounts got little or not, and filled the service before the calls of purchases.

The sidecar now averages the share that is refused by rank of the account, and lifts a refused request only while that rank's accounts get less than 0.35 of the share of all.

The test's requests come in turns of changing order: with a fixed order, the first of the last account's took all lifts.

--- a/src/sidecar/ingress_admission.rs
+++ b/src/sidecar/ingress_admission.rs
@@ -19,12 +19,11 @@
 /// Time after which a caller whose request has an unknown cost may return; by then the first
 /// requests of the route have ended.
 const UNKNOWN_COST_DELAY: Duration = Duration::from_millis(300);
-/// Share of the requests refused for the rank of their account that are considered again with the
-/// highest rank, relative to the share of all requests that are admitted. So no account is shut out
-/// while others are served.
-const LIFTED_SHARE: f64 = 0.35;
-/// Weight of the newest request in the share of admitted requests.
-const ADMITTED_SHARE_WEIGHT: f64 = 0.01;
+/// Share of the requests of accounts of one rank that is admitted at least, relative to that of all
+/// requests. So no account is shut out while others are served.
+const MIN_RELATIVE_SHARE: f64 = 0.35;
+/// Weight of the newest request in these shares.
+const REFUSED_SHARE_WEIGHT: f64 = 0.01;
 /// Maximum number of routes whose cost is tracked.
 const MAX_ROUTES: usize = 4_096;
 /// Maximum number of services that have a limiter.
@@ -41,10 +40,10 @@
     routes: HashMap<String, RouteCost>,
     limiters: HashMap<ServiceName, ServiceLimiter>,
     ranks: HashMap<ServiceName, ServiceRanks>,
-    /// Requests of each rank to consider again, in parts of one.
-    lifts: BTreeMap<u8, f64>,
-    /// Moving average of the share of requests that are refused.
+    /// Moving average of the share of requests that are refused, of all and by the lowest rank with
+    /// the same rank of the account.
     refused_share: f64,
+    refused_shares: BTreeMap<u8, f64>,
     /// Most loaded service, while one is loaded.
     loaded_service: Option<LoadedService>,
 }
@@ -84,23 +83,25 @@
             result = self.admit_ranked(now, route, lifted_rank);
         }
         let is_refused = f64::from(u8::from(result.is_err()));
-        self.refused_share += (is_refused - self.refused_share) * ADMITTED_SHARE_WEIGHT;
+        let (band, _) = account_band(rank);
+        let band_share = self.refused_shares.entry(band).or_default();
+        for share in [&mut self.refused_share, band_share] {
+            *share += (is_refused - *share) * REFUSED_SHARE_WEIGHT;
+        }
         result
     }
 
-    /// Rank with which a refused request is considered again; `None` if it is not.
-    fn lifted_rank(&mut self, service: &ServiceName, rank: u8) -> Option<u8> {
+    /// Rank with which a refused request is considered again; `None` if the accounts of its rank get
+    /// their least share or have the highest rank.
+    fn lifted_rank(&self, service: &ServiceName, rank: u8) -> Option<u8> {
         let highest = self.ranks.get(service)?.highest;
-        if account_band(rank) == account_band(highest) {
-            return None;
-        }
-        let lifts = self.lifts.entry(rank).or_default();
-        *lifts += LIFTED_SHARE * (1.0 - self.refused_share);
-        if *lifts < 1.0 {
+        let (band, _) = account_band(rank);
+        if band == account_band(highest).0 {
             return None;
         }
-        *lifts -= 1.0;
-        Some(highest)
+        let band_refused = self.refused_shares.get(&band).copied().unwrap_or_default();
+        let least_share = MIN_RELATIVE_SHARE * (1.0 - self.refused_share);
+        (1.0 - band_refused < least_share).then_some(highest)
     }
 
     fn admit_ranked(
@@ -283,7 +284,7 @@
         for cost in self.routes.values_mut() {
             cost.ranks = RankSet::default();
         }
-        self.lifts.clear();
+        self.refused_shares.clear();
     }
 
     /// Updates the rate limits; `fair_share` is one sidecar's share of the concurrency limit of a
--- a/tests/sidecar/account_ranks.rs
+++ b/tests/sidecar/account_ranks.rs
@@ -28,6 +28,9 @@
     ("low", LAST_LOW),
 ];
 
+/// Ranks that come first in successive rounds.
+const TURNS: [usize; 4] = [0, 2, 1, 3];
+
 /// Shares of the requests that are admitted, by [`RANKS`], at a load of `per_tick` requests of each.
 fn play(per_tick: u32, pressure: f64) -> [f64; 4] {
     let service = ServiceName::new("deep").expect("a valid name");
@@ -38,7 +41,7 @@
         admission.record_cost(route, rank, &cost, true);
     }
     let mut admitted = [0_u32; 4];
-    let mut asked = 0;
+    let (mut asked, mut round) = (0, 0);
     for tick in 0..400 {
         let now = TimePoint::from_millis(tick * TICK_MS);
         admission.record_pressure(now, &service, QueuePressure::uniform(pressure));
@@ -46,9 +49,13 @@
         // The first ticks fill the buckets.
         let is_counted = tick >= 40;
         for _ in 0..per_tick {
+            round += 1;
             asked += u32::from(is_counted);
-            for (index, (route, rank)) in RANKS.iter().enumerate() {
-                let is_admitted = admission.admit(now, route, *rank).is_ok();
+            for position in 0..RANKS.len() {
+                // Requests of all ranks come in turns.
+                let index = (position + TURNS[round % TURNS.len()]) % RANKS.len();
+                let (route, rank) = RANKS[index];
+                let is_admitted = admission.admit(now, route, rank).is_ok();
                 admitted[index] += u32::from(is_admitted && is_counted);
             }
         }
