--- a/src/sidecar/outbound/outbound_service.rs
+++ b/src/sidecar/outbound/outbound_service.rs
@@ -137,6 +137,7 @@
     let id = header_text(&head.headers, &names.request_id);
     let id = id.unwrap_or_default().to_owned();
     let result = match find_route(state, &head, &id, arrived_at) {
+        Ok(routed) if routed.parent.is_none() => run_tallied(state, routed, head, body).await,
         Ok(routed) => run_call(state, routed, head, body).await,
         Err(answer) => Err(answer),
     };
@@ -195,6 +196,23 @@
     })
 }
 
+/// Runs a call that starts a chain and counts how it ends.
+async fn run_tallied<P: PlatformAdapter>(
+    state: &Arc<SidecarState<P>>,
+    routed: RoutedCall,
+    head: Parts,
+    body: Incoming,
+) -> Result<Response<RelayBody>, LocalAnswer> {
+    let rule = routed.rule.clone();
+    let arrived_at = routed.arrived_at;
+    let tallied = state.tally.start(&rule.name);
+    let result = run_call(state, routed, head, body).await;
+    let elapsed = state.clock.now().since(arrived_at);
+    let ended = result.as_ref().map_err(|answer| answer.failure);
+    tallied.finish(ended, elapsed, rule.latency_objective);
+    result
+}
+
 /// Reads, admits and forwards a call.
 async fn run_call<P: PlatformAdapter>(
     state: &Arc<SidecarState<P>>,
--- a/src/sidecar/sidecar_daemon.rs
+++ b/src/sidecar/sidecar_daemon.rs
@@ -9,8 +9,10 @@
         inbound_service::serve_inbound,
         leaving_peers::LeavingPeers,
         outbound::serve_outbound,
+        process_load::ProcessLoad,
         refusal_store::keep_refusals,
         request_log::RequestLog,
+        request_tally::RequestTally,
         running_calls::RunningCalls,
         sidecar_state::{SidecarPhase, SidecarState, TargetStatus},
         suspect_exchange::{announce_suspects, compare_suspects},
@@ -115,6 +117,8 @@
             pauses: PauseDetector::new(now),
             platform,
             log: RequestLog::new(logger.clone(), clock),
+            tally: RequestTally::default(),
+            process_load: ProcessLoad::new(now),
             crash_watch: Arc::new(CrashWatch::new(
                 &settings.deployment,
                 settings.listen.mesh,
@@ -183,6 +187,9 @@
             let Some(state) = state.upgrade() else {
                 return false;
             };
+            state
+                .process_load
+                .tick(state.clock.now(), ADMISSION_INTERVAL);
             state.tick_admission();
             state.grant_rate_limited();
             true
--- a/src/sidecar/sidecar_state.rs
+++ b/src/sidecar/sidecar_state.rs
@@ -2,8 +2,9 @@
     super::{
         IngressAdmission, PeerTable, PlatformAdapter, RouteConfig, SidecarSettings,
         TargetRetryBudget, TargetTracker, account_gate::AccountState, crash_watch::CrashWatch,
-        leaving_peers::LeavingPeers, live_target::LiveTarget, request_log::RequestLog,
-        running_calls::RunningCalls, unread_fields::UnreadFields,
+        leaving_peers::LeavingPeers, live_target::LiveTarget, process_load::ProcessLoad,
+        request_log::RequestLog, request_tally::RequestTally, running_calls::RunningCalls,
+        unread_fields::UnreadFields,
     },
     crate::{
         context::ServiceName,
@@ -14,12 +15,18 @@
     bytes::Bytes,
     metrics::gauge,
     metrics_exporter_prometheus::PrometheusHandle,
-    std::sync::{Arc, Mutex, MutexGuard, PoisonError},
+    std::{
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
     strum::{Display, IntoStaticStr},
     tokio::sync::watch,
     tokio_util::task::TaskTracker,
 };
 
+/// Delay of a tick from which it is logged.
+const REPORTED_TICK_DELAY: Duration = Duration::from_millis(20);
+
 /// Phase of a sidecar between its start and its exit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -60,6 +67,8 @@
     pub(crate) settings: SidecarSettings,
     pub(crate) platform: P,
     pub(crate) log: RequestLog,
+    pub(crate) tally: RequestTally,
+    pub(crate) process_load: ProcessLoad,
     pub(crate) unread_fields: UnreadFields,
     pub(crate) membership: MembershipHandle,
     pub(crate) mesh_pool: MeshPool,
@@ -154,6 +163,17 @@
     /// Reports the load to the log and the metrics, and drains the backlog of the metrics recorder.
     pub(crate) fn report_load(&self) {
         self.recorder.run_upkeep();
+        self.tally.report(&self.log.logger);
+        let sample = self.process_load.sample(self.clock.now());
+        gauge!("banyantrestle_tick_delay_seconds").set(sample.max_delay.as_secs_f64());
+        if let Some(share) = sample.processor_share {
+            gauge!("banyantrestle_processor_share").set(share);
+        }
+        if sample.max_delay >= REPORTED_TICK_DELAY {
+            slog::info!(self.log.logger, "process behind its timers";
+                "delay_ms" => sample.max_delay.as_millis(),
+                "processor_share" => sample.processor_share);
+        }
         let admission = self.admission();
         for (service, limiter) in admission.limiters() {
             let label = service.to_string();
