Model of a service that is short of capacity for two minutes (red)

Loads of 1.2, 1.8 and 3 times the capacity, urgent requests at 0.5, 0.9 and 1.2 of it, at 3, 13, 71 and 300 fronts, with callers that come back when told and at once. No kind may be at zero for ten seconds or be served less than a quarter as often as all requests, urgent requests lose a fifth of the capacity at most, and slots don't stay free.

--- a/tests/sidecar/load_model.rs
+++ b/tests/sidecar/load_model.rs
@@ -44,6 +44,10 @@
 const COUNT_INTERVAL_MS: u128 = 100;
 /// Time before the end from which arriving requests are not counted, so that counted ones can end.
 const COOL_DOWN: Duration = Duration::from_secs(5);
+/// Length of the intervals in which requests are counted by kind.
+pub const REPORT_INTERVAL: Duration = Duration::from_secs(10);
+/// Time after which an impatient caller comes back.
+const IMPATIENT_PAUSE: Duration = Duration::from_millis(5);
 /// Pressure below which the deepest service has free slots.
 const IDLE_PRESSURE: f64 = 0.9;
 /// Time with free slots after which a refusal counts as needless.
@@ -71,6 +75,23 @@
     pub completed: u32,
 }
 
+/// Requests of one kind that arrived in one interval, and those of them that were served.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct KindInterval {
+    pub arrived: u32,
+    pub completed: u32,
+}
+
+/// What callers do whose request was refused.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ReturnHabit {
+    /// They come back when they were told to.
+    #[default]
+    AsTold,
+    /// They come back after [`IMPATIENT_PAUSE`], whatever they were told.
+    AtOnce,
+}
+
 /// State of the deepest service at one tick.
 #[derive(Clone, Copy, Debug)]
 pub struct PressureSample {
@@ -90,6 +111,8 @@
     /// First attempts and retries that reached the targets, per 100 ms.
     pub attempts: Vec<(u32, u32)>,
     pub samples: Vec<PressureSample>,
+    /// By kind, then by [`REPORT_INTERVAL`] of the arrival.
+    pub intervals: Vec<Vec<KindInterval>>,
     /// Refusals while the deepest service had free slots for some time.
     pub needless_refusals: u32,
     /// Requests served and arrived by ingress sidecar.
@@ -111,6 +134,7 @@
     pub callers: usize,
     /// Share of the refused callers that come back once, as told.
     pub returning_share: f64,
+    pub return_habit: ReturnHabit,
     /// Slowdown of targets that are nearly full.
     pub crowding: Option<Crowding>,
     pub changes: Vec<(Duration, SimulationChange)>,
@@ -173,6 +197,7 @@
 pub struct LoadSimulation {
     setup: SimulationSetup,
     pub now: TimePoint,
+    started_at: TimePoint,
     events: BinaryHeap<Reverse<(TimePoint, u64, SimulationEvent)>>,
     sequence: u64,
     rng: SmallRng,
@@ -209,6 +234,7 @@
             ingress_weights: Vec::new(),
             callers: 4,
             returning_share: 0.0,
+            return_habit: ReturnHabit::AsTold,
             crowding: None,
             changes: Vec::new(),
             seed,
@@ -240,6 +266,7 @@
         let slots = setup.slots;
         let mut simulation = Self {
             now,
+            started_at: now,
             events: BinaryHeap::new(),
             sequence: 0,
             rng: SmallRng::seed_from_u64(setup.seed),
@@ -258,6 +285,7 @@
             has_slots_since: now,
             result: SimulationResult {
                 kinds: vec![KindResult::default(); setup.kinds.len()],
+                intervals: vec![Vec::new(); setup.kinds.len()],
                 ingresses: vec![(0, 0); ingresses],
                 ..SimulationResult::default()
             },
@@ -378,6 +406,7 @@
         let rate = kind.per_second * self.demand_factor;
         let pause = Duration::from_secs_f64(-uniform.ln() / rate);
         self.schedule(pause, SimulationEvent::Arrive(index));
+        self.interval(index, self.now).arrived += 1;
         let ingress = self.choose_ingress();
         if is_measured {
             self.result.kinds[index].arrived += 1;
@@ -386,6 +415,16 @@
         self.admit(index, ingress, is_measured, true);
     }
 
+    /// Counts of a kind in the interval in which a request arrived.
+    fn interval(&mut self, kind: usize, arrived_at: TimePoint) -> &mut KindInterval {
+        let elapsed = arrived_at.since(self.started_at).as_millis();
+        let index = usize::try_from(elapsed / REPORT_INTERVAL.as_millis());
+        let index = index.expect("a short simulation");
+        let intervals = &mut self.result.intervals[kind];
+        intervals.resize(intervals.len().max(index + 1), KindInterval::default());
+        &mut intervals[index]
+    }
+
     fn choose_ingress(&mut self) -> usize {
         let weights = &self.setup.ingress_weights;
         if weights.is_empty() {
@@ -440,7 +479,11 @@
         let share = self.setup.returning_share;
         if may_return && share > 0.0 && self.rng.random_bool(share) {
             let event = SimulationEvent::Return(index, ingress);
-            self.schedule(refusal.retry_after, event);
+            let pause = match self.setup.return_habit {
+                ReturnHabit::AsTold => refusal.retry_after,
+                ReturnHabit::AtOnce => IMPATIENT_PAUSE,
+            };
+            self.schedule(pause, event);
         }
     }
 
@@ -678,11 +721,13 @@
             self.result.kinds[entry.kind].completed += 1;
             self.result.ingresses[entry.ingress].0 += 1;
         }
+        let (kind_index, start) = (entry.kind, entry.start);
         let ingress = &mut self.ingresses[entry.ingress];
         ingress.record_cost(kind.name, kind.rank, &entry.tree_cost, true);
         let limit = Duration::from_millis(kind.timeout_ms);
         ingress.record_latency(kind.name, now.since(entry.start), limit);
         ingress.record_end(kind.name);
+        self.interval(kind_index, start).completed += 1;
     }
 }
 
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -5,6 +5,7 @@
 mod attempt_history;
 mod headers;
 mod ingress_admission;
+mod lasting_shortage;
 mod load_model;
 mod load_simulation;
 mod members;
