Least service of each rank at an overloaded service

Cause: the order of ranks was strict. Urgent requests got all that they asked for, up to the capacity of the deepest service, and the lowest rank what was left. In the model a second cause showed: a front whose first requests of a route all fail never learns its cost, and its requests waited behind all others for ever.

Change: where a rank is served less than 0.28 times as often as all requests, its requests are admitted with the highest rank, from a bucket of at most 0.2 of what the service admits (LeastService; settings least_relative_share and least_capacity_share). The raised rank travels with the calls, so the same rule holds in the queues of the targets, for retries and for calls of calls. It replaces the rule for ranks of accounts. Lifting is cut to a tenth while less than half of the lifted requests end whole. Requests of the lowest rank are refused while urgent calls queue: they would wait for their whole time.

--- a/src/sidecar/admitted_request.rs
+++ b/src/sidecar/admitted_request.rs
@@ -1,5 +1,7 @@
 use {
-    super::{IngressRefusal, PlatformAdapter, RouteRule, sidecar_state::SidecarState},
+    super::{
+        EndedRequest, IngressRefusal, PlatformAdapter, RouteRule, sidecar_state::SidecarState,
+    },
     crate::time::TimePoint,
 };
 
@@ -7,6 +9,7 @@
 pub(super) struct AdmittedRequest<'a, P: PlatformAdapter> {
     state: &'a SidecarState<P>,
     route: &'a str,
+    ended: EndedRequest,
     /// Rank with which the calls of the request wait for slots.
     pub(super) queue_rank: u8,
 }
@@ -19,15 +22,22 @@
         now: TimePoint,
     ) -> Result<Self, IngressRefusal> {
         let route = &rule.name;
-        let queue_rank = state.admission().admit(now, route, rank)?;
+        let admission = state.admission().admit(now, route, rank)?;
         Ok(Self {
             state,
             route,
-            queue_rank,
+            ended: EndedRequest {
+                rank,
+                is_lifted: admission.is_lifted,
+                is_served: false,
+            },
+            queue_rank: admission.queue_rank,
         })
     }
 
-    pub(super) fn record_latency(&self, arrived_at: TimePoint, rule: &RouteRule) {
+    /// Records a complete response.
+    pub(super) fn record_success(&mut self, arrived_at: TimePoint, rule: &RouteRule) {
+        self.ended.is_served = true;
         let elapsed = self.state.clock.now().since(arrived_at);
         let limit = rule.latency_objective.min(rule.timeout);
         let mut admission = self.state.admission();
@@ -37,6 +47,8 @@
 
 impl<P: PlatformAdapter> Drop for AdmittedRequest<'_, P> {
     fn drop(&mut self) {
-        self.state.admission().record_end(self.route);
+        let now = self.state.clock.now();
+        let mut admission = self.state.admission();
+        admission.record_end(now, self.route, self.ended);
     }
 }
--- a/src/sidecar/ingress_admission.rs
+++ b/src/sidecar/ingress_admission.rs
@@ -1,14 +1,12 @@
 use {
     super::{
-        PressureReport, QueuePressure, ServiceLimiter, TreeCost, pressure_report::ServicePressure,
-        rank_scale::account_band, rank_set::RankSet, route_cost::RouteCost,
-        service_limiter::MAX_RANK_LEVEL, service_ranks::ServiceRanks,
+        LeastService, PressureReport, QueuePressure, ServiceLimiter, TreeCost,
+        lift_record::LiftRecord, pressure_report::ServicePressure, rank_set::RankSet,
+        rank_shares::RankShares, route_cost::RouteCost, service_limiter::MAX_RANK_LEVEL,
+        service_ranks::ServiceRanks,
     },
     crate::{context::ServiceName, time::TimePoint},
-    std::{
-        collections::{BTreeMap, HashMap},
-        time::Duration,
-    },
+    std::{collections::HashMap, time::Duration},
 };
 
 /// Requests of routes with an unknown cost that may be in flight while a service is loaded, as a
@@ -19,11 +17,6 @@
 /// Time after which a caller whose request has an unknown cost may return; by then the first
 /// requests of the route have ended.
 const UNKNOWN_COST_DELAY: Duration = Duration::from_millis(300);
-/// Share of the requests of accounts of one rank that is admitted at least, relative to that of all
-/// requests. So no account is shut out while others are served.
-const MIN_RELATIVE_SHARE: f64 = 0.35;
-/// Weight of the newest request in these shares.
-const REFUSED_SHARE_WEIGHT: f64 = 0.01;
 /// Maximum number of routes whose cost is tracked.
 const MAX_ROUTES: usize = 4_096;
 /// Maximum number of services that have a limiter.
@@ -35,15 +28,18 @@
 /// service is overloaded, the requests that reach it are admitted in order of rank up to a rate
 /// limit; the rest is refused before any of it runs. Calls of admitted requests wait for slots and
 /// are not shed for load alone.
+///
+/// A rank whose requests are served much less often than all is *lifted*: while the capacity that
+/// [`LeastService`] keeps for that lasts, its requests go with the highest rank, at this sidecar
+/// and at all targets that they reach.
 #[derive(Clone, Debug, Default)]
 pub struct IngressAdmission {
     routes: HashMap<String, RouteCost>,
     limiters: HashMap<ServiceName, ServiceLimiter>,
     ranks: HashMap<ServiceName, ServiceRanks>,
-    /// Moving average of the share of requests that are refused, of all and by the lowest rank with
-    /// the same rank of the account.
-    refused_share: f64,
-    refused_shares: BTreeMap<u8, f64>,
+    shares: RankShares,
+    least_service: LeastService,
+    lift_record: LiftRecord,
     /// Most loaded service, while one is loaded.
     loaded_service: Option<LoadedService>,
 }
@@ -56,6 +52,25 @@
     fair_share: f64,
 }
 
+/// A request that may start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestAdmission {
+    /// Rank with which its calls wait for slots.
+    pub queue_rank: u8,
+    /// Whether it is admitted with the highest rank, since its own is served too little.
+    pub is_lifted: bool,
+}
+
+/// An admitted request that has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndedRequest {
+    /// Rank by its account and route.
+    pub rank: u8,
+    pub is_lifted: bool,
+    /// Whether its caller got a complete response.
+    pub is_served: bool,
+}
+
 /// Refusal of a request at the ingress sidecar.
 #[derive(Clone, Debug, PartialEq)]
 pub struct IngressRefusal {
@@ -69,50 +84,45 @@
 }
 
 impl IngressAdmission {
-    /// Decides whether a request may start and charges its expected cost; returns the rank with
-    /// which its calls wait for slots. An admitted request must be ended by [`Self::record_end`].
+    #[must_use]
+    pub fn new(least_service: LeastService) -> Self {
+        Self {
+            least_service,
+            ..Self::default()
+        }
+    }
+
+    /// Decides whether a request may start and charges its expected cost. An admitted request must be ended by [`Self::record_end`].
     ///
     /// # Errors
     /// The rate limit of a service that the request would reach is exhausted for its rank, or the
     /// cost of the route is unknown and enough such requests are in flight.
-    pub fn admit(&mut self, now: TimePoint, route: &str, rank: u8) -> Result<u8, IngressRefusal> {
-        let mut result = self.admit_ranked(now, route, rank);
-        if let Err(refusal) = &result
-            && let Some(lifted_rank) = self.lifted_rank(&refusal.service, rank)
-        {
-            result = self.admit_ranked(now, route, lifted_rank);
-        }
-        let is_refused = f64::from(u8::from(result.is_err()));
-        let (band, _) = account_band(rank);
-        let band_share = self.refused_shares.entry(band).or_default();
-        for share in [&mut self.refused_share, band_share] {
-            *share += (is_refused - *share) * REFUSED_SHARE_WEIGHT;
+    pub fn admit(
+        &mut self,
+        now: TimePoint,
+        route: &str,
+        rank: u8,
+    ) -> Result<RequestAdmission, IngressRefusal> {
+        let result = self.admit_ranked(now, route, rank);
+        if result.is_err() {
+            self.shares.record(now, rank, false);
         }
         result
     }
 
-    /// Rank with which a refused request is considered again; `None` if the accounts of its rank get
-    /// their least share or have the highest rank.
-    fn lifted_rank(&self, service: &ServiceName, rank: u8) -> Option<u8> {
-        let highest = self.ranks.get(service)?.highest;
-        let (band, _) = account_band(rank);
-        if band == account_band(highest).0 {
-            return None;
-        }
-        let band_refused = self.refused_shares.get(&band).copied().unwrap_or_default();
-        let least_share = MIN_RELATIVE_SHARE * (1.0 - self.refused_share);
-        (1.0 - band_refused < least_share).then_some(highest)
-    }
-
     fn admit_ranked(
         &mut self,
         now: TimePoint,
         route: &str,
         rank: u8,
-    ) -> Result<u8, IngressRefusal> {
+    ) -> Result<RequestAdmission, IngressRefusal> {
+        let mut admission = RequestAdmission {
+            queue_rank: rank,
+            is_lifted: false,
+        };
         if !self.routes.contains_key(route) {
             if self.routes.len() >= MAX_ROUTES {
-                return Ok(rank);
+                return Ok(admission);
             }
             self.routes.insert(route.to_owned(), RouteCost::default());
         }
@@ -121,45 +131,54 @@
         {
             return Err(refusal);
         }
+        let is_short = self
+            .shares
+            .is_short(now, rank, self.least_service.relative_share);
         let Some(cost) = self.routes.get_mut(route) else {
-            return Ok(rank);
+            return Ok(admission);
         };
         cost.ranks.insert(rank);
-        for (service, slot_seconds) in &cost.services {
-            let Some(limiter) = self.limiters.get_mut(service) else {
-                continue;
-            };
-            let ranks = self.ranks.get(service);
-            let level = ranks.map_or(0, |ranks| ranks.level(rank, *slot_seconds));
-            if !limiter.admits(level) {
-                limiter.record_refusal(now);
-                return Err(IngressRefusal {
-                    service: service.clone(),
-                    pressure: limiter.pressure(),
-                    rate_limit: limiter.rate_limit().unwrap_or_default(),
-                    retry_after: limiter.admission_delay(level, *slot_seconds),
-                });
+        if is_short && cost.is_unknown() {
+            // Its cost would stay unknown if its calls never got a slot.
+            if let Some(loaded) = &self.loaded_service
+                && let Some(ranks) = self.ranks.get(&loaded.name)
+                && let Some(limiter) = self.limiters.get_mut(&loaded.name)
+                && limiter.admits_lift()
+            {
+                limiter.take_lift(ranks.highest_rank_cost());
+                admission.queue_rank = rank.max(ranks.highest);
+                admission.is_lifted = true;
             }
+            cost.in_flight += 1;
+            return Ok(admission);
         }
-        let mut queue_rank = rank;
-        for (service, slot_seconds) in &cost.services {
-            let ranks = self.ranks.get(service);
-            let level = ranks.map_or(0, |ranks| ranks.level(rank, *slot_seconds));
-            let Some(limiter) = self.limiters.get_mut(service) else {
-                continue;
-            };
-            limiter.charge(level, *slot_seconds);
-            let is_cheap = ranks.is_some_and(|ranks| ranks.is_cheap(rank, *slot_seconds));
-            if is_cheap && limiter.has_urgent_queue() {
-                queue_rank = ranks.map_or(rank, |ranks| queue_rank.max(ranks.band_highest(rank)));
+        let lifted_rank = if is_short {
+            lifted_rank(cost, &self.limiters, &self.ranks, rank)
+        } else {
+            None
+        };
+        match check_limits(now, cost, &mut self.limiters, &self.ranks, rank) {
+            Ok(()) => {
+                let queue_rank = charge_limits(cost, &mut self.limiters, &self.ranks, rank);
+                admission.queue_rank = lifted_rank.unwrap_or(queue_rank);
+            }
+            Err(refusal) => {
+                let has_lift = has_lift(cost, &self.limiters);
+                admission.queue_rank = lifted_rank.filter(|_| has_lift).ok_or(refusal)?;
+                charge_lift(cost, &mut self.limiters);
             }
         }
+        admission.is_lifted = lifted_rank.is_some();
         cost.in_flight += 1;
-        Ok(queue_rank)
+        Ok(admission)
     }
 
     /// Records that an admitted request has ended.
-    pub fn record_end(&mut self, route: &str) {
+    pub fn record_end(&mut self, now: TimePoint, route: &str, ended: EndedRequest) {
+        self.shares.record(now, ended.rank, ended.is_served);
+        if ended.is_lifted {
+            self.lift_record.record(now, ended.is_served);
+        }
         if let Some(cost) = self.routes.get_mut(route) {
             cost.in_flight = cost.in_flight.saturating_sub(1);
         }
@@ -284,7 +303,7 @@
         for cost in self.routes.values_mut() {
             cost.ranks = RankSet::default();
         }
-        self.refused_shares.clear();
+        self.shares.reset();
     }
 
     /// Updates the rate limits; `fair_share` is one sidecar's share of the concurrency limit of a
@@ -293,7 +312,9 @@
     where
         F: Fn(&ServiceName) -> f64,
     {
+        let lift_share = self.least_service.capacity_share * self.lift_record.rate_factor(now);
         for (service, limiter) in &mut self.limiters {
+            limiter.set_lift_share(lift_share);
             let ranks = self.ranks.get(service);
             let affordable_queue = ranks.and_then(|ranks| ranks.affordable_queue);
             let top_level = ranks.map_or(MAX_RANK_LEVEL, ServiceRanks::top_level);
@@ -344,3 +365,94 @@
         }
     }
 }
+
+type ServiceLimiters = HashMap<ServiceName, ServiceLimiter>;
+type RanksByService = HashMap<ServiceName, ServiceRanks>;
+
+/// Checks the rate limits of the services that a request reaches.
+fn check_limits(
+    now: TimePoint,
+    cost: &RouteCost,
+    limiters: &mut ServiceLimiters,
+    ranks: &RanksByService,
+    rank: u8,
+) -> Result<(), IngressRefusal> {
+    for (service, slot_seconds) in &cost.services {
+        let Some(limiter) = limiters.get_mut(service) else {
+            continue;
+        };
+        let ranks = ranks.get(service);
+        let level = ranks.map_or(0, |ranks| ranks.level(rank, *slot_seconds));
+        if !limiter.admits(level) {
+            limiter.record_refusal(now);
+            return Err(IngressRefusal {
+                service: service.clone(),
+                pressure: limiter.pressure(),
+                rate_limit: limiter.rate_limit().unwrap_or_default(),
+                retry_after: limiter.admission_delay(level, *slot_seconds),
+            });
+        }
+    }
+    Ok(())
+}
+
+/// Charges an admitted request to the services that it reaches; returns the rank with which its
+/// calls wait for slots.
+fn charge_limits(
+    cost: &RouteCost,
+    limiters: &mut ServiceLimiters,
+    ranks: &RanksByService,
+    rank: u8,
+) -> u8 {
+    let mut queue_rank = rank;
+    for (service, slot_seconds) in &cost.services {
+        let ranks = ranks.get(service);
+        let level = ranks.map_or(0, |ranks| ranks.level(rank, *slot_seconds));
+        let Some(limiter) = limiters.get_mut(service) else {
+            continue;
+        };
+        limiter.charge(level, *slot_seconds);
+        let is_cheap = ranks.is_some_and(|ranks| ranks.is_cheap(rank, *slot_seconds));
+        if is_cheap && limiter.has_urgent_queue() {
+            queue_rank = ranks.map_or(rank, |ranks| queue_rank.max(ranks.band_highest(rank)));
+        }
+    }
+    queue_rank
+}
+
+/// Rank to which requests of a rank that is served too little are lifted: the highest at the
+/// overloaded services that they reach; `None` if none is overloaded.
+fn lifted_rank(
+    cost: &RouteCost,
+    limiters: &ServiceLimiters,
+    ranks: &RanksByService,
+    rank: u8,
+) -> Option<u8> {
+    let services = cost.services.iter().map(|(service, _)| service);
+    let is_limiting = |service: &&ServiceName| {
+        let limiter = limiters.get(*service);
+        limiter.is_some_and(ServiceLimiter::is_limiting)
+    };
+    let highest = services.filter(is_limiting).filter_map(|service| {
+        let ranks = ranks.get(service)?;
+        Some(ranks.highest)
+    });
+    highest.max().filter(|highest| *highest > rank)
+}
+
+/// Whether all overloaded services have capacity left for a lifted request.
+fn has_lift(cost: &RouteCost, limiters: &ServiceLimiters) -> bool {
+    let services = cost.services.iter();
+    let limiters = services.filter_map(|(service, _)| limiters.get(service));
+    let mut limiting = limiters.filter(|limiter| limiter.is_limiting());
+    limiting.all(ServiceLimiter::admits_lift)
+}
+
+/// Charges a lifted request that its own rank would not have admitted.
+fn charge_lift(cost: &RouteCost, limiters: &mut ServiceLimiters) {
+    for (service, slot_seconds) in &cost.services {
+        if let Some(limiter) = limiters.get_mut(service) {
+            limiter.charge_lift(*slot_seconds);
+        }
+    }
+}
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -40,7 +40,9 @@
 mod hop_context;
 mod inbound_service;
 mod ingress_admission;
+mod least_service;
 mod leaving_peers;
+mod lift_record;
 mod live_target;
 mod load_header;
 mod local_response;
@@ -55,6 +57,7 @@
 mod rank_rates;
 mod rank_scale;
 mod rank_set;
+mod rank_shares;
 mod rate_bucket;
 mod refusal_store;
 mod request_labels;
@@ -66,6 +69,7 @@
 mod route_rule;
 mod run_guard;
 mod running_calls;
+mod served_count;
 mod service_limiter;
 mod service_ranks;
 mod sidecar_daemon;
@@ -90,7 +94,8 @@
     attempt_history::{AttemptHistory, AttemptOutcome, NextStep},
     failure_cause::FailureCause,
     hop_context::{HopContext, MAX_CALL_DEPTH},
-    ingress_admission::{IngressAdmission, IngressRefusal},
+    ingress_admission::{EndedRequest, IngressAdmission, IngressRefusal, RequestAdmission},
+    least_service::LeastService,
     peer_table::{PeerOutcome, PeerTable},
     platform_adapter::{
         CallerCredential, ConfigRow, ConfigSource, ConfigStanding, FeedEvent, FeedPosition,
--- a/src/sidecar/outbound/outbound_service.rs
+++ b/src/sidecar/outbound/outbound_service.rs
@@ -261,10 +261,10 @@
     let result = forward_until_deadline(state, outbound, &routed, &service).await;
     match result {
         Ok(response) => {
-            if let Some((admitted, _)) = &admission
+            if let Some((admitted, _)) = &mut admission
                 && response.status().is_success()
             {
-                admitted.record_latency(routed.arrived_at, &routed.rule);
+                admitted.record_success(routed.arrived_at, &routed.rule);
             }
             Ok(response)
         }
--- a/src/sidecar/service_limiter.rs
+++ b/src/sidecar/service_limiter.rs
@@ -55,6 +55,10 @@
 /// sidecar with more than its share of urgent requests refuses none of them then, although others
 /// have tokens left.
 const FREE_URGENT_PRESSURE: f64 = 1.1;
+/// Urgent pressure from which requests of the lowest rank would wait for their whole time.
+const FULL_URGENT_PRESSURE: f64 = 1.2;
+/// Least delay of a request of the lowest rank that is refused for such a queue.
+const URGENT_QUEUE_DELAY: Duration = Duration::from_millis(300);
 /// Time constant of the moving average of admitted load.
 const ADMITTED_LOAD_TIME_CONSTANT: Duration = Duration::from_millis(1_200);
 /// Time constant of the moving average of recorded pressure, and the minimum weight of one sample.
@@ -94,6 +98,9 @@
     /// Level of the highest rank in use.
     top_level: u8,
     tokens: [f64; LEVEL_COUNT],
+    /// Share of the admitted load that lifted requests get, and their tokens.
+    lift_share: f64,
+    lift_tokens: f64,
     /// Moving average of the admitted slot seconds per second by level.
     admitted_loads: [f64; LEVEL_COUNT],
     updated_at: TimePoint,
@@ -111,12 +118,24 @@
             lowest_queue: DEFAULT_LOWEST_QUEUE,
             top_level: MAX_RANK_LEVEL,
             tokens: [0.0; LEVEL_COUNT],
+            lift_share: 0.0,
+            lift_tokens: 0.0,
             admitted_loads: [0.0; LEVEL_COUNT],
             updated_at: now,
             last_refusal_at: now,
         }
     }
 
+    /// Sets the share of the admitted load that lifted requests get.
+    pub(super) fn set_lift_share(&mut self, lift_share: f64) {
+        self.lift_share = lift_share;
+    }
+
+    #[must_use]
+    pub(super) fn is_limiting(&self) -> bool {
+        self.base_rate.is_some()
+    }
+
     /// Rate limit of the lowest level in slot seconds per second; `None` while the service is not
     /// limited.
     #[must_use]
@@ -135,6 +154,11 @@
         self.pressure.urgent > FREE_URGENT_PRESSURE
     }
 
+    /// Whether so many calls above the lowest rank queue that those of the lowest get no slots.
+    fn is_full_of_urgent(&self) -> bool {
+        self.pressure.urgent > FULL_URGENT_PRESSURE
+    }
+
     /// Moving average of the admitted slot seconds per second.
     #[must_use]
     pub fn admitted_load(&self) -> f64 {
@@ -179,7 +203,8 @@
         };
         let level = level.min(CHEAP_LEVEL);
         if level == 0 {
-            return self.tokens[usize::from(level)] > 0.0 || self.pressure.total < IDLE_PRESSURE;
+            let has_tokens = self.tokens[usize::from(level)] > 0.0 && !self.is_full_of_urgent();
+            return has_tokens || self.pressure.total < IDLE_PRESSURE;
         }
         let error = self.pressure_error(level, base_rate);
         let margin = error / (error + self.pressure.urgent - FREE_URGENT_PRESSURE);
@@ -207,6 +232,22 @@
         }
     }
 
+    /// Whether a lifted request may pass.
+    pub(super) fn admits_lift(&self) -> bool {
+        self.lift_tokens > 0.0
+    }
+
+    /// Takes the tokens of a lifted request that is charged to no rank, since its cost is unknown.
+    pub(super) fn take_lift(&mut self, slot_seconds: f64) {
+        self.lift_tokens -= slot_seconds;
+    }
+
+    /// Charges a lifted request to the highest rank and all lower ones.
+    pub(super) fn charge_lift(&mut self, slot_seconds: f64) {
+        self.take_lift(slot_seconds);
+        self.charge(self.top_level, slot_seconds);
+    }
+
     pub fn record_refusal(&mut self, now: TimePoint) {
         self.last_refusal_at = now;
     }
@@ -220,7 +261,12 @@
         let level = level.min(CHEAP_LEVEL);
         let missing = (slot_seconds - self.tokens[usize::from(level)]).max(0.0);
         let rate = base_rate * self.correction(level, base_rate);
-        Duration::try_from_secs_f64(missing / rate).unwrap_or(Duration::MAX)
+        let delay = Duration::try_from_secs_f64(missing / rate).unwrap_or(Duration::MAX);
+        if level == 0 && self.is_full_of_urgent() {
+            delay.max(URGENT_QUEUE_DELAY)
+        } else {
+            delay
+        }
     }
 
     /// Sets the level of the highest rank.
@@ -257,6 +303,7 @@
                 return;
             }
             self.tokens = [0.0; LEVEL_COUNT];
+            self.lift_tokens = 0.0;
         } else {
             let has_no_refusals = now.since(self.last_refusal_at) > MIN_REFUSAL_FREE_TIME;
             if has_no_refusals && self.pressure.total < LIMIT_STOP_PRESSURE {
@@ -276,6 +323,9 @@
             let tokens = self.tokens[usize::from(level)] + rate * elapsed;
             self.tokens[usize::from(level)] = tokens.min(base_rate * BURST_SECONDS);
         }
+        let lift_rate = self.admitted_load() * self.lift_share;
+        let lift_tokens = self.lift_tokens + lift_rate * elapsed;
+        self.lift_tokens = lift_tokens.min(lift_rate * BURST_SECONDS);
     }
 
     /// Measures the share of the load while the pressure tells the load of the whole service.
--- a/src/sidecar/service_ranks.rs
+++ b/src/sidecar/service_ranks.rs
@@ -73,6 +73,11 @@
         highest.map_or(rank, |highest| highest.max(rank))
     }
 
+    /// Cost of a request of the highest rank, in slot seconds.
+    pub(super) fn highest_rank_cost(&self) -> f64 {
+        self.highest_rank_cost
+    }
+
     /// Level of the highest rank.
     pub(super) fn top_level(&self) -> u8 {
         self.rank_level(self.highest)
--- a/src/sidecar/sidecar_daemon.rs
+++ b/src/sidecar/sidecar_daemon.rs
@@ -140,7 +140,7 @@
                 settings.listen.mesh,
                 settings.data_centre.as_str().into(),
             )),
-            admission: Mutex::new(IngressAdmission::default()),
+            admission: Mutex::new(IngressAdmission::new(settings.least_service)),
             target: Mutex::new(TargetStatus {
                 tracker,
                 live: None,
--- a/src/sidecar/sidecar_settings.rs
+++ b/src/sidecar/sidecar_settings.rs
@@ -1,5 +1,5 @@
 use {
-    super::RetryLimits,
+    super::{LeastService, RetryLimits},
     crate::{
         accounts::{ProofRule, QuotaTolerance},
         context::ServiceName,
@@ -41,6 +41,8 @@
     /// Time from the stop signal until the process is killed.
     pub shutdown_grace: Duration,
     pub retry_limits: RetryLimits,
+    /// What each rank of requests gets of an overloaded service at least.
+    pub least_service: LeastService,
     /// How long keys of accounts are accepted without news of the configuration.
     pub proof_rule: ProofRule,
     pub quota_tolerance: QuotaTolerance,
