Refusals prove that a call has not run only with its id

A refusal (not executed, 421) without the id of a call was taken for that of the call in progress; and a call that is sent again to a target that had refused it could get the connection on which the refusal may still come once more, with the right id. Now a refusal without the id is a bad response (outcome unknown: 502 for calls that run once, the connection is closed), and a call never uses a connection on which it was refused; after eight refusals a connection is closed.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -41,7 +41,7 @@
     response_body::{NoObserver, ResponseBody, StreamObserver, StreamOutcome},
     response_reader::{ResponsePrefix, read_response},
     send_failure::SendFailure,
-    target_pool::{TargetConnection, TargetPool},
+    target_pool::{ReuseRule, TargetConnection, TargetPool},
 };
 
 #[cfg(test)]
--- a/src/net/target_pool.rs
+++ b/src/net/target_pool.rs
@@ -28,6 +28,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of idle connections in the pool.
 const MAX_IDLE_CONNECTIONS: usize = 256;
+/// Refused calls after which a connection is closed.
+const MAX_REFUSED_CALLS: usize = 8;
 /// Time for which an idle connection is kept if the target does not specify one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 
@@ -46,6 +48,37 @@
     idle_since: Instant,
     /// Time from which the target may close the connection.
     expires_at: Instant,
+    refused_calls: RefusedCalls,
+}
+
+/// Ids of the calls that the target has refused on a connection.
+///
+/// A faulty target may write a refusal once more. Its id keeps it from being taken for the response
+/// to another call, but not from being taken for that to the same call when it is sent again.
+#[derive(Debug, Default)]
+struct RefusedCalls(Vec<Box<str>>);
+
+impl RefusedCalls {
+    fn contains(&self, call_id: &str) -> bool {
+        self.0.iter().any(|id| **id == *call_id)
+    }
+}
+
+/// Which idle connections a call may use.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReuseRule<'a> {
+    /// Maximum time for which the connection was idle.
+    pub(crate) max_idle_time: Duration,
+    /// Id of the call; it does not use a connection on which it was refused.
+    pub(crate) call_id: &'a str,
+}
+
+impl ReuseRule<'_> {
+    /// Any idle connection; for calls that are sent once.
+    pub(crate) const ANY: Self = Self {
+        max_idle_time: Duration::MAX,
+        call_id: "",
+    };
 }
 
 /// Time at which a connection is closed; `None` while it is idle.
@@ -83,6 +116,7 @@
 pub(crate) struct TargetConnection {
     sender: SendRequest<Full<Bytes>>,
     lease: ConnectionLease,
+    refused_calls: RefusedCalls,
     pool: Arc<TargetPool>,
     _permit: OwnedSemaphorePermit,
 }
@@ -106,20 +140,19 @@
         request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<(Response<Incoming>, TargetConnection), SendFailure> {
-        self.send_with_max_idle(request, Duration::MAX, deadline)
-            .await
+        self.send_reusing(request, ReuseRule::ANY, deadline).await
     }
 
-    /// Sends a call on a new connection, or on one that was idle for at most `max_idle_time`.
-    pub(crate) async fn send_with_max_idle(
+    /// Sends a call on a new connection, or on an idle one that `rule` allows.
+    pub(crate) async fn send_reusing(
         self: &Arc<Self>,
         request: Request<Full<Bytes>>,
-        max_idle_time: Duration,
+        rule: ReuseRule<'_>,
         deadline: Instant,
     ) -> Result<(Response<Incoming>, TargetConnection), SendFailure> {
         let mut request = request;
         loop {
-            let mut connection = self.connection(max_idle_time, deadline).await?;
+            let mut connection = self.connection(rule, deadline).await?;
             let sending = connection.sender.try_send_request(request);
             match timeout_at(deadline, sending).await {
                 Ok(Ok(response)) => return Ok((response, connection)),
@@ -141,7 +174,7 @@
 
     async fn connection(
         self: &Arc<Self>,
-        max_idle_time: Duration,
+        rule: ReuseRule<'_>,
         deadline: Instant,
     ) -> Result<TargetConnection, SendFailure> {
         let acquiring = self.permits.clone().acquire_owned();
@@ -149,46 +182,49 @@
             .await
             .map_err(|_| SendFailure::NotSent(self.error("no free connection by the deadline")))?
             .map_err(|error| SendFailure::NotSent(self.error(error)))?;
-        let (sender, lease) = match self.acquire_idle(max_idle_time).await {
-            Some(idle) => idle,
-            None => self.connect().await.map_err(SendFailure::NotSent)?,
+        let (sender, lease, refused_calls) = match self.acquire_idle(rule).await {
+            Some(idle) => (idle.sender, idle.lease, idle.refused_calls),
+            None => {
+                let (sender, lease) = self.connect().await.map_err(SendFailure::NotSent)?;
+                (sender, lease, RefusedCalls::default())
+            }
         };
         lease.set(Some(deadline));
         Ok(TargetConnection {
             sender,
             lease,
+            refused_calls,
             pool: self.clone(),
             _permit: permit,
         })
     }
 
-    async fn acquire_idle(
-        &self,
-        max_idle_time: Duration,
-    ) -> Option<(SendRequest<Full<Bytes>>, ConnectionLease)> {
-        while let Some(mut idle) = self.pop_idle(max_idle_time) {
+    async fn acquire_idle(&self, rule: ReuseRule<'_>) -> Option<IdleConnection> {
+        while let Some(mut idle) = self.pop_idle(rule) {
             if idle.sender.ready().await.is_ok() {
-                return Some((idle.sender, idle.lease));
+                return Some(idle);
             }
         }
         None
     }
 
-    /// Takes the most recently used connection that has not expired and was idle for at most
-    /// `max_idle_time`.
-    fn pop_idle(&self, max_idle_time: Duration) -> Option<IdleConnection> {
+    /// Takes the most recently used connection that has not expired and that `rule` allows.
+    fn pop_idle(&self, rule: ReuseRule<'_>) -> Option<IdleConnection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Instant::now();
-        // The connections below the top of the stack were idle even longer.
-        if now - idle.last()?.idle_since > max_idle_time {
-            return None;
-        }
-        while let Some(connection) = idle.pop() {
+        loop {
+            let is_allowed =
+                |connection: &IdleConnection| !connection.refused_calls.contains(rule.call_id);
+            let index = idle.iter().rposition(is_allowed)?;
+            // The connections below it were idle even longer.
+            if now - idle[index].idle_since > rule.max_idle_time {
+                return None;
+            }
+            let connection = idle.remove(index);
             if connection.expires_at > now {
                 return Some(connection);
             }
         }
-        None
     }
 
     /// Closes all idle connections.
@@ -248,6 +284,14 @@
         self.release_with_timeout(DEFAULT_IDLE_TIMEOUT);
     }
 
+    /// Returns the connection to the pool after the call was refused on it.
+    pub(crate) fn release_refused(mut self, idle_timeout: Duration, call_id: &str) {
+        self.refused_calls.0.push(call_id.into());
+        if self.refused_calls.0.len() < MAX_REFUSED_CALLS {
+            self.release_with_timeout(idle_timeout);
+        }
+    }
+
     /// Returns the connection to the pool for `idle_timeout`, in which the target keeps it open.
     pub(crate) fn release_with_timeout(self, idle_timeout: Duration) {
         let mut idle = self
@@ -262,6 +306,7 @@
                 lease: self.lease,
                 idle_since: Instant::now(),
                 expires_at: Instant::now() + idle_timeout,
+                refused_calls: self.refused_calls,
             });
         }
     }
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        ListenerLimits, ListenerShutdown, MeshPool, NoObserver, ResponseBody, SendFailure,
-        TargetPool, bind, serve_mesh,
+        ListenerLimits, ListenerShutdown, MeshPool, NoObserver, ResponseBody, ReuseRule,
+        SendFailure, TargetPool, bind, serve_mesh,
     },
     bytes::Bytes,
     http::{Request, Response},
@@ -109,7 +109,11 @@
     for max_idle_time in [Duration::MAX, Duration::MAX, MAX_IDLE_TIME, Duration::MAX] {
         let request = Request::get("/").body(Full::default()).expect("a request");
         let deadline = Instant::now() + DEADLINE;
-        let sending = pool.send_with_max_idle(request, max_idle_time, deadline);
+        let rule = ReuseRule {
+            max_idle_time,
+            ..ReuseRule::ANY
+        };
+        let sending = pool.send_reusing(request, rule, deadline);
         let (response, connection) = sending.await.expect("a response");
         let body = response.into_body().collect().await.expect("a body");
         connections.push(body.to_bytes());
@@ -118,3 +122,25 @@
     }
     assert_eq!(connections, ["0", "0", "1", "1"]);
 }
+
+/// A refusal that the target writes once more must not be taken for the response to the same call.
+#[tokio::test]
+async fn a_call_skips_connections_on_which_it_was_refused() {
+    let target = start_counting_target().await;
+    let pool = TargetPool::new(target, 8);
+    let mut connections = Vec::new();
+    for call_id in ["one", "two", "one", "two", "three"] {
+        let request = Request::get("/").body(Full::default()).expect("a request");
+        let deadline = Instant::now() + DEADLINE;
+        let rule = ReuseRule {
+            call_id,
+            ..ReuseRule::ANY
+        };
+        let sending = pool.send_reusing(request, rule, deadline);
+        let (response, connection) = sending.await.expect("a response");
+        let body = response.into_body().collect().await.expect("a body");
+        connections.push(body.to_bytes());
+        connection.release_refused(DEADLINE, call_id);
+    }
+    assert_eq!(connections, ["0", "0", "1", "1", "1"]);
+}
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -26,8 +26,8 @@
     crate::{
         crash::{RequestDigest, RunEnd, SuspectStanding, choose_isolation_target},
         net::{
-            ResponseBody, ResponsePrefix, SendFailure, TargetConnection, clean_response_headers,
-            read_request, read_response, remove_content_length, set_header,
+            ResponseBody, ResponsePrefix, ReuseRule, SendFailure, TargetConnection,
+            clean_response_headers, read_request, read_response, remove_content_length, set_header,
         },
     },
     bytes::Bytes,
@@ -355,12 +355,16 @@
         }
     };
     let deadline = state.clock.instant_of(context.deadline) + CONNECTION_END_TIME;
-    let max_idle = if context.is_idempotent {
+    let max_idle_time = if context.is_idempotent {
         Duration::MAX
     } else {
         MAX_NON_IDEMPOTENT_IDLE
     };
-    let sending = target.pool.send_with_max_idle(request, max_idle, deadline);
+    let rule = ReuseRule {
+        max_idle_time,
+        call_id: &call.id,
+    };
+    let sending = target.pool.send_reusing(request, rule, deadline);
     match sending.await {
         Ok((response, connection)) => {
             relay_response(
@@ -439,7 +443,7 @@
                 .await
                 .is_ok()
         {
-            connection.release_with_timeout(keep_alive_time);
+            connection.release_refused(keep_alive_time, &call.id);
         }
         let end = if failure == AttemptFailure::Shed {
             RunEnd::NotRun
@@ -499,7 +503,13 @@
     if echoed_id.is_some_and(|echoed_id| echoed_id != call.id) {
         return Some(AttemptFailure::BadResponse);
     }
-    if headers.contains_key(&names.not_executed) || status == StatusCode::MISDIRECTED_REQUEST {
+    let is_refusal =
+        headers.contains_key(&names.not_executed) || status == StatusCode::MISDIRECTED_REQUEST;
+    if is_refusal && echoed_id.is_none() {
+        // It may be the refusal of an earlier call on the connection.
+        return Some(AttemptFailure::BadResponse);
+    }
+    if is_refusal {
         return Some(AttemptFailure::Shed);
     }
     let is_confirmed = headers.contains_key(&names.signature) && echoed_id.is_some();
--- a/standins/src/upstream/upstream_standin.rs
+++ b/standins/src/upstream/upstream_standin.rs
@@ -340,6 +340,10 @@
         let unsigned_response = |status, text: &'static str| {
             let mut response = Response::new(StandinBody::text(text));
             *response.status_mut() = status;
+            if let Ok(echoed_id) = http::HeaderValue::from_str(&id) {
+                let headers = response.headers_mut();
+                headers.insert("x-banyantrestle-request-id", echoed_id);
+            }
             response
         };
         if expected != self.instance() {
