Contexts between sidecars are read across builds

While machines are replaced one after the other, old and new builds call each other.

A context with eight fields is read now, as one without an account, and fields beyond the tenth are left unread. A peer that refuses a call without an account as 'no target' gets it once more in the older format (the refusal says that it has not run), and that format for ten seconds. A call with an account is never sent without it.

Test: recorded contexts of older builds, and what is written for them. One case of contexts_out_of_bounds_are_rejected is gone: it asked that an eleventh field makes a context malformed, which is what keeps a later build from adding one; a truncated context (nine fields) is still rejected.

--- a/src/sidecar/forwarded_call.rs
+++ b/src/sidecar/forwarded_call.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        HeaderNames, HopContext,
+        HeaderNames, HopContext, HopFormat,
         account_gate::PROOF_HEADER,
         attempt_report::{ATTEMPT_FAILURE_HEADER, ONLY_PEER_HEADER},
         failure_cause::CAUSE_HEADER,
@@ -82,6 +82,7 @@
         &self,
         context: &HopContext,
         now: TimePoint,
+        format: HopFormat,
     ) -> Result<Request<Full<Bytes>>, http::Error> {
         let uri = Uri::builder()
             .scheme("http")
@@ -92,7 +93,7 @@
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = uri;
         *request.headers_mut() = self.headers.clone();
-        let mut context = HeaderValue::try_from(context.encode(now))?;
+        let mut context = HeaderValue::try_from(context.encode(now, format))?;
         context.set_sensitive(true);
         request.headers_mut().insert(HOP_CONTEXT_HEADER, context);
         Ok(request)
--- a/src/sidecar/hop_context.rs
+++ b/src/sidecar/hop_context.rs
@@ -42,6 +42,15 @@
     pub key_valid_until: Option<TimePoint>,
 }
 
+/// Format of the header, by what the receiving build reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HopFormat {
+    /// Eight fields; builds without accounts read nothing else.
+    WithoutAccount,
+    /// Ten fields.
+    WithAccount,
+}
+
 impl HopContext {
     /// Whether the attempt counts against the retry budget of the service.
     #[must_use]
@@ -49,12 +58,13 @@
         self.earlier_attempts > 0 || self.is_inherited_retry
     }
 
-    /// Encodes the header value; times are sent as ms before or after `now`. The last field has the
-    /// flags `r` (inherited retry) and `i` (idempotent).
+    /// Encodes the header value; times are sent as ms before or after `now`. The eighth field has
+    /// the flags `r` (inherited retry) and `i` (idempotent). The account is left out where `format`
+    /// has no fields for it.
     #[must_use]
-    pub fn encode(&self, now: TimePoint) -> String {
-        format!(
-            "{};{};{};{};{};{};{};{}{};{};{}",
+    pub fn encode(&self, now: TimePoint, format: HopFormat) -> String {
+        let mut text = format!(
+            "{};{};{};{};{};{};{};{}{}",
             self.service,
             self.caller,
             self.rank,
@@ -64,13 +74,21 @@
             self.earlier_attempts,
             if self.is_inherited_retry { "r" } else { "" },
             if self.is_idempotent { "i" } else { "" },
-            self.account
-                .as_deref()
-                .map_or_else(String::new, encode_name),
-            self.key_valid_until.map_or_else(String::new, |end| {
-                now.until(end).as_millis().to_string()
-            }),
-        )
+        );
+        if format == HopFormat::WithAccount {
+            let account = self.account.as_deref();
+            let account = account.map_or_else(String::new, encode_name);
+            let validity = self.key_valid_until.map(|end| now.until(end).as_millis());
+            let validity = validity.map_or_else(String::new, |millis| millis.to_string());
+            text.push_str(&format!(";{account};{validity}"));
+        }
+        text
+    }
+
+    /// Whether the call may be sent to a peer that knows no accounts.
+    pub(crate) fn fits(&self, format: HopFormat) -> bool {
+        let has_account = self.account.is_some() || self.key_valid_until.is_some();
+        format == HopFormat::WithAccount || !has_account
     }
 
     /// Parses a header value that arrived at `now`; `None` if a field is malformed or out of
@@ -89,17 +107,16 @@
         let depth = fields.next()?.parse().ok()?;
         let earlier_attempts = fields.next()?.parse().ok()?;
         let flags = fields.next()?;
-        let account = match fields.next()? {
-            "" => None,
-            name => Some(decode_name(name)?),
-        };
-        let key_validity = match fields.next()? {
-            "" => None,
-            millis => Some(Duration::from_millis(millis.parse().ok()?)),
+        // Builds without accounts end here; fields of later builds are left unread.
+        let (account, key_validity) = match fields.next() {
+            None => (None, None),
+            Some(name) => (
+                decode_optional_name(name)?,
+                decode_validity(fields.next()?)?,
+            ),
         };
         let is_flag = |flag: char| matches!(flag, 'r' | 'i');
-        let is_valid = fields.next().is_none()
-            && depth <= MAX_CALL_DEPTH
+        let is_valid = depth <= MAX_CALL_DEPTH
             && age <= MAX_TIME_OFFSET
             && remaining <= MAX_TIME_OFFSET
             && key_validity.is_none_or(|validity| validity <= MAX_TIME_OFFSET)
@@ -139,6 +156,24 @@
     byte_serialize(name.as_bytes()).collect()
 }
 
+/// Decodes the field of the account, which is empty without one; `None` if it is malformed.
+fn decode_optional_name(text: &str) -> Option<Option<Arc<str>>> {
+    if text.is_empty() {
+        return Some(None);
+    }
+    decode_name(text).map(Some)
+}
+
+/// Decodes the field with the validity of the key, which is empty without one; `None` if it is
+/// malformed.
+fn decode_validity(text: &str) -> Option<Option<Duration>> {
+    if text.is_empty() {
+        return Some(None);
+    }
+    let millis = text.parse().ok()?;
+    Some(Some(Duration::from_millis(millis)))
+}
+
 /// Decodes the name of an account; `None` if it is not encoded properly.
 fn decode_name(text: &str) -> Option<Arc<str>> {
     let (name, value) = form_urlencoded::parse(text.as_bytes()).next()?;
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -48,6 +48,7 @@
 mod local_response;
 mod outbound;
 mod peer_call;
+mod peer_formats;
 mod peer_subset;
 mod peer_table;
 mod platform_adapter;
@@ -90,10 +91,13 @@
 mod tried_targets;
 mod unread_fields;
 
+#[cfg(test)]
+mod tests;
+
 pub use {
     attempt_history::{AttemptHistory, AttemptOutcome, NextStep},
     failure_cause::FailureCause,
-    hop_context::{HopContext, MAX_CALL_DEPTH},
+    hop_context::{HopContext, HopFormat, MAX_CALL_DEPTH},
     ingress_admission::{EndedRequest, IngressAdmission, IngressRefusal, RequestAdmission},
     least_service::LeastService,
     peer_table::{PeerOutcome, PeerTable},
--- a/src/sidecar/peer_call.rs
+++ b/src/sidecar/peer_call.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        FailureCause, HopContext, PeerOutcome, PlatformAdapter, PressureReport, TargetLoad,
-        TreeCost,
+        FailureCause, HopContext, HopFormat, PeerOutcome, PlatformAdapter, PressureReport,
+        TargetLoad, TreeCost,
         account_gate::PROOF_HEADER,
         attempt_report::{ATTEMPT_FAILURE_HEADER, AttemptFailure, AttemptReport, ONLY_PEER_HEADER},
         failure_cause::CAUSE_HEADER,
@@ -116,13 +116,48 @@
     }
 }
 
+/// Sends a call to a peer; one that may run an older build gets it once more in the format of that
+/// build.
 async fn send_to_peer<P: PlatformAdapter>(
     state: &SidecarState<P>,
     call: &ForwardedCall,
     context: &HopContext,
     peer: SocketAddr,
 ) -> AttemptReport {
-    let request = match call.to_peer_request(context, state.clock.now()) {
+    let formats = &state.peer_formats;
+    let now = state.clock.now();
+    let known = formats.format(now, peer);
+    let format = if context.fits(known) {
+        known
+    } else {
+        HopFormat::WithAccount
+    };
+    let report = send_in_format(state, call, context, peer, format).await;
+    let is_unread = matches!(report.result, Err(AttemptFailure::NoTarget));
+    let may_try_older = format == HopFormat::WithAccount
+        && context.fits(HopFormat::WithoutAccount)
+        && formats.may_try_older(now, peer);
+    if !is_unread || !may_try_older {
+        return report;
+    }
+    let older = HopFormat::WithoutAccount;
+    let report = send_in_format(state, call, context, peer, older).await;
+    let is_read = !matches!(report.result, Err(AttemptFailure::NoTarget));
+    formats.record_older(state.clock.now(), peer, is_read);
+    if is_read {
+        slog::info!(state.log.logger, "peer of an older build"; "peer" => %peer);
+    }
+    report
+}
+
+async fn send_in_format<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    call: &ForwardedCall,
+    context: &HopContext,
+    peer: SocketAddr,
+    format: HopFormat,
+) -> AttemptReport {
+    let request = match call.to_peer_request(context, state.clock.now(), format) {
         Ok(mut request) => {
             if let Some(incarnation) = state.leaving_peers.get(peer) {
                 incarnation.set_leaving_header(request.headers_mut());
--- a/src/sidecar/sidecar_daemon.rs
+++ b/src/sidecar/sidecar_daemon.rs
@@ -9,6 +9,7 @@
         inbound_service::serve_inbound,
         leaving_peers::LeavingPeers,
         outbound::serve_outbound,
+        peer_formats::PeerFormats,
         process_load::ProcessLoad,
         refusal_store::keep_refusals,
         request_log::RequestLog,
@@ -136,6 +137,7 @@
             config: watch::Sender::new(None),
             accounts: AccountState::new(settings.proof_rule, now),
             leaving_peers: LeavingPeers::default(),
+            peer_formats: PeerFormats::default(),
             peers: Mutex::new(PeerTable::new(
                 settings.listen.mesh,
                 settings.data_centre.as_str().into(),
--- a/src/sidecar/sidecar_state.rs
+++ b/src/sidecar/sidecar_state.rs
@@ -2,9 +2,9 @@
     super::{
         IngressAdmission, PeerTable, PlatformAdapter, RouteConfig, SidecarSettings,
         TargetRetryBudget, TargetTracker, account_gate::AccountState, crash_watch::CrashWatch,
-        leaving_peers::LeavingPeers, live_target::LiveTarget, process_load::ProcessLoad,
-        request_log::RequestLog, request_tally::RequestTally, running_calls::RunningCalls,
-        unread_fields::UnreadFields,
+        leaving_peers::LeavingPeers, live_target::LiveTarget, peer_formats::PeerFormats,
+        process_load::ProcessLoad, request_log::RequestLog, request_tally::RequestTally,
+        running_calls::RunningCalls, unread_fields::UnreadFields,
     },
     crate::{
         context::ServiceName,
@@ -83,6 +83,7 @@
     pub(crate) accounts: AccountState,
     /// Targets of other sidecars that have said that they are leaving.
     pub(crate) leaving_peers: LeavingPeers,
+    pub(crate) peer_formats: PeerFormats,
     pub(super) peers: Mutex<PeerTable>,
     pub(super) admission: Mutex<IngressAdmission>,
     pub(super) target: Mutex<TargetStatus>,
