Least share of 0.33; requests of the lowest rank aren't refused for urgent queues

A rank's share is counted by attempts and callers that are refused come back, so 0.28 of the attempts is hardly a quarter of the requests; 0.33 is.

--- a/src/net/target_pool.rs
+++ b/src/net/target_pool.rs
@@ -182,12 +182,11 @@
             .await
             .map_err(|_| SendFailure::NotSent(self.error("no free connection by the deadline")))?
             .map_err(|error| SendFailure::NotSent(self.error(error)))?;
-        let (sender, lease, refused_calls) = match self.acquire_idle(rule).await {
-            Some(idle) => (idle.sender, idle.lease, idle.refused_calls),
-            None => {
-                let (sender, lease) = self.connect().await.map_err(SendFailure::NotSent)?;
-                (sender, lease, RefusedCalls::default())
-            }
+        let (sender, lease, refused_calls) = if let Some(idle) = self.acquire_idle(rule).await {
+            (idle.sender, idle.lease, idle.refused_calls)
+        } else {
+            let (sender, lease) = self.connect().await.map_err(SendFailure::NotSent)?;
+            (sender, lease, RefusedCalls::default())
         };
         lease.set(Some(deadline));
         Ok(TargetConnection {
--- a/src/sidecar/hop_context.rs
+++ b/src/sidecar/hop_context.rs
@@ -63,7 +63,7 @@
     /// has no fields for it.
     #[must_use]
     pub fn encode(&self, now: TimePoint, format: HopFormat) -> String {
-        let mut text = format!(
+        let text = format!(
             "{};{};{};{};{};{};{};{}{}",
             self.service,
             self.caller,
@@ -75,14 +75,14 @@
             if self.is_inherited_retry { "r" } else { "" },
             if self.is_idempotent { "i" } else { "" },
         );
-        if format == HopFormat::WithAccount {
-            let account = self.account.as_deref();
-            let account = account.map_or_else(String::new, encode_name);
-            let validity = self.key_valid_until.map(|end| now.until(end).as_millis());
-            let validity = validity.map_or_else(String::new, |millis| millis.to_string());
-            text.push_str(&format!(";{account};{validity}"));
+        if format == HopFormat::WithoutAccount {
+            return text;
         }
-        text
+        let account = self.account.as_deref();
+        let account = account.map_or_else(String::new, encode_name);
+        let validity = self.key_valid_until.map(|end| now.until(end).as_millis());
+        let validity = validity.map_or_else(String::new, |millis| millis.to_string());
+        format!("{text};{account};{validity}")
     }
 
     /// Whether the call may be sent to a peer that knows no accounts.
@@ -110,10 +110,16 @@
         // Builds without accounts end here; fields of later builds are left unread.
         let (account, key_validity) = match fields.next() {
             None => (None, None),
-            Some(name) => (
-                decode_optional_name(name)?,
-                decode_validity(fields.next()?)?,
-            ),
+            Some(name) => (Some(name), Some(fields.next()?)),
+        };
+        let account = account.filter(|name| !name.is_empty());
+        let account = match account {
+            Some(name) => Some(decode_name(name)?),
+            None => None,
+        };
+        let key_validity = match key_validity.filter(|millis| !millis.is_empty()) {
+            Some(millis) => Some(Duration::from_millis(millis.parse().ok()?)),
+            None => None,
         };
         let is_flag = |flag: char| matches!(flag, 'r' | 'i');
         let is_valid = depth <= MAX_CALL_DEPTH
@@ -156,24 +162,6 @@
     byte_serialize(name.as_bytes()).collect()
 }
 
-/// Decodes the field of the account, which is empty without one; `None` if it is malformed.
-fn decode_optional_name(text: &str) -> Option<Option<Arc<str>>> {
-    if text.is_empty() {
-        return Some(None);
-    }
-    decode_name(text).map(Some)
-}
-
-/// Decodes the field with the validity of the key, which is empty without one; `None` if it is
-/// malformed.
-fn decode_validity(text: &str) -> Option<Option<Duration>> {
-    if text.is_empty() {
-        return Some(None);
-    }
-    let millis = text.parse().ok()?;
-    Some(Some(Duration::from_millis(millis)))
-}
-
 /// Decodes the name of an account; `None` if it is not encoded properly.
 fn decode_name(text: &str) -> Option<Arc<str>> {
     let (name, value) = form_urlencoded::parse(text.as_bytes()).next()?;
--- a/src/sidecar/least_service.rs
+++ b/src/sidecar/least_service.rs
@@ -18,7 +18,7 @@
 impl Default for LeastService {
     fn default() -> Self {
         Self {
-            relative_share: 0.28,
+            relative_share: 0.33,
             capacity_share: 0.2,
         }
     }
--- a/src/sidecar/service_limiter.rs
+++ b/src/sidecar/service_limiter.rs
@@ -55,10 +55,6 @@
 /// sidecar with more than its share of urgent requests refuses none of them then, although others
 /// have tokens left.
 const FREE_URGENT_PRESSURE: f64 = 1.1;
-/// Urgent pressure from which requests of the lowest rank would wait for their whole time.
-const FULL_URGENT_PRESSURE: f64 = 1.2;
-/// Least delay of a request of the lowest rank that is refused for such a queue.
-const URGENT_QUEUE_DELAY: Duration = Duration::from_millis(300);
 /// Time constant of the moving average of admitted load.
 const ADMITTED_LOAD_TIME_CONSTANT: Duration = Duration::from_millis(1_200);
 /// Time constant of the moving average of recorded pressure, and the minimum weight of one sample.
@@ -154,11 +150,6 @@
         self.pressure.urgent > FREE_URGENT_PRESSURE
     }
 
-    /// Whether so many calls above the lowest rank queue that those of the lowest get no slots.
-    fn is_full_of_urgent(&self) -> bool {
-        self.pressure.urgent > FULL_URGENT_PRESSURE
-    }
-
     /// Moving average of the admitted slot seconds per second.
     #[must_use]
     pub fn admitted_load(&self) -> f64 {
@@ -203,8 +194,7 @@
         };
         let level = level.min(CHEAP_LEVEL);
         if level == 0 {
-            let has_tokens = self.tokens[usize::from(level)] > 0.0 && !self.is_full_of_urgent();
-            return has_tokens || self.pressure.total < IDLE_PRESSURE;
+            return self.tokens[usize::from(level)] > 0.0 || self.pressure.total < IDLE_PRESSURE;
         }
         let error = self.pressure_error(level, base_rate);
         let margin = error / (error + self.pressure.urgent - FREE_URGENT_PRESSURE);
@@ -261,12 +251,7 @@
         let level = level.min(CHEAP_LEVEL);
         let missing = (slot_seconds - self.tokens[usize::from(level)]).max(0.0);
         let rate = base_rate * self.correction(level, base_rate);
-        let delay = Duration::try_from_secs_f64(missing / rate).unwrap_or(Duration::MAX);
-        if level == 0 && self.is_full_of_urgent() {
-            delay.max(URGENT_QUEUE_DELAY)
-        } else {
-            delay
-        }
+        Duration::try_from_secs_f64(missing / rate).unwrap_or(Duration::MAX)
     }
 
     /// Sets the level of the highest rank.
