--- a/src/sidecar/admitted_request.rs
+++ b/src/sidecar/admitted_request.rs
@@ -3,6 +3,7 @@
         EndedRequest, IngressRefusal, PlatformAdapter, RouteRule, sidecar_state::SidecarState,
     },
     crate::time::TimePoint,
+    metrics::counter,
 };
 
 /// A request that the ingress admission counts as in flight until this is dropped.
@@ -23,6 +24,9 @@
     ) -> Result<Self, IngressRefusal> {
         let route = &rule.name;
         let admission = state.admission().admit(now, route, rank)?;
+        if admission.is_lifted {
+            counter!("banyantrestle_lifted_requests_total", "route" => route.clone()).increment(1);
+        }
         Ok(Self {
             state,
             route,
--- a/src/sidecar/ingress_admission.rs
+++ b/src/sidecar/ingress_admission.rs
@@ -92,7 +92,8 @@
         }
     }
 
-    /// Decides whether a request may start and charges its expected cost. An admitted request must be ended by [`Self::record_end`].
+    /// Decides whether a request may start and charges its expected cost. An admitted request must
+    /// be ended by [`Self::record_end`].
     ///
     /// # Errors
     /// The rate limit of a service that the request would reach is exhausted for its rank, or the
@@ -139,17 +140,12 @@
         };
         cost.ranks.insert(rank);
         if is_short && cost.is_unknown() {
-            // Its cost would stay unknown if its calls never got a slot.
-            if let Some(loaded) = &self.loaded_service
-                && let Some(ranks) = self.ranks.get(&loaded.name)
-                && let Some(limiter) = self.limiters.get_mut(&loaded.name)
-                && limiter.admits_lift()
-            {
-                limiter.take_lift(ranks.highest_rank_cost());
-                admission.queue_rank = rank.max(ranks.highest);
+            cost.in_flight += 1;
+            // The cost would stay unknown if calls of the route never got a slot.
+            if let Some(highest) = self.lift_unknown() {
+                admission.queue_rank = rank.max(highest);
                 admission.is_lifted = true;
             }
-            cost.in_flight += 1;
             return Ok(admission);
         }
         let lifted_rank = if is_short {
@@ -173,6 +169,18 @@
         Ok(admission)
     }
 
+    /// Lifts a request of unknown cost to the highest rank at the most loaded service; `None` if the
+    /// service has no capacity left for that.
+    fn lift_unknown(&mut self) -> Option<u8> {
+        let loaded = self.loaded_service.as_ref()?;
+        let ranks = self.ranks.get(&loaded.name)?;
+        let limiter = self.limiters.get_mut(&loaded.name)?;
+        limiter.admits_lift().then(|| {
+            limiter.take_lift(ranks.highest_rank_cost());
+            ranks.highest
+        })
+    }
+
     /// Records that an admitted request has ended.
     pub fn record_end(&mut self, now: TimePoint, route: &str, ended: EndedRequest) {
         self.shares.record(now, ended.rank, ended.is_served);
