--- a/src/sidecar/admin_service.rs
+++ b/src/sidecar/admin_service.rs
@@ -1,8 +1,10 @@
 use {
     super::{
-        PlatformAdapter, TargetChange, TargetPhase, TargetReport,
+        PlatformAdapter, TargetChange, TargetPhase, TargetReport, TargetTracker,
         attempt_report::RelayBody,
         live_target::LiveTarget,
+        report_refusal::ReportRefusal,
+        report_source::ReportSource,
         sidecar_state::{SidecarPhase, SidecarState, TargetStatus},
         target_incarnation::TargetIncarnation,
         unread_fields::FieldSource,
@@ -10,6 +12,7 @@
     crate::{
         membership::{TargetAnnouncement, TargetState},
         net::{ResponseBody, read_request},
+        time::TimePoint,
     },
     bytes::Bytes,
     http::{HeaderValue, Method, Request, Response, StatusCode, header::CONTENT_TYPE},
@@ -25,6 +28,10 @@
 const REFUSALS_PATH: &str = "/refusals";
 /// End of the path that ends a refusal.
 const LIFT_SUFFIX: &str = "/lift";
+/// Time in which the store has to hold a departure; targets wait a second for an acknowledgement.
+const DEPARTURE_STORE_TIME: Duration = Duration::from_millis(800);
+/// Time after which a heartbeat is no longer on its way to the sidecar.
+const MAX_HEARTBEAT_DELAY: Duration = Duration::from_secs(8);
 const JSON_TYPE: HeaderValue = HeaderValue::from_static("application/json");
 
 /// Serves the reports of the local target and the metrics endpoint.
@@ -52,10 +59,14 @@
                 let source = FieldSource::TargetReport;
                 state.unread_fields.record(source, &name, &state.log.logger);
             }
-            handle_report(&state, report).await;
-            let mut response = text_response(StatusCode::OK, "{}".into());
-            response.headers_mut().insert(CONTENT_TYPE, JSON_TYPE);
-            response
+            match handle_report(&state, report).await {
+                Ok(()) => {
+                    let mut response = text_response(StatusCode::OK, "{}".into());
+                    response.headers_mut().insert(CONTENT_TYPE, JSON_TYPE);
+                    response
+                }
+                Err(refusal) => text_response(refusal.status(), refusal.to_string()),
+            }
         }
     }
 }
@@ -107,54 +118,144 @@
     }
 }
 
-async fn handle_report<P: PlatformAdapter>(state: &SidecarState<P>, report: TargetReport) {
+/// Applies a report; an error means that its sender has no acknowledgement.
+async fn handle_report<P: PlatformAdapter>(
+    state: &Arc<SidecarState<P>>,
+    report: TargetReport,
+) -> Result<(), ReportRefusal> {
     let now = state.clock.now();
-    let (change, announcement) = {
-        let mut target_status = state.target();
-        let change = match report {
-            TargetReport::Heartbeat(heartbeat) => {
-                target_status.tracker.record_heartbeat(now, heartbeat)
-            }
-            TargetReport::Leave { instance } => target_status.tracker.record_leave(&instance),
-        };
-        apply_change(state, &mut target_status, change);
-        (change, build_announcement(&target_status))
-    };
-    if change == TargetChange::Unchanged {
-        return;
+    let source = ReportSource::from(&report);
+    let is_leaving = report.is_leaving();
+    let change = update_target(state, &source, |tracker| match report {
+        TargetReport::Heartbeat(heartbeat) => tracker.record_heartbeat(now, heartbeat),
+        TargetReport::Leave { instance } => {
+            tracker.record_leave(&instance, state.crash_watch.now_ms())
+        }
+    })
+    .await;
+    if change == TargetChange::Ambiguous {
+        return Err(ReportRefusal::Ambiguous);
     }
-    let state_text = announcement.as_ref().map(|target| target.state.to_string());
-    slog::info!(state.log.logger, "target reported";
-        "change" => %change, "state" => state_text.unwrap_or_else(|| "none".into()));
-    match announcement {
-        _ if change == TargetChange::Ignored => {}
-        Some(target) => state.membership.announce_target(target).await,
-        None => state.membership.withdraw_target().await,
+    if !is_leaving {
+        return Ok(());
+    }
+    let revision = state.target().tracker.departed().revision();
+    let storing = state
+        .departures
+        .wait_until_stored(revision, DEPARTURE_STORE_TIME);
+    if storing.await {
+        return Ok(());
     }
+    slog::warn!(state.log.logger, "departure not acknowledged"; "cause" => "not stored",
+        "instance" => source.instance);
+    Err(ReportRefusal::NotStored)
 }
 
-/// Stops calls to the local target if `incarnation` is its current process, which says that it is
-/// leaving; `source` names who has told so in the log.
+/// Records that `incarnation`, a process of the local target, says that it is leaving; `origin`
+/// names who has told so in the log.
 pub(crate) fn record_leaving<P: PlatformAdapter>(
     state: &Arc<SidecarState<P>>,
     incarnation: &TargetIncarnation,
-    source: &str,
+    origin: &'static str,
 ) {
-    let announcement = {
-        let mut target_status = state.target();
-        let change = target_status.tracker.record_leaving(incarnation);
-        if change != TargetChange::Draining {
-            return;
-        }
-        apply_change(state, &mut target_status, change);
-        build_announcement(&target_status)
+    let is_known = state.target().tracker.departed().contains(incarnation);
+    if is_known {
+        return;
+    }
+    // The caller of the request that has told so may cancel it at any time.
+    let (state, incarnation) = (state.clone(), incarnation.clone());
+    let source = ReportSource {
+        origin,
+        instance: incarnation.instance.clone(),
+        started_ms: Some(incarnation.started_ms),
+        sequence: None,
     };
-    slog::info!(state.log.logger, "target leaving"; "instance" => &incarnation.instance,
-        "source" => source);
-    if let Some(target) = announcement {
-        // The caller of the request that has told so may cancel it at any time.
-        let state = state.clone();
-        tokio::spawn(async move { state.membership.announce_target(target).await });
+    let (change, announcement) =
+        change_target(&state, |tracker| tracker.record_leaving(&incarnation));
+    tokio::spawn(async move { publish_change(&state, &source, change, announcement).await });
+}
+
+/// Adds targets that have left while an earlier process of this sidecar ran.
+pub(crate) async fn merge_departed<P: PlatformAdapter>(
+    state: &Arc<SidecarState<P>>,
+    departed: &[TargetIncarnation],
+) {
+    let source = ReportSource::of_sidecar("store");
+    update_target(state, &source, |tracker| tracker.merge_departed(departed)).await;
+}
+
+/// Lets the local target serve if it has waited until the departures were known; `origin` names in
+/// the log how they are.
+pub(crate) async fn confirm_target<P: PlatformAdapter>(
+    state: &Arc<SidecarState<P>>,
+    origin: &'static str,
+) {
+    if state.target().tracker.is_confirmed() {
+        return;
+    }
+    let source = ReportSource::of_sidecar(origin);
+    update_target(state, &source, TargetTracker::confirm).await;
+    let departed: Vec<_> = {
+        let target_status = state.target();
+        let entries = target_status.tracker.departed().entries().iter();
+        entries.map(|entry| entry.instance.clone()).collect()
+    };
+    slog::info!(state.log.logger, "departures known"; "origin" => origin,
+        "since_start_ms" => state.clock.now().as_millis(), "instances" => departed.join(","));
+}
+
+/// Lets the local target serve without the store once no heartbeat can arrive that was sent before
+/// this process started.
+pub(crate) async fn confirm_overdue<P: PlatformAdapter>(state: &Arc<SidecarState<P>>) {
+    if state.clock.now().since(TimePoint::ORIGIN) > MAX_HEARTBEAT_DELAY {
+        confirm_target(state, "age").await;
+    }
+}
+
+async fn update_target<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    source: &ReportSource,
+    update: impl FnOnce(&mut TargetTracker) -> TargetChange,
+) -> TargetChange {
+    let (change, announcement) = change_target(state, update);
+    publish_change(state, source, change, announcement).await;
+    change
+}
+
+/// Applies `update` to the local target and its calls; returns the announcement of the target that
+/// results.
+fn change_target<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    update: impl FnOnce(&mut TargetTracker) -> TargetChange,
+) -> (TargetChange, Option<TargetAnnouncement>) {
+    let mut target_status = state.target();
+    let change = update(&mut target_status.tracker);
+    apply_change(state, &mut target_status, change);
+    state
+        .departures
+        .set_recorded(target_status.tracker.departed().revision());
+    (change, build_announcement(&target_status))
+}
+
+/// Logs a change of the local target and announces the target to the other sidecars.
+async fn publish_change<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    source: &ReportSource,
+    change: TargetChange,
+    announcement: Option<TargetAnnouncement>,
+) {
+    if change == TargetChange::Unchanged {
+        return;
+    }
+    let state_text = announcement.as_ref().map(|target| target.state.to_string());
+    slog::info!(state.log.logger, "target reported";
+        "change" => %change, "state" => state_text.unwrap_or_else(|| "none".into()),
+        "origin" => source.origin, "instance" => &source.instance,
+        "started_ms" => source.started_ms, "sequence" => source.sequence);
+    match announcement {
+        _ if !change.affects_tracked() => {}
+        Some(target) => state.membership.announce_target(target).await,
+        None => state.membership.withdraw_target().await,
     }
 }
 
@@ -206,7 +307,7 @@
     let state = match phase {
         TargetPhase::Serving => TargetState::Serving,
         TargetPhase::Draining => TargetState::Draining,
-        TargetPhase::Gone => return None,
+        TargetPhase::Unconfirmed | TargetPhase::Gone => return None,
     };
     Some(TargetAnnouncement {
         service: heartbeat.service.clone(),
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -35,6 +35,9 @@
 mod call_pace;
 mod config_watch;
 mod crash_watch;
+mod departed_targets;
+mod departure_log;
+mod departure_store;
 mod failure_cause;
 mod forwarded_call;
 mod hop_context;
@@ -61,6 +64,8 @@
 mod rank_shares;
 mod rate_bucket;
 mod refusal_store;
+mod report_refusal;
+mod report_source;
 mod request_labels;
 mod request_log;
 mod request_tally;
@@ -96,6 +101,8 @@
 
 pub use {
     attempt_history::{AttemptHistory, AttemptOutcome, NextStep},
+    departed_targets::{DepartedTargets, MAX_DEPARTED_TARGETS},
+    departure_store::DEPARTURE_TABLE,
     failure_cause::FailureCause,
     hop_context::{HopContext, HopFormat, MAX_CALL_DEPTH},
     ingress_admission::{EndedRequest, IngressAdmission, IngressRefusal, RequestAdmission},
@@ -115,6 +122,7 @@
     sidecar_daemon::SidecarDaemon,
     sidecar_settings::{ListenAddresses, SidecarSettings},
     slot_scheduler::{QueueKey, QueuedCall, SlotDecision, SlotOutcome, SlotScheduler, TargetLoad},
+    target_incarnation::TargetIncarnation,
     target_report::{ReportedState, TargetHeartbeat, TargetReport},
     target_retry_budget::{RetryLimits, RetryRequest, TargetRetryBudget},
     target_tracker::{TargetChange, TargetPhase, TargetTracker},
--- a/src/sidecar/sidecar_daemon.rs
+++ b/src/sidecar/sidecar_daemon.rs
@@ -3,9 +3,11 @@
         ConfigSource, IngressAdmission, PeerTable, PlatformAdapter, SidecarSettings,
         TargetRetryBudget, TargetTracker,
         account_gate::{AccountState, keep_proof},
-        admin_service::{expire_target, serve_admin, serve_readiness},
+        admin_service::{confirm_overdue, expire_target, serve_admin, serve_readiness},
         config_watch::{watch_gossip, watch_store},
         crash_watch::CrashWatch,
+        departure_log::DepartureLog,
+        departure_store::keep_departures,
         inbound_service::serve_inbound,
         leaving_peers::LeavingPeers,
         outbound::serve_outbound,
@@ -104,6 +106,7 @@
             admin: bind(settings.listen.admin).await?,
         };
         let refusal_store = table.clone();
+        let departure_store = table.clone();
         let membership = MembershipHandle::start(
             membership_settings(&settings, process_clock),
             table,
@@ -136,6 +139,7 @@
             phase: watch::Sender::new(SidecarPhase::Starting),
             config: watch::Sender::new(None),
             accounts: AccountState::new(settings.proof_rule, now),
+            departures: DepartureLog::default(),
             leaving_peers: LeavingPeers::default(),
             peer_formats: PeerFormats::default(),
             peers: Mutex::new(PeerTable::new(
@@ -157,6 +161,7 @@
             internal_shutdown: ListenerShutdown::default(),
         };
         daemon.spawn_tasks(source, timers);
+        tokio::spawn(keep_departures(daemon.state.clone(), departure_store));
         tokio::spawn(keep_refusals(daemon.state.clone(), refusal_store));
         daemon.spawn_listeners(sockets);
         Ok(daemon)
@@ -314,6 +319,7 @@
     let mut ticks = interval(TARGET_CHECK_INTERVAL);
     loop {
         ticks.tick().await;
+        confirm_overdue(&state).await;
         expire_target(&state).await;
     }
 }
--- a/src/sidecar/sidecar_state.rs
+++ b/src/sidecar/sidecar_state.rs
@@ -2,9 +2,9 @@
     super::{
         IngressAdmission, PeerTable, PlatformAdapter, RouteConfig, SidecarSettings,
         TargetRetryBudget, TargetTracker, account_gate::AccountState, crash_watch::CrashWatch,
-        leaving_peers::LeavingPeers, live_target::LiveTarget, peer_formats::PeerFormats,
-        process_load::ProcessLoad, request_log::RequestLog, request_tally::RequestTally,
-        running_calls::RunningCalls, unread_fields::UnreadFields,
+        departure_log::DepartureLog, leaving_peers::LeavingPeers, live_target::LiveTarget,
+        peer_formats::PeerFormats, process_load::ProcessLoad, request_log::RequestLog,
+        request_tally::RequestTally, running_calls::RunningCalls, unread_fields::UnreadFields,
     },
     crate::{
         context::ServiceName,
@@ -81,6 +81,8 @@
     pub(crate) config: watch::Sender<Option<ActiveConfig>>,
     pub(crate) crash_watch: Arc<CrashWatch>,
     pub(crate) accounts: AccountState,
+    /// Which departures of targets beside this sidecar the store holds.
+    pub(crate) departures: DepartureLog,
     /// Targets of other sidecars that have said that they are leaving.
     pub(crate) leaving_peers: LeavingPeers,
     pub(crate) peer_formats: PeerFormats,
--- a/src/sidecar/target_incarnation.rs
+++ b/src/sidecar/target_incarnation.rs
@@ -1,4 +1,7 @@
-use http::{HeaderMap, HeaderValue};
+use {
+    http::{HeaderMap, HeaderValue},
+    serde::{Deserialize, Serialize},
+};
 
 /// Header with the target process that is leaving: on responses from the sidecar beside it, and on
 /// calls from sidecars that have been told of it, in case that sidecar has restarted since.
@@ -9,11 +12,11 @@
 const SEPARATOR: char = ';';
 
 /// One process of a target; a later process may have the same id.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct TargetIncarnation {
-    pub(crate) instance: String,
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetIncarnation {
+    pub instance: String,
     /// Start time in milliseconds since the Unix epoch.
-    pub(crate) started_ms: u64,
+    pub started_ms: u64,
 }
 
 impl TargetIncarnation {
--- a/src/sidecar/target_report.rs
+++ b/src/sidecar/target_report.rs
@@ -26,7 +26,9 @@
 }
 
 impl TargetHeartbeat {
-    pub(crate) fn incarnation(&self) -> TargetIncarnation {
+    /// The process that sent the heartbeat.
+    #[must_use]
+    pub fn incarnation(&self) -> TargetIncarnation {
         TargetIncarnation {
             instance: self.instance.clone(),
             started_ms: self.started_ms,
@@ -43,3 +45,13 @@
         instance: String,
     },
 }
+
+impl TargetReport {
+    /// Whether the target says that it is leaving.
+    pub(crate) const fn is_leaving(&self) -> bool {
+        match self {
+            Self::Heartbeat(heartbeat) => matches!(heartbeat.state, ReportedState::Draining),
+            Self::Leave { .. } => true,
+        }
+    }
+}
--- a/src/sidecar/target_tracker.rs
+++ b/src/sidecar/target_tracker.rs
@@ -1,5 +1,8 @@
 use {
-    super::{ReportedState, TargetHeartbeat, target_incarnation::TargetIncarnation},
+    super::{
+        ReportedState, TargetHeartbeat, departed_targets::DepartedTargets,
+        target_incarnation::TargetIncarnation,
+    },
     crate::{context::ServiceName, time::TimePoint},
     std::time::Duration,
     strum::{Display, IntoStaticStr},
@@ -22,11 +25,28 @@
     /// The report is out of order, or from an earlier process or another service.
     #[strum(serialize = "passed-over")]
     Ignored,
+    /// A process other than the tracked one is leaving.
+    OtherDeparted,
+    /// A process that started later has the id of the one that is leaving, so that the tracked
+    /// process can't be told from it.
+    Ambiguous,
+}
+
+impl TargetChange {
+    /// Whether the tracked process or its state is another one.
+    pub(crate) const fn affects_tracked(self) -> bool {
+        !matches!(
+            self,
+            Self::Unchanged | Self::Ignored | Self::OtherDeparted | Self::Ambiguous
+        )
+    }
 }
 
 /// Whether the target accepts calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetPhase {
+    /// It may have left before this sidecar started.
+    Unconfirmed,
     Serving,
     Draining,
     Gone,
@@ -39,15 +59,42 @@
     last_report_at: TimePoint,
 }
 
+impl KnownTarget {
+    const fn accepts_calls(&self) -> bool {
+        matches!(self.phase, TargetPhase::Unconfirmed | TargetPhase::Serving)
+    }
+
+    /// Applies a later heartbeat of the same process; its phase stays.
+    fn update(&mut self, now: TimePoint, heartbeat: TargetHeartbeat) -> TargetChange {
+        if heartbeat.sequence <= self.heartbeat.sequence || self.phase == TargetPhase::Gone {
+            return TargetChange::Ignored;
+        }
+        self.last_report_at = now;
+        let is_updated =
+            self.heartbeat.slots != heartbeat.slots || self.heartbeat.address != heartbeat.address;
+        self.heartbeat = heartbeat;
+        if is_updated {
+            TargetChange::Updated
+        } else {
+            TargetChange::Unchanged
+        }
+    }
+}
+
 /// Tracks the current process of the local target from its reports.
 ///
 /// A report of an earlier process or an earlier heartbeat of the same process is ignored. Leaving
-/// is final once it is acknowledged: a process that was draining or gone never serves again.
+/// is final once it is acknowledged: a process that was draining or gone never serves again, whether
+/// it was tracked then or not. Processes that left while an earlier process of the sidecar ran are
+/// not known at the start, so a target serves only once [`Self::confirm`] has been called.
 #[derive(Clone, Debug)]
 pub struct TargetTracker {
     service: ServiceName,
     heartbeat_interval: Duration,
     known: Option<KnownTarget>,
+    departed: DepartedTargets,
+    /// Whether all processes that have left are known.
+    is_confirmed: bool,
 }
 
 impl TargetTracker {
@@ -57,6 +104,8 @@
             service,
             heartbeat_interval,
             known: None,
+            departed: DepartedTargets::default(),
+            is_confirmed: false,
         }
     }
 
@@ -68,62 +117,107 @@
             .map(|known| (&known.heartbeat, known.phase))
     }
 
+    /// Processes that have said that they are leaving.
+    #[must_use]
+    pub const fn departed(&self) -> &DepartedTargets {
+        &self.departed
+    }
+
+    pub(crate) const fn is_confirmed(&self) -> bool {
+        self.is_confirmed
+    }
+
     pub fn record_heartbeat(&mut self, now: TimePoint, heartbeat: TargetHeartbeat) -> TargetChange {
-        if heartbeat.service != self.service || heartbeat.slots == 0 {
+        if heartbeat.service != self.service {
             return TargetChange::Ignored;
         }
-        let phase = match heartbeat.state {
-            ReportedState::Ready => TargetPhase::Serving,
-            ReportedState::Draining => TargetPhase::Draining,
-        };
-        let Some(known) = self.known.as_mut() else {
-            self.known = Some(KnownTarget {
-                heartbeat,
-                phase,
-                last_report_at: now,
-            });
-            return TargetChange::Started;
-        };
-        let is_same_process = known.heartbeat.instance == heartbeat.instance
-            && known.heartbeat.started_ms == heartbeat.started_ms;
-        if !is_same_process {
-            if heartbeat.started_ms < known.heartbeat.started_ms {
+        match heartbeat.state {
+            ReportedState::Ready if heartbeat.slots == 0 => TargetChange::Ignored,
+            ReportedState::Ready => self.record_ready(now, heartbeat),
+            ReportedState::Draining => self.record_draining(now, heartbeat),
+        }
+    }
+
+    fn record_ready(&mut self, now: TimePoint, heartbeat: TargetHeartbeat) -> TargetChange {
+        let incarnation = heartbeat.incarnation();
+        if let Some(known) = &mut self.known {
+            if known.heartbeat.incarnation() == incarnation {
+                return known.update(now, heartbeat);
+            }
+            if incarnation.started_ms < known.heartbeat.started_ms {
                 return TargetChange::Ignored;
             }
-            *known = KnownTarget {
-                heartbeat,
-                phase,
-                last_report_at: now,
-            };
-            return TargetChange::Started;
         }
-        if heartbeat.sequence <= known.heartbeat.sequence || known.phase == TargetPhase::Gone {
+        if self.departed.contains(&incarnation) {
             return TargetChange::Ignored;
         }
-        known.last_report_at = now;
-        let is_updated = known.heartbeat.slots != heartbeat.slots
-            || known.heartbeat.address != heartbeat.address;
-        known.heartbeat = heartbeat;
-        match (known.phase, phase) {
-            (TargetPhase::Serving, TargetPhase::Draining) => {
-                known.phase = TargetPhase::Draining;
-                TargetChange::Draining
+        let phase = if self.is_confirmed {
+            TargetPhase::Serving
+        } else {
+            TargetPhase::Unconfirmed
+        };
+        self.track(now, heartbeat, phase)
+    }
+
+    fn record_draining(&mut self, now: TimePoint, heartbeat: TargetHeartbeat) -> TargetChange {
+        let incarnation = heartbeat.incarnation();
+        let is_news = !self.departed.contains(&incarnation);
+        if let Some(known) = &mut self.known {
+            if known.heartbeat.incarnation() == incarnation {
+                self.departed.insert(incarnation);
+                if known.accepts_calls() {
+                    known.phase = TargetPhase::Draining;
+                    known.last_report_at = now;
+                    return TargetChange::Draining;
+                }
+                return known.update(now, heartbeat);
             }
-            _ if is_updated => TargetChange::Updated,
-            _ => TargetChange::Unchanged,
+            if incarnation.started_ms < known.heartbeat.started_ms {
+                if is_news && known.heartbeat.instance == incarnation.instance {
+                    return TargetChange::Ambiguous;
+                }
+                self.departed.insert(incarnation);
+                return if is_news {
+                    TargetChange::OtherDeparted
+                } else {
+                    TargetChange::Ignored
+                };
+            }
+        }
+        self.departed.insert(incarnation);
+        match &self.known {
+            Some(_) if !is_news => TargetChange::Ignored,
+            _ if heartbeat.slots == 0 => TargetChange::OtherDeparted,
+            _ => self.track(now, heartbeat, TargetPhase::Draining),
         }
     }
 
+    fn track(
+        &mut self,
+        now: TimePoint,
+        heartbeat: TargetHeartbeat,
+        phase: TargetPhase,
+    ) -> TargetChange {
+        self.known = Some(KnownTarget {
+            heartbeat,
+            phase,
+            last_report_at: now,
+        });
+        TargetChange::Started
+    }
+
     /// Records that this process says that it is leaving.
-    pub(crate) fn record_leaving(&mut self, incarnation: &TargetIncarnation) -> TargetChange {
+    pub fn record_leaving(&mut self, incarnation: &TargetIncarnation) -> TargetChange {
         match self.known.as_mut() {
             Some(known) if known.heartbeat.incarnation() == *incarnation => {
-                if known.phase != TargetPhase::Serving {
+                self.departed.insert(incarnation.clone());
+                if !known.accepts_calls() {
                     return TargetChange::Unchanged;
                 }
                 known.phase = TargetPhase::Draining;
                 TargetChange::Draining
             }
+            _ if self.departed.insert(incarnation.clone()) => TargetChange::OtherDeparted,
             _ => TargetChange::Ignored,
         }
     }
@@ -131,22 +225,60 @@
     /// The tracked process, if it is leaving or gone.
     pub(crate) fn leaving(&self) -> Option<TargetIncarnation> {
         let known = self.known.as_ref();
-        let known = known.filter(|known| known.phase != TargetPhase::Serving)?;
+        let known = known.filter(|known| !known.accepts_calls())?;
         Some(known.heartbeat.incarnation())
     }
 
-    pub fn record_leave(&mut self, instance: &str) -> TargetChange {
-        let Some(known) = self.known.as_mut() else {
-            return TargetChange::Ignored;
-        };
-        if known.heartbeat.instance != instance {
-            return TargetChange::Ignored;
+    /// Records that the process with this id shuts down; `left_ms` is the time of its report in
+    /// milliseconds since the Unix epoch.
+    pub fn record_leave(&mut self, instance: &str, left_ms: u64) -> TargetChange {
+        if let Some(known) = &mut self.known
+            && known.heartbeat.instance == instance
+        {
+            self.departed.insert(known.heartbeat.incarnation());
+            if known.phase == TargetPhase::Gone {
+                return TargetChange::Unchanged;
+            }
+            known.phase = TargetPhase::Gone;
+            return TargetChange::Gone;
         }
-        if known.phase == TargetPhase::Gone {
-            return TargetChange::Unchanged;
+        let is_news = self.departed.insert(TargetIncarnation {
+            instance: instance.into(),
+            started_ms: left_ms,
+        });
+        if is_news {
+            TargetChange::OtherDeparted
+        } else {
+            TargetChange::Unchanged
+        }
+    }
+
+    /// Adds processes that have left while an earlier process of the sidecar ran.
+    pub fn merge_departed(&mut self, entries: &[TargetIncarnation]) -> TargetChange {
+        self.departed.insert_earlier(entries);
+        match &mut self.known {
+            Some(known)
+                if known.accepts_calls()
+                    && self.departed.contains(&known.heartbeat.incarnation()) =>
+            {
+                known.phase = TargetPhase::Draining;
+                TargetChange::Draining
+            }
+            _ => TargetChange::Unchanged,
+        }
+    }
+
+    /// Records that no process is unknown that has left; a target that waits for this starts to
+    /// serve.
+    pub fn confirm(&mut self) -> TargetChange {
+        self.is_confirmed = true;
+        match &mut self.known {
+            Some(known) if known.phase == TargetPhase::Unconfirmed => {
+                known.phase = TargetPhase::Serving;
+                TargetChange::Started
+            }
+            _ => TargetChange::Unchanged,
         }
-        known.phase = TargetPhase::Gone;
-        TargetChange::Gone
     }
 
     /// Removes a lost target; its next heartbeat registers it again.
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -3,6 +3,7 @@
 mod account_ranks;
 mod admission_dynamics;
 mod attempt_history;
+mod departure_model;
 mod headers;
 mod ingress_admission;
 mod lasting_shortage;
