--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -229,6 +229,14 @@
         }
         Err(_) => return AttemptReport::failed(AttemptFailure::DeadlineTooNear),
     };
+    // The shutdown may have begun while the call waited.
+    if !state.ends_before_shutdown(context.deadline) {
+        permit.release(SlotOutcome::Abandoned);
+        if context.is_retry() {
+            state.retry_budget().return_unused(context.rank);
+        }
+        return AttemptReport::failed(AttemptFailure::TargetClosed);
+    }
     let started_at = permit.started_at();
     let Some(run) = state.crash_watch.try_start(target, digest) else {
         if context.is_retry() {
@@ -297,6 +305,9 @@
     if state.settings.service != context.service {
         return Err(AttemptFailure::NoTarget);
     }
+    if !state.ends_before_shutdown(context.deadline) {
+        return Err(AttemptFailure::TargetClosed);
+    }
     let target_status = state.target();
     target_status
         .live
--- a/src/sidecar/local_response.rs
+++ b/src/sidecar/local_response.rs
@@ -44,6 +44,8 @@
     QuotaUnknown,
     /// No target accepted the request, and it has not run.
     NotRun,
+    /// The sidecar shuts down, and the request might not end before it does; it has not run.
+    ShuttingDown,
     /// The request may have run; its outcome is unknown.
     Unknown,
     /// The deadline of the route or of the caller has passed.
@@ -82,6 +84,9 @@
             Self::QuotaExhausted => "the account had used up its limit; not run",
             Self::QuotaUnknown => "no quota owner of the account could be reached; not run",
             Self::NotRun => "no target accepted the request; not run",
+            Self::ShuttingDown => {
+                "the sidecar was shutting down and might have ended before the request; not run"
+            }
             Self::Unknown => "the request may have run; its outcome is unknown",
             Self::DeadlinePassed => "the deadline of the route or of the caller had passed",
             Self::CrashesTargets => {
@@ -93,14 +98,14 @@
 
     /// Whether the request has not run and may be repeated soon.
     pub(crate) const fn is_temporary(self) -> bool {
-        matches!(self, Self::NotRun | Self::KeyUnproven)
+        matches!(self, Self::NotRun | Self::ShuttingDown | Self::KeyUnproven)
     }
 
     /// Whether the request has not run on any target.
     pub(crate) const fn has_not_run(self) -> bool {
         matches!(
             self,
-            Self::NotRun | Self::KeyUnproven | Self::NoKey | Self::UnknownKey
+            Self::NotRun | Self::ShuttingDown | Self::KeyUnproven | Self::NoKey | Self::UnknownKey
         )
     }
 
@@ -110,6 +115,7 @@
             | Self::NoCapacity
             | Self::KeyUnproven
             | Self::QuotaUnknown
+            | Self::ShuttingDown
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoKey | Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::QuotaExhausted => StatusCode::TOO_MANY_REQUESTS,
--- a/src/sidecar/outbound/call_forwarding.rs
+++ b/src/sidecar/outbound/call_forwarding.rs
@@ -66,6 +66,11 @@
     // Sidecar beside the only target that may run the call.
     let mut only_peer: Option<SocketAddr> = None;
     loop {
+        // A call below one that the target is running ends with that one.
+        if parent.is_none() && !state.ends_before_shutdown(context.deadline) {
+            let failure = failure_after(&history, RequestFailure::ShuttingDown);
+            return failed_response.ok_or(failure);
+        }
         context.earlier_attempts = history.delivered();
         if let Some(account) = &mut account {
             context.key_valid_until = Some(recheck_account(state, account, &history)?);
@@ -88,11 +93,7 @@
             cause.get_or_insert_with(|| {
                 FailureCause::new(&context.service, AttemptFailure::NoTarget.into())
             });
-            let failure = if history.has_not_run() {
-                RequestFailure::NotRun
-            } else {
-                RequestFailure::Unknown
-            };
+            let failure = failure_after(&history, RequestFailure::NotRun);
             return failed_response.ok_or(failure);
         };
         let mut report = send_attempt(state, call, &context, peer).await;
@@ -156,6 +157,15 @@
     }
 }
 
+/// Failure of a call that is not sent again: `not_run` if it has not run on any target.
+fn failure_after(history: &AttemptHistory, not_run: RequestFailure) -> RequestFailure {
+    if history.has_not_run() {
+        not_run
+    } else {
+        RequestFailure::Unknown
+    }
+}
+
 /// Checks that the key of a call is still valid; returns until when.
 fn recheck_account<P: PlatformAdapter>(
     state: &SidecarState<P>,
@@ -164,8 +174,7 @@
 ) -> Result<TimePoint, RequestFailure> {
     match account.recheck(state) {
         Ok(()) => Ok(account.valid_until),
-        Err(refusal) if history.has_not_run() => Err(refusal.into()),
-        Err(_) => Err(RequestFailure::Unknown),
+        Err(refusal) => Err(failure_after(history, refusal.into())),
     }
 }
 
--- a/src/sidecar/outbound/outbound_service.rs
+++ b/src/sidecar/outbound/outbound_service.rs
@@ -223,7 +223,14 @@
     let names = state.platform.headers();
     let started_at = state.clock.now();
     let time_left = started_at.until(routed.deadline);
-    let body = read_body(&head, body, routed.config.limits.body_bytes, time_left).await?;
+    let mut phase = state.phase.subscribe();
+    let reading = read_body(&head, body, routed.config.limits.body_bytes, time_left);
+    let body = tokio::select! {
+        body = reading => body?,
+        _ = phase.wait_for(|phase| *phase == SidecarPhase::Stopping) => {
+            return Err(RequestFailure::BodyLate.into());
+        }
+    };
     let mut call = ForwardedCall::new(head, body, names);
     if routed.config.accounts.is_some() {
         call.remove_credential(names);
--- a/src/sidecar/request_tally.rs
+++ b/src/sidecar/request_tally.rs
@@ -52,7 +52,7 @@
     pub(crate) const fn of_failure(failure: RequestFailure) -> Self {
         match failure {
             RequestFailure::NoCapacity => Self::Refused,
-            RequestFailure::NotRun => Self::NotRun,
+            RequestFailure::NotRun | RequestFailure::ShuttingDown => Self::NotRun,
             RequestFailure::DeadlinePassed => Self::TimedOut,
             RequestFailure::Unknown => Self::Unknown,
             RequestFailure::NoConfig
--- a/src/sidecar/sidecar_daemon.rs
+++ b/src/sidecar/sidecar_daemon.rs
@@ -35,7 +35,7 @@
     },
     std::{
         net::SocketAddr,
-        sync::{Arc, Mutex},
+        sync::{Arc, Mutex, OnceLock},
         time::Duration,
     },
     tokio::{
@@ -137,6 +137,7 @@
             in_flight: TaskTracker::new(),
             recorder: process_recorder(),
             phase: watch::Sender::new(SidecarPhase::Starting),
+            drain_end: OnceLock::new(),
             config: watch::Sender::new(None),
             accounts: AccountState::new(settings.proof_rule, now),
             departures: DepartureLog::default(),
--- a/src/sidecar/sidecar_shutdown.rs
+++ b/src/sidecar/sidecar_shutdown.rs
@@ -21,8 +21,9 @@
     /// Fails the readiness check, waits for calls in flight, and stops within the shutdown grace.
     pub async fn shutdown(self) {
         let start = Instant::now();
-        let drain_deadline = start + self.state.settings.shutdown_grace.mul_f64(DRAIN_SHARE);
-        self.state.advance_to(SidecarPhase::Draining);
+        let drain_time = self.state.settings.shutdown_grace.mul_f64(DRAIN_SHARE);
+        let drain_deadline = start + drain_time;
+        self.state.start_drain(self.state.clock.now() + drain_time);
         let mut checks = interval(CHECK_INTERVAL);
         let mut idle_since = Instant::now();
         let mut has_closed_listener = false;
@@ -37,7 +38,9 @@
                 let membership = self.state.membership.clone();
                 tokio::spawn(async move { membership.leave().await });
             }
-            if !has_closed_listener && start.elapsed() > CALLER_DRAIN_TIME {
+            // Calls that the target is running may make calls of their own on the same listener.
+            let has_running = !self.state.running.is_empty();
+            if !has_closed_listener && !has_running && start.elapsed() > CALLER_DRAIN_TIME {
                 has_closed_listener = true;
                 self.outbound_shutdown.draining.cancel();
             }
--- a/src/sidecar/sidecar_state.rs
+++ b/src/sidecar/sidecar_state.rs
@@ -10,13 +10,13 @@
         context::ServiceName,
         membership::{MemberView, MembershipHandle},
         net::MeshPool,
-        time::{BootClock, PauseDetector},
+        time::{BootClock, PauseDetector, TimePoint},
     },
     bytes::Bytes,
     metrics::gauge,
     metrics_exporter_prometheus::PrometheusHandle,
     std::{
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
         time::Duration,
     },
     strum::{Display, IntoStaticStr},
@@ -78,6 +78,8 @@
     pub(crate) in_flight: TaskTracker,
     pub(crate) recorder: PrometheusHandle,
     pub(crate) phase: watch::Sender<SidecarPhase>,
+    /// Time at which the calls in flight are ended; set when the shutdown begins.
+    pub(super) drain_end: OnceLock<TimePoint>,
     pub(crate) config: watch::Sender<Option<ActiveConfig>>,
     pub(crate) crash_watch: Arc<CrashWatch>,
     pub(crate) accounts: AccountState,
@@ -102,6 +104,17 @@
         *self.phase.borrow()
     }
 
+    /// Begins the shutdown; calls that are in flight at `drain_end` are ended.
+    pub(crate) fn start_drain(&self, drain_end: TimePoint) {
+        self.drain_end.get_or_init(|| drain_end);
+        self.advance_to(SidecarPhase::Draining);
+    }
+
+    /// Whether a call that may last until `deadline` ends before the shutdown does, if there is one.
+    pub(crate) fn ends_before_shutdown(&self, deadline: TimePoint) -> bool {
+        self.drain_end.get().is_none_or(|end| deadline <= *end)
+    }
+
     pub(crate) fn peers(&self) -> MutexGuard<'_, PeerTable> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
