--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -245,7 +245,11 @@
         let report = refuse_suspect(state, digest);
         return report.unwrap_or_else(|| AttemptReport::failed(AttemptFailure::SuspectBusy));
     };
-    let run = StreamedRun { permit, run };
+    let run = StreamedRun {
+        permit,
+        run,
+        in_flight: state.in_flight.token(),
+    };
     if !context.is_retry() {
         let now = state.clock.now();
         state.retry_budget().record_first_attempt(now, context.rank);
--- a/src/sidecar/outbound/outbound_service.rs
+++ b/src/sidecar/outbound/outbound_service.rs
@@ -395,6 +395,10 @@
     rule: &RouteRule,
     service: &ServiceName,
 ) -> Option<Duration> {
+    if failure == RequestFailure::ShuttingDown {
+        // Other sidecars serve the caller at once.
+        return Some(Duration::ZERO);
+    }
     let now = state.clock.now();
     failure.is_temporary().then(|| {
         let delay = state.peers().rate_limit_delay(now, service, true);
--- a/src/sidecar/sidecar_shutdown.rs
+++ b/src/sidecar/sidecar_shutdown.rs
@@ -30,9 +30,6 @@
         let mut has_left_membership = false;
         while Instant::now() < drain_deadline {
             checks.tick().await;
-            if !self.state.in_flight.is_empty() || !self.state.running.is_empty() {
-                idle_since = Instant::now();
-            }
             if !has_left_membership && start.elapsed() > TARGET_SERVE_TIME {
                 has_left_membership = true;
                 let membership = self.state.membership.clone();
@@ -44,6 +41,9 @@
                 has_closed_listener = true;
                 self.outbound_shutdown.draining.cancel();
             }
+            if self.is_busy(has_closed_listener) {
+                idle_since = Instant::now();
+            }
             if has_closed_listener && idle_since.elapsed() > IDLE_TIME {
                 break;
             }
@@ -56,4 +56,11 @@
         slog::info!(self.state.log.logger, "stopped";
             "took_ms" => start.elapsed().as_millis(), "in_flight" => self.state.in_flight.len());
     }
+
+    /// Whether requests are in flight or responses are being written. Connections of callers end
+    /// after their last response once the listener is closed.
+    fn is_busy(&self, has_closed_listener: bool) -> bool {
+        let is_writing = has_closed_listener && !self.outbound_shutdown.tracker.is_empty();
+        is_writing || !self.state.in_flight.is_empty() || !self.state.running.is_empty()
+    }
 }
--- a/src/sidecar/sidecar_state.rs
+++ b/src/sidecar/sidecar_state.rs
@@ -74,7 +74,8 @@
     pub(crate) mesh_pool: MeshPool,
     /// Calls that the local target is running.
     pub(crate) running: Arc<RunningCalls>,
-    /// Requests on the outbound listener that have no response yet.
+    /// Requests on the outbound listener that have no response yet, and responses of the local
+    /// target that are being relayed.
     pub(crate) in_flight: TaskTracker,
     pub(crate) recorder: PrometheusHandle,
     pub(crate) phase: watch::Sender<SidecarPhase>,
--- a/src/sidecar/streamed_run.rs
+++ b/src/sidecar/streamed_run.rs
@@ -4,6 +4,7 @@
         crash::RunEnd,
         net::{StreamObserver, StreamOutcome},
     },
+    tokio_util::task::task_tracker::TaskTrackerToken,
 };
 
 /// A call whose response is being relayed: its slot, and its place among the calls that the target
@@ -12,6 +13,8 @@
 pub(crate) struct StreamedRun {
     pub(crate) permit: SlotPermit,
     pub(crate) run: RunGuard,
+    /// Keeps the sidecar from ending meanwhile.
+    pub(crate) in_flight: TaskTrackerToken,
 }
 
 /// The call that a relayed response belongs to, at the sidecar of its target.
@@ -19,7 +22,12 @@
 
 impl StreamObserver for ResponseRun {
     fn on_end(self, outcome: StreamOutcome) {
-        let Some(StreamedRun { permit, run }) = self else {
+        let Some(StreamedRun {
+            permit,
+            run,
+            in_flight: _in_flight,
+        }) = self
+        else {
             return;
         };
         let (slot_outcome, end) = match outcome {
