Merging stored departures changes nothing when nothing is new

DepartedTargets::insert_earlier raised the revision for each entry of the row that it inserted again, which woke the keeper of the departures, which read the row again, without end.

--- a/src/sidecar/departed_targets.rs
+++ b/src/sidecar/departed_targets.rs
@@ -49,9 +49,13 @@
 
     /// Adds processes that left before all those in the table.
     pub(crate) fn insert_earlier(&mut self, earlier: &[TargetIncarnation]) {
-        let later = std::mem::take(&mut self.entries);
-        for incarnation in earlier.iter().chain(&later) {
-            self.insert(incarnation.clone());
+        let mut merged = Self::default();
+        for incarnation in earlier.iter().chain(&self.entries) {
+            merged.insert(incarnation.clone());
+        }
+        if merged.entries != self.entries {
+            self.entries = merged.entries;
+            self.revision += 1;
         }
     }
 
