--- a/src/sidecar/admin_service.rs
+++ b/src/sidecar/admin_service.rs
@@ -172,6 +172,10 @@
     };
     let (change, announcement) =
         change_target(&state, |tracker| tracker.record_leaving(&incarnation));
+    if change == TargetChange::Draining {
+        slog::info!(state.log.logger, "target leaving"; "instance" => &incarnation.instance,
+            "source" => origin);
+    }
     tokio::spawn(async move { publish_change(&state, &source, change, announcement).await });
 }
 
@@ -212,6 +216,7 @@
     }
 }
 
+/// Applies `update` to the local target, and logs and announces what it changes.
 async fn update_target<P: PlatformAdapter>(
     state: &SidecarState<P>,
     source: &ReportSource,
