Requests that end without a response are counted and logged with their cause

OwedAnswer goes with a request from the attempt that may run it until the server has taken its last byte. If it ends before that, banyantrestle_unanswered_total{cause} counts it, and but for callers that have left, a line "request ended without a response" names the request, its cause (stopped, panicked, connection-lost, deadline-passed, response-broken) and the phase of the sidecar.

No decision changes.

--- a/src/net/caller_input.rs
+++ b/src/net/caller_input.rs
@@ -53,6 +53,23 @@
     input: Arc<CallerInput>,
 }
 
+/// Tells whether the caller of a connection has left.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerPresence(Arc<CallerInput>);
+
+impl CallerPresence {
+    /// Whether the caller has closed the connection, or its end of it.
+    pub(crate) fn has_left(&self) -> bool {
+        self.0.state().is_closed
+    }
+}
+
+impl RequestArrival {
+    pub(crate) fn caller(&self) -> CallerPresence {
+        CallerPresence(self.input.clone())
+    }
+}
+
 impl CallerInput {
     /// Marks the request that the server has read last as in flight.
     pub(crate) fn start_request(self: &Arc<Self>) -> RequestArrival {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -24,7 +24,7 @@
 };
 pub(crate) use {
     call_request::{CallRequest, parse_route},
-    caller_input::RequestArrival,
+    caller_input::{CallerPresence, RequestArrival},
     header_names::{
         CLAIM_HEADER, LOAD_HEADER, REQUEST_HEADER, TAG_HEADER, clean_response_headers,
         remove_content_length, remove_daemon_headers, remove_hop_by_hop_headers, set_header,
@@ -38,7 +38,7 @@
         encode_tag, is_valid_call_tag, is_valid_message_tag, message_tag,
     },
     request_reader::{RequestError, read_request},
-    response_body::{NoObserver, ResponseBody, StreamObserver, StreamOutcome},
+    response_body::{NoObserver, ResponseBody, ResponseError, StreamObserver, StreamOutcome},
     response_reader::{ResponsePrefix, read_response},
     send_failure::SendFailure,
     target_pool::{ReuseRule, TargetConnection, TargetPool},
--- a/src/sidecar/outbound/call_forwarding.rs
+++ b/src/sidecar/outbound/call_forwarding.rs
@@ -12,6 +12,7 @@
             sidecar_state::SidecarState,
         },
         outbound_log::{log_failed_attempt, log_response},
+        owed_answer::OwedAnswer,
     },
     crate::{context::ServiceName, time::TimePoint},
     http::Response,
@@ -38,8 +39,9 @@
 }
 
 /// A call that entered at this sidecar and has been admitted.
-pub(super) struct OutboundCall<'a> {
+pub(super) struct OutboundCall<'a, P: PlatformAdapter> {
     pub(super) call: &'a ForwardedCall,
+    pub(super) owed: &'a OwedAnswer<P>,
     pub(super) origin: CallOrigin<'a>,
     /// Account of a call that starts a chain and carries a key.
     pub(super) account: Option<RequestAccount>,
@@ -50,11 +52,12 @@
 /// `cause` is set to the cause of the last failure and cleared by a success.
 pub(super) async fn forward_with_retries<P: PlatformAdapter>(
     state: &Arc<SidecarState<P>>,
-    outbound: OutboundCall<'_>,
+    outbound: OutboundCall<'_, P>,
     cause: &mut Option<FailureCause>,
 ) -> Result<Response<RelayBody>, RequestFailure> {
     let OutboundCall {
         call,
+        owed,
         origin,
         mut account,
         mut context,
@@ -89,13 +92,11 @@
                 tried.clear_rate_limited();
                 continue;
             }
-            log_failed_attempt(state, call, &context, None, AttemptFailure::NoTarget.into());
-            cause.get_or_insert_with(|| {
-                FailureCause::new(&context.service, AttemptFailure::NoTarget.into())
-            });
+            report_no_target(state, call, &context, cause);
             let failure = failure_after(&history, RequestFailure::NotRun);
             return failed_response.ok_or(failure);
         };
+        owed.set_owed(true);
         let mut report = send_attempt(state, call, &context, peer).await;
         record_pressure(state, &context.service, &mut report.tree_cost);
         let is_complete = is_success(&report.result);
@@ -151,12 +152,25 @@
             rule.max_attempts,
             time_left,
         );
+        owed.set_owed(!history.has_not_run());
         if step != NextStep::Retry {
             return final_response(step, failed_response, has_timed_out);
         }
     }
 }
 
+/// Logs that no target is left to try; the cause is an earlier failure if there is one.
+fn report_no_target<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    call: &ForwardedCall,
+    context: &HopContext,
+    cause: &mut Option<FailureCause>,
+) {
+    let outcome = AttemptFailure::NoTarget;
+    log_failed_attempt(state, call, context, None, outcome.into());
+    cause.get_or_insert_with(|| FailureCause::new(&context.service, outcome.into()));
+}
+
 /// Failure of a call that is not sent again: `not_run` if it has not run on any target.
 fn failure_after(history: &AttemptHistory, not_run: RequestFailure) -> RequestFailure {
     if history.has_not_run() {
--- a/src/sidecar/outbound/mod.rs
+++ b/src/sidecar/outbound/mod.rs
@@ -4,9 +4,11 @@
 //! the services it reaches admit it ([`request_admission`]), and it is sent to one target after
 //! another until one responds ([`call_forwarding`]).
 
+mod answer_body;
 mod call_forwarding;
 mod outbound_log;
 mod outbound_service;
+mod owed_answer;
 mod request_admission;
 mod retry_delay;
 
--- a/src/sidecar/outbound/outbound_service.rs
+++ b/src/sidecar/outbound/outbound_service.rs
@@ -10,8 +10,10 @@
             running_calls::RunningCall,
             sidecar_state::{SidecarPhase, SidecarState},
         },
+        answer_body::AnswerBody,
         call_forwarding::{CallOrigin, OutboundCall, forward_with_retries, record_timeout},
         outbound_log::{report_crashing_request, report_local_response},
+        owed_answer::OwedAnswer,
         request_admission::{RequestRefusal, RootRequest, admit_account, admit_request},
         retry_delay::{DEFAULT_RETRY_DELAY, retry_after},
     },
@@ -113,10 +115,13 @@
     state: Arc<SidecarState<P>>,
     request: Request<Incoming>,
     arrival: RequestArrival,
-) -> Response<RelayBody> {
+) -> Response<AnswerBody<P>> {
     let arrived_at = arrival.arrived_at;
     let _token = state.in_flight.token();
-    let mut response = handle_request(&state, request, arrived_at).await;
+    let id = header_text(request.headers(), &state.platform.headers().request_id);
+    let id = id.unwrap_or_default().to_owned();
+    let answer = OwedAnswer::new(state.clone(), arrival.caller(), &id, arrived_at);
+    let mut response = handle_request(&state, request, &id, &answer, arrived_at).await;
     if state.phase() >= SidecarPhase::Draining {
         let headers = response.headers_mut();
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
@@ -124,28 +129,28 @@
     let status = response.status().as_u16().to_string();
     let elapsed = state.clock.now().since(arrived_at);
     metrics::histogram!("banyantrestle_outbound_seconds", "status" => status).record(elapsed);
-    response
+    response.map(|body| AnswerBody::new(body, answer))
 }
 
 async fn handle_request<P: PlatformAdapter>(
     state: &Arc<SidecarState<P>>,
     request: Request<Incoming>,
+    id: &str,
+    owed: &OwedAnswer<P>,
     arrived_at: TimePoint,
 ) -> Response<RelayBody> {
     let names = state.platform.headers();
     let (head, body) = request.into_parts();
-    let id = header_text(&head.headers, &names.request_id);
-    let id = id.unwrap_or_default().to_owned();
-    let result = match find_route(state, &head, &id, arrived_at) {
-        Ok(routed) if routed.parent.is_none() => run_tallied(state, routed, head, body).await,
-        Ok(routed) => run_call(state, routed, head, body).await,
+    let result = match find_route(state, &head, id, arrived_at) {
+        Ok(routed) if routed.parent.is_none() => run_tallied(state, routed, owed, head, body).await,
+        Ok(routed) => run_call(state, routed, owed, head, body).await,
         Err(answer) => Err(answer),
     };
     result.unwrap_or_else(|answer| {
         if !answer.is_reported {
-            report_local_response(state, &id, answer.failure);
+            report_local_response(state, id, answer.failure);
         }
-        local_response(answer.failure, &id, answer.retry_after, names)
+        local_response(answer.failure, id, answer.retry_after, names)
     })
 }
 
@@ -200,13 +205,14 @@
 async fn run_tallied<P: PlatformAdapter>(
     state: &Arc<SidecarState<P>>,
     routed: RoutedCall,
+    owed: &OwedAnswer<P>,
     head: Parts,
     body: Incoming,
 ) -> Result<Response<RelayBody>, LocalAnswer> {
     let rule = routed.rule.clone();
     let arrived_at = routed.arrived_at;
     let tallied = state.tally.start(&rule.name);
-    let result = run_call(state, routed, head, body).await;
+    let result = run_call(state, routed, owed, head, body).await;
     let elapsed = state.clock.now().since(arrived_at);
     let ended = result.as_ref().map_err(|answer| answer.failure);
     tallied.finish(ended, elapsed, rule.latency_objective);
@@ -217,6 +223,7 @@
 async fn run_call<P: PlatformAdapter>(
     state: &Arc<SidecarState<P>>,
     routed: RoutedCall,
+    owed: &OwedAnswer<P>,
     head: Parts,
     body: Incoming,
 ) -> Result<Response<RelayBody>, LocalAnswer> {
@@ -261,6 +268,7 @@
     }
     let outbound = OutboundCall {
         call: &call,
+        owed,
         origin: routed.origin(),
         account: routed.account.clone(),
         context,
@@ -293,7 +301,7 @@
 /// Forwards a call until its deadline or the end of the sidecar's shutdown.
 async fn forward_until_deadline<P: PlatformAdapter>(
     state: &Arc<SidecarState<P>>,
-    outbound: OutboundCall<'_>,
+    outbound: OutboundCall<'_, P>,
     routed: &RoutedCall,
     service: &ServiceName,
 ) -> Result<Response<RelayBody>, RequestFailure> {
