Requests that arrive when a connection counts as idle are answered

What callers saw: a request on a kept connection, sent before the idle timeout had run out, ended with a closed connection and no answer. Purchases can't be repeated then, since the sidecar had read them.

Cause: the timer was the header_read_timeout of hyper (net/listener.rs, http1_builder). Three faults follow from that: - If the process is late (busy, or short of processor time) the timer and the bytes are found in the same turn of the event loop, and the connection closes if its future polls the server before the input (one of both, at random). - After the close, CallerInput::discard_rest read for 500 ms what still arrived. A request that crossed the close was read and dropped, where a socket that is closed is reset by the kernel and tells the caller that nothing was read. - The timeout was that of the configuration in force when the connection was accepted. Open connections were closed after the shorter time once the operator had raised it, just when callers begin to keep them longer.

CallerConnection has a timer of its own, one for a connection and not one for a request. When it fires, the server first gets what the socket holds, read without waiting for the event loop; a request that is found is served. The limit is the longer one of the newest configuration and of that which set the timer, so that a caller that counts on the longer one isn't cut. A connection that is idle is closed without a further read. A response in progress (CallerPresence) or a socket that takes no bytes is not idle. Headers that have arrived in part get the timeout from their first byte.

--- a/src/net/caller_input.rs
+++ b/src/net/caller_input.rs
@@ -1,11 +1,13 @@
 use {
     crate::time::{BootClock, TimePoint},
     bytes::{Buf, Bytes},
+    socket2::{SockRef, Socket},
     std::{
         collections::VecDeque,
-        io,
+        io::{self, Read},
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         task::{Context, Poll, Waker},
+        time::Duration,
     },
     tokio::{io::ReadBuf, net::tcp::OwnedReadHalf, sync::Notify},
 };
@@ -21,8 +23,9 @@
 /// until then doesn't see that the caller has disconnected. The input is read independently of the
 /// server, so that the arrival time of each request and the end of the connection are known at
 /// once.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct CallerInput {
+    clock: BootClock,
     state: Mutex<InputState>,
     /// Notified when there is room for more bytes and when a request starts.
     progress: Notify,
@@ -37,6 +40,14 @@
     /// Whether the caller has closed the connection or it has failed.
     is_closed: bool,
     requests_in_flight: usize,
+    /// Requests in flight, and those whose response is not complete.
+    open_requests: usize,
+    /// Whether the socket takes no more bytes of a response for now.
+    is_write_blocked: bool,
+    /// Time from which nothing has been in progress.
+    idle_since: TimePoint,
+    /// Arrival of the first bytes that the server has read of a request that is not complete.
+    head_arrival: Option<TimePoint>,
     server_waker: Option<Waker>,
 }
 
@@ -53,8 +64,8 @@
     input: Arc<CallerInput>,
 }
 
-/// Tells whether the caller of a connection has left.
-#[derive(Clone, Debug)]
+/// Tells whether the caller of a connection has left. The connection is not idle while this exists.
+#[derive(Debug)]
 pub(crate) struct CallerPresence(Arc<CallerInput>);
 
 impl CallerPresence {
@@ -66,15 +77,29 @@
 
 impl RequestArrival {
     pub(crate) fn caller(&self) -> CallerPresence {
+        self.input.state().open_requests += 1;
         CallerPresence(self.input.clone())
     }
 }
 
 impl CallerInput {
+    pub(super) fn new(clock: BootClock) -> Self {
+        Self {
+            clock,
+            state: Mutex::new(InputState {
+                idle_since: clock.now(),
+                ..InputState::default()
+            }),
+            progress: Notify::new(),
+        }
+    }
+
     /// Marks the request that the server has read last as in flight.
     pub(crate) fn start_request(self: &Arc<Self>) -> RequestArrival {
         let mut state = self.state();
         state.requests_in_flight += 1;
+        state.open_requests += 1;
+        state.head_arrival = None;
         let arrived_at = state.read_arrival;
         drop(state);
         self.progress.notify_one();
@@ -85,7 +110,7 @@
     }
 
     /// Reads from the socket until the caller has left while a request was in flight.
-    pub(crate) async fn read_until_abandoned(&self, reader: &OwnedReadHalf, clock: BootClock) {
+    pub(crate) async fn read_until_abandoned(&self, reader: &OwnedReadHalf) {
         loop {
             while self.state().buffered_bytes >= MAX_READ_AHEAD_BYTES {
                 self.progress.notified().await;
@@ -95,7 +120,7 @@
             }
             match read_chunk(reader) {
                 Ok(data) if data.is_empty() => break,
-                Ok(data) => self.push(clock.now(), data),
+                Ok(data) => self.push(data),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_) => break,
             }
@@ -106,6 +131,36 @@
         }
     }
 
+    /// Reads what the socket holds, including bytes that the runtime has not reported yet.
+    pub(super) fn read_arrived(&self, reader: &OwnedReadHalf) {
+        let socket = SockRef::from(reader.as_ref());
+        let mut socket: &Socket = &socket;
+        let mut buffer = [0; CHUNK_BYTES];
+        while self.state().buffered_bytes < MAX_READ_AHEAD_BYTES {
+            // The end of the connection is reported to the runtime too.
+            let Ok(length @ 1..) = socket.read(&mut buffer) else {
+                return;
+            };
+            self.push(Bytes::copy_from_slice(&buffer[..length]));
+        }
+    }
+
+    /// Time for which no request has been in progress; `None` while one is.
+    pub(super) fn idle_time(&self) -> Option<Duration> {
+        let state = self.state();
+        let is_idle =
+            state.open_requests == 0 && !state.is_write_blocked && state.chunks.is_empty();
+        let since = state.head_arrival.unwrap_or(state.idle_since);
+        is_idle.then(|| self.clock.now().since(since.max(state.idle_since)))
+    }
+
+    /// Records whether the socket has taken bytes of a response.
+    pub(super) fn record_write(&self, is_blocked: bool) {
+        let mut state = self.state();
+        state.is_write_blocked = is_blocked;
+        state.idle_since = self.clock.now();
+    }
+
     /// Reads and drops what the caller still sends, until it closes the connection.
     ///
     /// A socket that is closed with unread bytes is reset, and the reset may destroy the last
@@ -137,7 +192,8 @@
         Poll::Ready(Ok(()))
     }
 
-    fn push(&self, arrived_at: TimePoint, data: Bytes) {
+    fn push(&self, data: Bytes) {
+        let arrived_at = self.clock.now();
         let mut state = self.state();
         state.buffered_bytes += data.len();
         state.chunks.push_back(ArrivedChunk { arrived_at, data });
@@ -150,6 +206,14 @@
         state.wake_server();
     }
 
+    fn close_request(&self) {
+        let mut state = self.state();
+        state.open_requests -= 1;
+        if state.open_requests == 0 {
+            state.idle_since = self.clock.now();
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, InputState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -171,6 +235,9 @@
         buffer.put_slice(&chunk.data[..length]);
         chunk.data.advance(length);
         self.read_arrival = chunk.arrived_at;
+        if self.requests_in_flight == 0 {
+            self.head_arrival.get_or_insert(chunk.arrived_at);
+        }
         self.buffered_bytes -= length;
         if chunk.data.is_empty() {
             self.chunks.pop_front();
@@ -182,6 +249,13 @@
 impl Drop for RequestArrival {
     fn drop(&mut self) {
         self.input.state().requests_in_flight -= 1;
+        self.input.close_request();
+    }
+}
+
+impl Drop for CallerPresence {
+    fn drop(&mut self) {
+        self.0.close_request();
     }
 }
 
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        caller_connection::{CallerConnection, ConnectionEnd},
         caller_input::{CallerInput, RequestArrival},
         read_ahead_stream::ReadAheadStream,
     },
@@ -155,6 +156,8 @@
 /// Serves HTTP/1.1 to callers until `shutdown`; the handler gets the arrival of each request, which
 /// it must keep until the response.
 ///
+/// The header timeout of the newest `limits` is also the time for which a connection may be idle.
+///
 /// Pipelined requests are handled one after another, in the order in which they were sent. Those
 /// behind a response that closes the connection are not handled, and none is once the caller has
 /// left.
@@ -165,7 +168,7 @@
     shutdown: ListenerShutdown,
     handler: F,
 ) where
-    L: Fn() -> ListenerLimits,
+    L: Fn() -> ListenerLimits + Clone + Send + Sync + 'static,
     F: Fn(Request<Incoming>, RequestArrival) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data = Bytes> + Send + 'static,
@@ -178,20 +181,31 @@
         shutdown,
         move |stream, shutdown| {
             let (reader, writer) = stream.into_split();
-            let input = Arc::new(CallerInput::default());
+            let input = Arc::new(CallerInput::new(clock));
             let handler = handler.clone();
             let request_input = input.clone();
             let service =
                 handler_service(move |request| handler(request, request_input.start_request()));
             let stream = ReadAheadStream::new(input.clone(), writer);
-            let connection =
-                http1_builder(limits()).serve_connection(TokioIo::new(stream), service);
-            // Boxed, since a future holds those that it waits for twice.
-            let serving = Box::pin(serve_until_shutdown(connection, shutdown));
+            let mut builder = http1_builder(limits());
+            // The connection's own timer takes its place.
+            builder.header_read_timeout(None);
+            let connection = builder.serve_connection(TokioIo::new(stream), service);
+            let limits = limits.clone();
             async move {
+                let caller = CallerConnection {
+                    connection: Box::pin(connection),
+                    input: &input,
+                    reader: &reader,
+                };
+                let idle_timeout = || limits().header_timeout;
                 tokio::select! {
-                    () = serving => {}
-                    () = input.read_until_abandoned(&reader, clock) => return,
+                    end = caller.serve(idle_timeout, &shutdown) => {
+                        if end == ConnectionEnd::Idle {
+                            return;
+                        }
+                    }
+                    () = input.read_until_abandoned(&reader) => return,
                 }
                 // A caller that keeps the connection open past the timeout gets a reset.
                 timeout(CLOSE_TIMEOUT, input.discard_rest(&reader))
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 
 mod call_refusal;
 mod call_request;
+mod caller_connection;
 mod caller_input;
 mod header_names;
 mod listener;
--- a/src/net/read_ahead_stream.rs
+++ b/src/net/read_ahead_stream.rs
@@ -41,7 +41,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.writer).poll_write(context, bytes)
+        let written = Pin::new(&mut self.writer).poll_write(context, bytes);
+        self.input.record_write(written.is_pending());
+        written
     }
 
     fn poll_write_vectored(
@@ -49,7 +51,9 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.writer).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.writer).poll_write_vectored(context, slices);
+        self.input.record_write(written.is_pending());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
