Requests that have arrived when a stop closes idle connections are answered

What callers saw: 2.3 s after a SIGTERM, requests on kept connections ended without an answer, although the readiness check had failed for just 2 s and callers may not have known.

Cause: graceful_shutdown of hyper closes a connection at once that waits for a request (net/listener.rs, serve_until_shutdown). Bytes that CallerInput had read ahead, or that lay in the socket, were dropped, and discard_rest read and dropped what came in the next 500 ms.

The server gets what the socket holds before the connection drains, and answers the request that is found, with Connection: close. Headers that have arrived in part, and the first request of a connection that has carried none, may take 300 ms more, by which a stop with such a connection may take longer. Other idle connections close without a further read.

--- a/src/net/caller_connection.rs
+++ b/src/net/caller_connection.rs
@@ -9,10 +9,14 @@
     },
     tokio::{
         net::tcp::OwnedReadHalf,
-        time::{Instant, sleep},
+        time::{Instant, sleep, timeout},
     },
 };
 
+/// Time in which the first request of a new connection, or the rest of a request, must arrive once
+/// the listener drains.
+const LAST_REQUEST_TIME: Duration = Duration::from_millis(300);
+
 /// How the service of a connection has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionEnd {
@@ -63,8 +67,25 @@
         }
     }
 
-    /// Serves the request in progress and no other.
+    /// Serves the request in progress or one that has arrived, and no other.
     async fn drain(&mut self, shutdown: &ListenerShutdown) -> ConnectionEnd {
+        if self.serve_arrived().await {
+            return ConnectionEnd::Served;
+        }
+        let waiting = poll_fn(|context| {
+            if self.connection.as_mut().poll(context).is_ready() {
+                Poll::Ready(ConnectionEnd::Served)
+            } else if self.input.idle_time().is_some() && self.input.expects_request() {
+                Poll::Pending
+            } else {
+                Poll::Ready(ConnectionEnd::Idle)
+            }
+        });
+        let end = timeout(LAST_REQUEST_TIME, waiting).await;
+        let has_ended = end == Ok(ConnectionEnd::Served);
+        if has_ended || self.input.idle_time().is_some() {
+            return end.unwrap_or(ConnectionEnd::Idle);
+        }
         self.connection.as_mut().graceful_shutdown();
         tokio::select! {
             _ = self.connection.as_mut() => {}
--- a/src/net/caller_input.rs
+++ b/src/net/caller_input.rs
@@ -42,6 +42,7 @@
     requests_in_flight: usize,
     /// Requests in flight, and those whose response is not complete.
     open_requests: usize,
+    has_had_request: bool,
     /// Whether the socket takes no more bytes of a response for now.
     is_write_blocked: bool,
     /// Time from which nothing has been in progress.
@@ -99,6 +100,7 @@
         let mut state = self.state();
         state.requests_in_flight += 1;
         state.open_requests += 1;
+        state.has_had_request = true;
         state.head_arrival = None;
         let arrived_at = state.read_arrival;
         drop(state);
@@ -154,6 +156,12 @@
         is_idle.then(|| self.clock.now().since(since.max(state.idle_since)))
     }
 
+    /// Whether a part of a request has arrived, or the caller has not sent its first one yet.
+    pub(super) fn expects_request(&self) -> bool {
+        let state = self.state();
+        state.head_arrival.is_some() || !state.has_had_request
+    }
+
     /// Records whether the socket has taken bytes of a response.
     pub(super) fn record_write(&self, is_blocked: bool) {
         let mut state = self.state();
