Connections that wait to be accepted when a listener closes are served

What callers saw: connections that were established 2.3 s after a SIGTERM were reset, with a whole request sent.

Cause: accept_connections dropped the listener, and the kernel resets what is in its queue. A process that is late has all connections of its last turns there.

The queue is emptied, without waiting for the event loop, right before the listener is closed, also while the limit of connections is reached; such connections drain at once, and their first request is answered.

--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -19,10 +19,10 @@
         rt::{TokioExecutor, TokioIo, TokioTimer},
         server::{conn::auto, graceful::GracefulConnection},
     },
-    std::{convert::Infallible, error::Error, net::SocketAddr, sync::Arc, time::Duration},
+    std::{convert::Infallible, error::Error, iter, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::Semaphore,
+        sync::{OwnedSemaphorePermit, Semaphore},
         time::{sleep, timeout},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
@@ -281,7 +281,8 @@
     })
 }
 
-/// Serves each accepted connection in a separate task until `shutdown`.
+/// Serves each accepted connection in a separate task until `shutdown`, and then those that wait to
+/// be accepted.
 async fn accept_connections<F, R>(
     listener: TcpListener,
     max_connections: usize,
@@ -292,25 +293,48 @@
     R: Future<Output = ()> + Send + 'static,
 {
     let permits = Arc::new(Semaphore::new(max_connections));
-    loop {
-        let permit = permits.clone().acquire_owned().await;
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = shutdown.draining.cancelled() => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
+    let spawn_serving = |stream: TcpStream, permit: Option<OwnedSemaphorePermit>| {
         stream.set_nodelay(true).ok();
         let serving = serve_stream(stream, shutdown.clone());
         shutdown.tracker.spawn(async move {
             serving.await;
             drop(permit);
         });
+    };
+    loop {
+        let accepting = async {
+            let permit = permits.clone().acquire_owned().await;
+            (permit, listener.accept().await)
+        };
+        let (permit, accepted) = tokio::select! {
+            accepted = accepting => accepted,
+            () = shutdown.draining.cancelled() => break,
+        };
+        if let Ok((stream, _)) = accepted {
+            spawn_serving(stream, permit.ok());
+        } else {
+            sleep(ACCEPT_RETRY_DELAY).await;
+        }
+    }
+    for stream in accept_waiting(listener) {
+        spawn_serving(stream, permits.clone().try_acquire_owned().ok());
     }
 }
 
+/// Closes a listener and returns the connections that were waiting to be accepted, which it would
+/// reset otherwise.
+fn accept_waiting(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    let accepting = iter::from_fn(|| listener.accept().ok());
+    let streams = accepting.filter_map(|(stream, _)| {
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    });
+    streams.collect()
+}
+
 /// Serves a connection until it ends, drains or is closed.
 async fn serve_until_shutdown<C>(connection: C, shutdown: ListenerShutdown)
 where
