--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        caller_connection::{CallerConnection, ConnectionEnd},
         caller_input::{CallerInput, RequestArrival},
         read_ahead_stream::ReadAheadStream,
     },
@@ -18,10 +19,10 @@
         rt::{TokioExecutor, TokioIo, TokioTimer},
         server::{conn::auto, graceful::GracefulConnection},
     },
-    std::{convert::Infallible, error::Error, net::SocketAddr, sync::Arc, time::Duration},
+    std::{convert::Infallible, error::Error, iter, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::Semaphore,
+        sync::{OwnedSemaphorePermit, Semaphore},
         time::{sleep, timeout},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
@@ -155,6 +156,8 @@
 /// Serves HTTP/1.1 to callers until `shutdown`; the handler gets the arrival of each request, which
 /// it must keep until the response.
 ///
+/// The header timeout of the newest `limits` is also the time for which a connection may be idle.
+///
 /// Pipelined requests are handled one after another, in the order in which they were sent. Those
 /// behind a response that closes the connection are not handled, and none is once the caller has
 /// left.
@@ -165,7 +168,7 @@
     shutdown: ListenerShutdown,
     handler: F,
 ) where
-    L: Fn() -> ListenerLimits,
+    L: Fn() -> ListenerLimits + Clone + Send + Sync + 'static,
     F: Fn(Request<Incoming>, RequestArrival) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data = Bytes> + Send + 'static,
@@ -178,20 +181,31 @@
         shutdown,
         move |stream, shutdown| {
             let (reader, writer) = stream.into_split();
-            let input = Arc::new(CallerInput::default());
+            let input = Arc::new(CallerInput::new(clock));
             let handler = handler.clone();
             let request_input = input.clone();
             let service =
                 handler_service(move |request| handler(request, request_input.start_request()));
             let stream = ReadAheadStream::new(input.clone(), writer);
-            let connection =
-                http1_builder(limits()).serve_connection(TokioIo::new(stream), service);
-            // Boxed, since a future holds those that it waits for twice.
-            let serving = Box::pin(serve_until_shutdown(connection, shutdown));
+            let mut builder = http1_builder(limits());
+            // The connection's own timer takes its place.
+            builder.header_read_timeout(None);
+            let connection = builder.serve_connection(TokioIo::new(stream), service);
+            let limits = limits.clone();
             async move {
+                let caller = CallerConnection {
+                    connection: Box::pin(connection),
+                    input: &input,
+                    reader: &reader,
+                };
+                let idle_timeout = || limits().header_timeout;
                 tokio::select! {
-                    () = serving => {}
-                    () = input.read_until_abandoned(&reader, clock) => return,
+                    end = caller.serve(idle_timeout, &shutdown) => {
+                        if end == ConnectionEnd::Idle {
+                            return;
+                        }
+                    }
+                    () = input.read_until_abandoned(&reader) => return,
                 }
                 // A caller that keeps the connection open past the timeout gets a reset.
                 timeout(CLOSE_TIMEOUT, input.discard_rest(&reader))
@@ -267,7 +281,8 @@
     })
 }
 
-/// Serves each accepted connection in a separate task until `shutdown`.
+/// Serves each accepted connection in a separate task until `shutdown`, and then those that wait to
+/// be accepted.
 async fn accept_connections<F, R>(
     listener: TcpListener,
     max_connections: usize,
@@ -278,23 +293,46 @@
     R: Future<Output = ()> + Send + 'static,
 {
     let permits = Arc::new(Semaphore::new(max_connections));
-    loop {
-        let permit = permits.clone().acquire_owned().await;
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = shutdown.draining.cancelled() => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
+    let spawn_serving = |stream: TcpStream, permit: Option<OwnedSemaphorePermit>| {
         stream.set_nodelay(true).ok();
         let serving = serve_stream(stream, shutdown.clone());
         shutdown.tracker.spawn(async move {
             serving.await;
             drop(permit);
         });
+    };
+    loop {
+        let accepting = async {
+            let permit = permits.clone().acquire_owned().await;
+            (permit, listener.accept().await)
+        };
+        let (permit, accepted) = tokio::select! {
+            accepted = accepting => accepted,
+            () = shutdown.draining.cancelled() => break,
+        };
+        if let Ok((stream, _)) = accepted {
+            spawn_serving(stream, permit.ok());
+        } else {
+            sleep(ACCEPT_RETRY_DELAY).await;
+        }
     }
+    for stream in accept_waiting(listener) {
+        spawn_serving(stream, permits.clone().try_acquire_owned().ok());
+    }
+}
+
+/// Closes a listener and returns the connections that were waiting to be accepted, which it would
+/// reset otherwise.
+fn accept_waiting(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    let accepting = iter::from_fn(|| listener.accept().ok());
+    let streams = accepting.filter_map(|(stream, _)| {
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    });
+    streams.collect()
 }
 
 /// Serves a connection until it ends, drains or is closed.
