A stopping sidecar takes no more calls of others once it has found itself idle

Callers got 502 for purchases that a target was working on. The sidecar beside the target had found itself idle at the end of a planned stop and slept for its last 250 ms, in which it still took calls of other sidecars: `find_target` compared only their deadlines with the end of the shutdown. The process then ended under the call. A peer sends such a call if it has not heard that the sidecar leaves, or is stopping itself.

From the time on at which everybody knows of the shutdown, calls of others are refused unrun, so that their sidecars send them elsewhere. The listener of the callers is closed only when nothing is left of the calls that have been taken (`taken`, which also counts those that wait in the queue), and the shutdown ends only after them. No call can be added behind that check any more, so the pause of 300 ms without calls is not needed.

--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -15,7 +15,7 @@
         peer_call::MAX_BUFFERED_RESPONSE_BYTES,
         pressure_report::PRESSURE_HEADER,
         request_log::LineCategory,
-        sidecar_state::SidecarState,
+        sidecar_state::{SidecarPhase, SidecarState},
         slot_semaphore::SlotRefusal,
         streamed_run::StreamedRun,
         suspect_exchange::{SUSPECTS_PATH, serve_suspects},
@@ -77,6 +77,7 @@
             path => serve_config(&state, path),
         };
     };
+    let _taken = state.taken.token();
     // Its times count from when it was sent, which a pause of this process may have hidden.
     let sent_at = state.pauses.earliest_arrival(state.clock.now());
     let context = context.to_str().ok();
@@ -98,6 +99,9 @@
     if let Some(incarnation) = TargetIncarnation::take_leaving_header(&mut head.headers) {
         record_leaving(&state, &incarnation, "peer");
     }
+    if !state.takes_calls() {
+        return to_response(&state, AttemptReport::failed(AttemptFailure::TargetClosed));
+    }
     let call = ForwardedCall::new(head, body, state.platform.headers());
     let report = run_on_local_target(&state, &call, &context).await;
     to_response(&state, report)
@@ -188,6 +192,7 @@
     call: &ForwardedCall,
     context: &HopContext,
 ) -> AttemptReport {
+    let _taken = state.taken.token();
     let target = match find_target(state, context) {
         Ok(target) => target,
         Err(failure) => return AttemptReport::failed(failure),
@@ -309,7 +314,8 @@
     if state.settings.service != context.service {
         return Err(AttemptFailure::NoTarget);
     }
-    if !state.ends_before_shutdown(context.deadline) {
+    let is_closed = state.phase() >= SidecarPhase::Closing;
+    if is_closed || !state.ends_before_shutdown(context.deadline) {
         return Err(AttemptFailure::TargetClosed);
     }
     let target_status = state.target();
--- a/src/sidecar/sidecar_daemon.rs
+++ b/src/sidecar/sidecar_daemon.rs
@@ -134,6 +134,7 @@
             membership,
             mesh_pool: MeshPool::new(MESH_SILENCE_LIMIT),
             running: Arc::new(RunningCalls::default()),
+            taken: TaskTracker::new(),
             in_flight: TaskTracker::new(),
             recorder: process_recorder(),
             phase: watch::Sender::new(SidecarPhase::Starting),
--- a/src/sidecar/sidecar_shutdown.rs
+++ b/src/sidecar/sidecar_shutdown.rs
@@ -3,7 +3,7 @@
         PlatformAdapter, SidecarDaemon, drain_window::DrainWindow, sidecar_state::SidecarPhase,
     },
     std::time::Duration,
-    tokio::time::{Instant, interval, sleep},
+    tokio::time::{Instant, interval, sleep, sleep_until, timeout_at},
 };
 
 /// Time until the sidecar leaves the membership. Its target still serves calls of other sidecars
@@ -11,8 +11,6 @@
 const TARGET_SERVE_TIME: Duration = Duration::from_millis(1_300);
 /// Time for which new callers are accepted after the readiness check has started to fail.
 const CALLER_DRAIN_TIME: Duration = Duration::from_millis(2_300);
-/// Time without a call in flight after which no more calls are expected.
-const IDLE_TIME: Duration = Duration::from_millis(300);
 /// Share of the shutdown grace after which the sidecar itself responds to calls still in flight.
 const DRAIN_SHARE: f64 = 0.86;
 /// Time for writing those last responses.
@@ -24,36 +22,15 @@
     pub async fn shutdown(self) {
         let start = Instant::now();
         let drain_time = self.state.settings.shutdown_grace.mul_f64(DRAIN_SHARE);
-        let drain_deadline = start + drain_time;
         let now = self.state.clock.now();
         self.state.start_drain(DrainWindow {
             callers_end: now + CALLER_DRAIN_TIME,
             end: now + drain_time,
         });
-        let mut checks = interval(CHECK_INTERVAL);
-        let mut idle_since = Instant::now();
-        let mut has_closed_listener = false;
-        let mut has_left_membership = false;
-        while Instant::now() < drain_deadline {
-            checks.tick().await;
-            if !has_left_membership && start.elapsed() > TARGET_SERVE_TIME {
-                has_left_membership = true;
-                let membership = self.state.membership.clone();
-                tokio::spawn(async move { membership.leave().await });
-            }
-            // Calls that the target is running may make calls of their own on the same listener.
-            let has_running = !self.state.running.is_empty();
-            if !has_closed_listener && !has_running && start.elapsed() > CALLER_DRAIN_TIME {
-                has_closed_listener = true;
-                self.outbound_shutdown.draining.cancel();
-            }
-            if self.is_busy(has_closed_listener) {
-                idle_since = Instant::now();
-            }
-            if has_closed_listener && idle_since.elapsed() > IDLE_TIME {
-                break;
-            }
-        }
+        // The calls that are left at the end are ended below.
+        timeout_at(start + drain_time, self.complete_calls(start))
+            .await
+            .ok();
         self.state.advance_to(SidecarPhase::Stopping);
         sleep(FINAL_WRITE_TIME).await;
         self.state.membership.stop().await;
@@ -63,10 +40,29 @@
             "took_ms" => start.elapsed().as_millis(), "in_flight" => self.state.in_flight.len());
     }
 
-    /// Whether requests are in flight or responses are being written. Connections of callers end
-    /// after their last response once the listener is closed.
-    fn is_busy(&self, has_closed_listener: bool) -> bool {
-        let is_writing = has_closed_listener && !self.outbound_shutdown.tracker.is_empty();
-        is_writing || !self.state.in_flight.is_empty() || !self.state.running.is_empty()
+    /// Takes calls until callers and other sidecars know of the shutdown, and waits until all that
+    /// have been taken are complete.
+    async fn complete_calls(&self, start: Instant) {
+        sleep_until(start + TARGET_SERVE_TIME).await;
+        let membership = self.state.membership.clone();
+        tokio::spawn(async move { membership.leave().await });
+        sleep_until(start + CALLER_DRAIN_TIME).await;
+        // Calls that the target runs may make calls of their own on the listener of the callers.
+        wait_until(|| self.is_target_idle()).await;
+        self.state.advance_to(SidecarPhase::Closing);
+        self.outbound_shutdown.draining.cancel();
+        wait_until(|| self.is_target_idle() && self.state.in_flight.is_empty()).await;
+        wait_until(|| self.outbound_shutdown.tracker.is_empty()).await;
+    }
+
+    fn is_target_idle(&self) -> bool {
+        self.state.taken.is_empty() && self.state.running.is_empty()
+    }
+}
+
+async fn wait_until<F: FnMut() -> bool>(mut condition: F) {
+    let mut checks = interval(CHECK_INTERVAL);
+    while !condition() {
+        checks.tick().await;
     }
 }
--- a/src/sidecar/sidecar_state.rs
+++ b/src/sidecar/sidecar_state.rs
@@ -38,6 +38,8 @@
     /// The readiness check fails, so that callers and peers use other sidecars.
     #[strum(serialize = "leaving")]
     Draining,
+    /// No more calls are taken; those that have been taken are completed.
+    Closing,
     /// The sidecar itself responds to calls that are still in flight.
     #[strum(serialize = "ending")]
     Stopping,
@@ -75,6 +77,8 @@
     pub(crate) mesh_pool: MeshPool,
     /// Calls that the local target is running.
     pub(crate) running: Arc<RunningCalls>,
+    /// Calls of other sidecars, and attempts at the local target, that have no response yet.
+    pub(crate) taken: TaskTracker,
     /// Requests on the outbound listener that have no response yet, and responses of the local
     /// target that are being relayed.
     pub(crate) in_flight: TaskTracker,
@@ -112,6 +116,12 @@
         self.advance_to(SidecarPhase::Draining);
     }
 
+    /// Whether calls of other sidecars are taken; those that know of the shutdown send none.
+    pub(crate) fn takes_calls(&self) -> bool {
+        let drain = self.drain.get();
+        drain.is_none_or(|drain| self.clock.now() < drain.callers_end)
+    }
+
     /// Whether a call that may last until `deadline` ends before the shutdown does, if there is one.
     pub(crate) fn ends_before_shutdown(&self, deadline: TimePoint) -> bool {
         self.drain.get().is_none_or(|drain| deadline <= drain.end)
