A stop waits until responses to other sidecars have been written

Callers got 502 for calls that a target had answered. `running` and `in_flight` end when the handler returns, but hyper and h2 may still hold up to 256 KiB of each response, behind a closed flow window or a slow link. The sidecar slept 250 ms, whatever was left, and dropped its connections.

The listener for other sidecars now has a shutdown of its own, and it is drained at the end: connections get a GOAWAY, which an idle one answers by its end, and one that has responses to write ends after them. The stop waits for that and for the connections of callers until the end of the drain, in place of the pause; nothing is waited for that is not owed, as the test of an idle stop shows. Readiness and reports of the target are served until the calls are complete, and are drained in the last 250 ms.

A peer that holds a connection and no longer answers, such as a suspended one, keeps the stop until the end of the drain.

The regression test failed before: the peer that read 192 KiB through a window of 64 KiB, 3.5 s after the SIGTERM, got "stream closed because of a broken pipe".

--- a/src/sidecar/sidecar_daemon.rs
+++ b/src/sidecar/sidecar_daemon.rs
@@ -73,7 +73,9 @@
     pub(super) state: Arc<SidecarState<P>>,
     /// Connections of callers and of the target.
     pub(super) outbound_shutdown: ListenerShutdown,
-    /// Connections of other sidecars and of the platform.
+    /// Connections of other sidecars.
+    pub(super) mesh_shutdown: ListenerShutdown,
+    /// Readiness checks and reports of the target.
     pub(super) internal_shutdown: ListenerShutdown,
 }
 
@@ -161,6 +163,7 @@
         let daemon = Self {
             state,
             outbound_shutdown: ListenerShutdown::default(),
+            mesh_shutdown: ListenerShutdown::default(),
             internal_shutdown: ListenerShutdown::default(),
         };
         daemon.spawn_tasks(source, timers);
@@ -222,13 +225,13 @@
         ));
         let state = self.state.clone();
         let mesh = move |request| serve_inbound(state.clone(), request);
-        let shutdown = || self.internal_shutdown.clone();
         tokio::spawn(serve_mesh(
             sockets.mesh,
             internal_limits(),
-            shutdown(),
+            self.mesh_shutdown.clone(),
             mesh,
         ));
+        let shutdown = || self.internal_shutdown.clone();
         let state = self.state.clone();
         let readiness = move |request| serve_readiness(state.clone(), request);
         tokio::spawn(serve_http1(
--- a/src/sidecar/sidecar_shutdown.rs
+++ b/src/sidecar/sidecar_shutdown.rs
@@ -2,8 +2,10 @@
     super::{
         PlatformAdapter, SidecarDaemon, drain_window::DrainWindow, sidecar_state::SidecarPhase,
     },
+    crate::net::ListenerShutdown,
+    futures_util::future::{join, join_all},
     std::time::Duration,
-    tokio::time::{Instant, interval, sleep, sleep_until, timeout_at},
+    tokio::time::{Instant, interval, sleep_until, timeout, timeout_at},
 };
 
 /// Time until the sidecar leaves the membership. Its target still serves calls of other sidecars
@@ -13,7 +15,7 @@
 const CALLER_DRAIN_TIME: Duration = Duration::from_millis(2_300);
 /// Share of the shutdown grace after which the sidecar itself responds to calls still in flight.
 const DRAIN_SHARE: f64 = 0.86;
-/// Time for writing those last responses.
+/// Time in which those last responses are written.
 const FINAL_WRITE_TIME: Duration = Duration::from_millis(250);
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -32,10 +34,18 @@
             .await
             .ok();
         self.state.advance_to(SidecarPhase::Stopping);
-        sleep(FINAL_WRITE_TIME).await;
+        let shutdowns = [
+            &self.outbound_shutdown,
+            &self.mesh_shutdown,
+            &self.internal_shutdown,
+        ];
+        timeout(FINAL_WRITE_TIME, join_all(shutdowns.map(drain)))
+            .await
+            .ok();
         self.state.membership.stop().await;
-        self.outbound_shutdown.close();
-        self.internal_shutdown.close();
+        for shutdown in shutdowns {
+            shutdown.close();
+        }
         slog::info!(self.state.log.logger, "stopped";
             "took_ms" => start.elapsed().as_millis(), "in_flight" => self.state.in_flight.len());
     }
@@ -52,7 +62,8 @@
         self.state.advance_to(SidecarPhase::Closing);
         self.outbound_shutdown.draining.cancel();
         wait_until(|| self.is_target_idle() && self.state.in_flight.is_empty()).await;
-        wait_until(|| self.outbound_shutdown.tracker.is_empty()).await;
+        // A connection ends once its responses have been written.
+        join(drain(&self.outbound_shutdown), drain(&self.mesh_shutdown)).await;
     }
 
     fn is_target_idle(&self) -> bool {
@@ -60,6 +71,13 @@
     }
 }
 
+/// Closes a listener, and its connections once they have written their responses.
+async fn drain(shutdown: &ListenerShutdown) {
+    shutdown.draining.cancel();
+    shutdown.tracker.close();
+    shutdown.tracker.wait().await;
+}
+
 async fn wait_until<F: FnMut() -> bool>(mut condition: F) {
     let mut checks = interval(CHECK_INTERVAL);
     while !condition() {
