Calls in flight are ended 0.4 s before the grace is over, not at 86% of it

A purchase that a target was working on was answered 502 at 5.16 s of a grace of 6 s, although the process is killed only at 6 s. The end of the drain is now the grace less the time in which the last responses are written (300 ms) and in which the process ends (100 ms).

Calls that begin during the shutdown must still end within 86% of the grace, so what is refused stays as it was; one that takes longer than expected has the 0.44 s more. The times of a shutdown are computed in one place, and a grace below 5.2 s shortens the time for callers, which was longer than a grace of 2 s.

The regression test failed before: a purchase of 5.35 s that was sent 50 ms before the SIGTERM got 502 in place of 200.

--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -105,6 +105,7 @@
     attempt_history::{AttemptHistory, AttemptOutcome, NextStep},
     departed_targets::{DepartedTargets, MAX_DEPARTED_TARGETS},
     departure_store::DEPARTURE_TABLE,
+    drain_window::DrainWindow,
     failure_cause::FailureCause,
     hop_context::{HopContext, HopFormat, MAX_CALL_DEPTH},
     ingress_admission::{EndedRequest, IngressAdmission, IngressRefusal, RequestAdmission},
--- a/src/sidecar/sidecar_shutdown.rs
+++ b/src/sidecar/sidecar_shutdown.rs
@@ -1,6 +1,8 @@
 use {
     super::{
-        PlatformAdapter, SidecarDaemon, drain_window::DrainWindow, sidecar_state::SidecarPhase,
+        PlatformAdapter, SidecarDaemon,
+        drain_window::{DrainWindow, LAST_WRITE_TIME},
+        sidecar_state::SidecarPhase,
     },
     crate::net::ListenerShutdown,
     futures_util::future::{join, join_all},
@@ -8,38 +10,28 @@
     tokio::time::{Instant, interval, sleep_until, timeout, timeout_at},
 };
 
-/// Time until the sidecar leaves the membership. Its target still serves calls of other sidecars
-/// until then, and calls that they have sent end within it.
-const TARGET_SERVE_TIME: Duration = Duration::from_millis(1_300);
-/// Time for which new callers are accepted after the readiness check has started to fail.
-const CALLER_DRAIN_TIME: Duration = Duration::from_millis(2_300);
-/// Share of the shutdown grace after which the sidecar itself responds to calls still in flight.
-const DRAIN_SHARE: f64 = 0.86;
-/// Time in which those last responses are written.
-const FINAL_WRITE_TIME: Duration = Duration::from_millis(250);
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 impl<P: PlatformAdapter> SidecarDaemon<P> {
     /// Fails the readiness check, waits for calls in flight, and stops within the shutdown grace.
     pub async fn shutdown(self) {
         let start = Instant::now();
-        let drain_time = self.state.settings.shutdown_grace.mul_f64(DRAIN_SHARE);
-        let now = self.state.clock.now();
-        self.state.start_drain(DrainWindow {
-            callers_end: now + CALLER_DRAIN_TIME,
-            end: now + drain_time,
-        });
+        let drain = DrainWindow::new(self.state.clock.now(), self.state.settings.shutdown_grace);
+        self.state.start_drain(drain);
         // The calls that are left at the end are ended below.
-        timeout_at(start + drain_time, self.complete_calls(start))
-            .await
-            .ok();
+        timeout_at(
+            self.state.clock.instant_of(drain.end),
+            self.complete_calls(drain),
+        )
+        .await
+        .ok();
         self.state.advance_to(SidecarPhase::Stopping);
         let shutdowns = [
             &self.outbound_shutdown,
             &self.mesh_shutdown,
             &self.internal_shutdown,
         ];
-        timeout(FINAL_WRITE_TIME, join_all(shutdowns.map(drain)))
+        timeout(LAST_WRITE_TIME, join_all(shutdowns.map(close_gracefully)))
             .await
             .ok();
         self.state.membership.stop().await;
@@ -52,18 +44,23 @@
 
     /// Takes calls until callers and other sidecars know of the shutdown, and waits until all that
     /// have been taken are complete.
-    async fn complete_calls(&self, start: Instant) {
-        sleep_until(start + TARGET_SERVE_TIME).await;
+    async fn complete_calls(&self, drain: DrainWindow) {
+        let clock = self.state.clock;
+        sleep_until(clock.instant_of(drain.leave_at)).await;
         let membership = self.state.membership.clone();
         tokio::spawn(async move { membership.leave().await });
-        sleep_until(start + CALLER_DRAIN_TIME).await;
+        sleep_until(clock.instant_of(drain.callers_end)).await;
         // Calls that the target runs may make calls of their own on the listener of the callers.
         wait_until(|| self.is_target_idle()).await;
         self.state.advance_to(SidecarPhase::Closing);
         self.outbound_shutdown.draining.cancel();
         wait_until(|| self.is_target_idle() && self.state.in_flight.is_empty()).await;
         // A connection ends once its responses have been written.
-        join(drain(&self.outbound_shutdown), drain(&self.mesh_shutdown)).await;
+        join(
+            close_gracefully(&self.outbound_shutdown),
+            close_gracefully(&self.mesh_shutdown),
+        )
+        .await;
     }
 
     fn is_target_idle(&self) -> bool {
@@ -72,7 +69,7 @@
 }
 
 /// Closes a listener, and its connections once they have written their responses.
-async fn drain(shutdown: &ListenerShutdown) {
+async fn close_gracefully(shutdown: &ListenerShutdown) {
     shutdown.draining.cancel();
     shutdown.tracker.close();
     shutdown.tracker.wait().await;
--- a/src/sidecar/sidecar_state.rs
+++ b/src/sidecar/sidecar_state.rs
@@ -124,7 +124,9 @@
 
     /// Whether a call that may last until `deadline` ends before the shutdown does, if there is one.
     pub(crate) fn ends_before_shutdown(&self, deadline: TimePoint) -> bool {
-        self.drain.get().is_none_or(|drain| deadline <= drain.end)
+        self.drain
+            .get()
+            .is_none_or(|drain| deadline <= drain.last_deadline)
     }
 
     /// Whether a request of the route that begins now can be expected to end before the shutdown
@@ -141,7 +143,7 @@
             None
         };
         let end = expected.map_or(deadline, |duration| deadline.min(now + duration));
-        end <= drain.end
+        end <= drain.last_deadline
     }
 
     pub(crate) fn durations(&self) -> MutexGuard<'_, RouteDurations> {
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -4,6 +4,7 @@
 mod admission_dynamics;
 mod attempt_history;
 mod departure_model;
+mod drain_window;
 mod headers;
 mod ingress_admission;
 mod lasting_shortage;
