A stop waits for connections that are accepted last

The connections that wait when the listener closes are accepted by its task, which the stop did not wait for: once it found nothing in flight, it ended before they were served. The task of a listener now counts among its connections.

--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -292,6 +292,8 @@
     F: Fn(TcpStream, ListenerShutdown) -> R,
     R: Future<Output = ()> + Send + 'static,
 {
+    // A shutdown that waits for the connections waits for those that are accepted last, too.
+    let _token = shutdown.tracker.token();
     let permits = Arc::new(Semaphore::new(max_connections));
     let spawn_serving = |stream: TcpStream, permit: Option<OwnedSemaphorePermit>| {
         stream.set_nodelay(true).ok();
