Bodies of requests and responses share one memory budget

Three requests with bodies of 60 MiB, within max_body_bytes and together less than memory_mb, took the sidecar over memory_mb, and the platform killed it with all requests in flight.

Cause: only the size of a single body was bounded. read_request collected the chunks of a body and then copied them into one piece, so that a body was held twice for a moment; nothing bounded the bodies that were held together, at the sidecar of the caller or at that of the target.

A body reserves its declared length before it is read, and one in chunks reserves what arrives. The reservation belongs to the bytes themselves and ends with their last clone, so that bodies in the send buffers of hyper and h2 count too. Bodies above 64 KiB leave an eighth of the budget to smaller ones. A body is now copied once at most, as it arrives.

A body that does not fit beside the others is refused at once with 503 no-memory and Retry-After; one that would not fit into the empty budget gets 413, since a promise to run it later could not be kept. The rest of the body is dropped as it arrives, for 2 s at most: a caller that sends all of it before it reads gets the answer and keeps its connection, and is not reset. The sidecar of a target refuses with queue-full, which older builds know as not run, and the sidecar of the caller tries another target. Buffered responses above 16 KiB count as well; where the budget ends, they are relayed as they arrive.

banyantrestle_body_bytes is the memory that is held. Refusals are counted by reason no-memory in banyantrestle_final_answers_total and banyantrestle_hop_failures_total, and logged within the rate limits.

--- a/src/daemon/call_reader.rs
+++ b/src/daemon/call_reader.rs
@@ -98,6 +98,7 @@
         RequestError::TooLarge { .. } => RefusalKind::BodyTooLarge,
         RequestError::TooSlow { .. } => RefusalKind::BodyTimeout,
         RequestError::Broken(_) => RefusalKind::BadRequest,
+        RequestError::NoMemory(_) => RefusalKind::Overload,
     };
     CallRefusal::not_run(kind, error.to_string())
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 //! its end before its first byte is forwarded; a longer one is streamed, and a stream that ends
 //! early is aborted, so that the receiver cannot mistake it for a complete one.
 
+mod body_budget;
 mod call_refusal;
 mod call_request;
 mod caller_input;
@@ -18,11 +19,8 @@
 mod send_failure;
 mod target_pool;
 
-pub use {
-    call_refusal::{CallRefusal, RefusalKind},
-    header_names::PROBLEM_TYPE,
-};
 pub(crate) use {
+    body_budget::{BodyBudget, BudgetRefusal},
     call_request::{CallRequest, parse_route},
     caller_input::{CallerPresence, RequestArrival},
     header_names::{
@@ -37,12 +35,16 @@
         CLAIMS_PATH, HOLDER_QUERY_PATH, MESH_PREFIX, PERMIT_PATH, POLICY_PATH, call_tag,
         encode_tag, is_valid_call_tag, is_valid_message_tag, message_tag,
     },
-    request_reader::{RequestError, read_request},
+    request_reader::{RequestError, discard_request, read_request, read_reserved_request},
     response_body::{NoObserver, ResponseBody, ResponseError, StreamObserver, StreamOutcome},
-    response_reader::{ResponsePrefix, read_response},
+    response_reader::{ResponsePrefix, read_reserved_response, read_response},
     send_failure::SendFailure,
     target_pool::{ReuseRule, TargetConnection, TargetPool},
 };
+pub use {
+    call_refusal::{CallRefusal, RefusalKind},
+    header_names::PROBLEM_TYPE,
+};
 
 #[cfg(test)]
 mod tests;
--- a/src/net/request_reader.rs
+++ b/src/net/request_reader.rs
@@ -1,8 +1,9 @@
 use {
+    super::body_budget::{BodyBudget, BodyReservation, BudgetRefusal},
     bytes::Bytes,
     http_body_util::{BodyExt, LengthLimitError, Limited},
-    hyper::body::Incoming,
-    std::time::Duration,
+    hyper::body::{Body, Incoming},
+    std::{sync::Arc, time::Duration},
     thiserror::Error,
     tokio::time::timeout,
 };
@@ -16,6 +17,8 @@
     TooSlow { waited: Duration },
     #[error("body ended early: {0}")]
     Broken(String),
+    #[error("no memory for the body: {0}")]
+    NoMemory(#[from] BudgetRefusal),
 }
 
 /// Reads a complete request body of at most `limit` bytes within `time_limit`.
@@ -31,3 +34,100 @@
         Err(_) => Err(RequestError::TooSlow { waited: time_limit }),
     }
 }
+
+/// Reads a complete request body like [`read_request`], and counts it toward `budget` until the
+/// result and its clones have been dropped. The rest of a body that is refused stays unread.
+pub(crate) async fn read_reserved_request(
+    body: &mut Incoming,
+    limit: usize,
+    time_limit: Duration,
+    budget: &Arc<BodyBudget>,
+) -> Result<Bytes, RequestError> {
+    timeout(time_limit, collect_reserved(body, limit, budget))
+        .await
+        .unwrap_or(Err(RequestError::TooSlow { waited: time_limit }))
+}
+
+async fn collect_reserved(
+    body: &mut Incoming,
+    limit: usize,
+    budget: &Arc<BodyBudget>,
+) -> Result<Bytes, RequestError> {
+    // Of a body in chunks, the length is not known.
+    let declared = body.size_hint().exact().unwrap_or(0);
+    let declared = usize::try_from(declared).unwrap_or(usize::MAX);
+    if declared > limit {
+        return Err(RequestError::TooLarge { limit });
+    }
+    let mut reserved = ReservedBody::new(budget, declared)?;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| RequestError::Broken(error.to_string()))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if reserved.len() + data.len() > limit {
+            return Err(RequestError::TooLarge { limit });
+        }
+        reserved.push(data)?;
+    }
+    Ok(reserved.into_bytes())
+}
+
+/// A body that is being read. One that arrives in a single piece is not copied.
+#[derive(Debug)]
+struct ReservedBody {
+    reservation: BodyReservation,
+    first: Bytes,
+    joined: Vec<u8>,
+}
+
+impl ReservedBody {
+    fn new(budget: &Arc<BodyBudget>, declared: usize) -> Result<Self, BudgetRefusal> {
+        Ok(Self {
+            reservation: budget.try_reserve(declared)?,
+            first: Bytes::new(),
+            joined: Vec::new(),
+        })
+    }
+
+    const fn len(&self) -> usize {
+        self.first.len() + self.joined.len()
+    }
+
+    fn push(&mut self, data: Bytes) -> Result<(), BudgetRefusal> {
+        let length = self.len() + data.len();
+        let reserved = self.reservation.bytes();
+        if length > reserved {
+            self.reservation.try_grow(length - reserved)?;
+        }
+        if self.len() == 0 {
+            self.first = data;
+            return Ok(());
+        }
+        if self.joined.is_empty() {
+            self.joined.reserve_exact(self.reservation.bytes());
+        }
+        self.joined.extend_from_slice(&self.first);
+        self.first = Bytes::new();
+        self.joined.extend_from_slice(&data);
+        Ok(())
+    }
+
+    fn into_bytes(self) -> Bytes {
+        let data = if self.joined.is_empty() {
+            self.first
+        } else {
+            self.joined.into()
+        };
+        self.reservation.attach(data)
+    }
+}
+
+/// Reads and drops the rest of a request body for `time_limit` at most.
+///
+/// A connection that is closed with unread bytes is reset, and the reset may destroy the response
+/// before the caller has read it.
+pub(crate) async fn discard_request(mut body: Incoming, time_limit: Duration) {
+    let discarding = async { while matches!(body.frame().await, Some(Ok(_))) {} };
+    timeout(time_limit, discarding).await.ok();
+}
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -1,9 +1,9 @@
-//! Tests of the connection pools to daemons and targets.
+//! Tests of the connection pools to daemons and targets, and of the memory for bodies.
 
 use {
     super::{
-        ListenerLimits, ListenerShutdown, MeshPool, NoObserver, ResponseBody, ReuseRule,
-        SendFailure, TargetPool, bind, serve_mesh,
+        BodyBudget, BudgetRefusal, ListenerLimits, ListenerShutdown, MeshPool, NoObserver,
+        ResponseBody, ReuseRule, SendFailure, TargetPool, bind, serve_mesh,
     },
     bytes::Bytes,
     http::{Request, Response},
@@ -12,6 +12,7 @@
     standins::relay::TcpRelay,
     std::{
         net::{Ipv4Addr, SocketAddr},
+        sync::Arc,
         time::Duration,
     },
     tokio::{
@@ -144,3 +145,51 @@
     }
     assert_eq!(connections, ["0", "0", "1", "1", "1"]);
 }
+
+const BUDGET_BYTES: usize = 800_000;
+/// The eighth part of the budget is left to small bodies.
+const LARGEST_BODY_BYTES: usize = 700_000;
+
+#[test]
+fn body_budget_is_held_until_the_last_clone_of_a_body_is_dropped() {
+    let budget = Arc::new(BodyBudget::new(BUDGET_BYTES));
+    let mut reservation = budget.try_reserve(400_000).expect("memory");
+    reservation.try_grow(200_000).expect("memory");
+    let body = reservation.attach(Bytes::from_static(b"body"));
+    let slice = body.slice(1..3);
+    drop(body);
+    assert_eq!(budget.held(), 600_000);
+    assert_eq!(budget.try_reserve(200_000).err(), Some(BudgetRefusal::Full));
+    drop(slice);
+    assert_eq!(budget.held(), 0);
+    let reservation = budget.try_reserve(100).expect("memory");
+    assert!(reservation.attach(Bytes::new()).is_empty());
+    assert_eq!(budget.held(), 0);
+}
+
+#[test]
+fn large_bodies_leave_a_part_of_the_budget_to_small_ones() {
+    let budget = Arc::new(BodyBudget::new(BUDGET_BYTES));
+    let large = budget.try_reserve(LARGEST_BODY_BYTES).expect("memory");
+    let mut small = budget.try_reserve(60_000).expect("memory");
+    assert_eq!(small.try_grow(10_000), Err(BudgetRefusal::Full));
+    assert_eq!(budget.held(), LARGEST_BODY_BYTES + 60_000);
+    let second = budget.try_reserve(40_000).expect("memory");
+    assert_eq!(budget.try_reserve(1).err(), Some(BudgetRefusal::Full));
+    drop((large, small, second));
+    assert_eq!(budget.held(), 0);
+}
+
+#[test]
+fn body_larger_than_the_budget_never_fits() {
+    let budget = Arc::new(BodyBudget::new(BUDGET_BYTES));
+    for bytes in [LARGEST_BODY_BYTES + 1, usize::MAX] {
+        assert_eq!(
+            budget.try_reserve(bytes).err(),
+            Some(BudgetRefusal::TooLarge)
+        );
+    }
+    let mut reservation = budget.try_reserve(LARGEST_BODY_BYTES).expect("memory");
+    assert_eq!(reservation.try_grow(1), Err(BudgetRefusal::TooLarge));
+    assert_eq!(budget.held(), LARGEST_BODY_BYTES);
+}
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -12,6 +12,7 @@
         hop_context::HOP_CONTEXT_HEADER,
         live_target::LiveTarget,
         load_header::LOAD_HEADER,
+        local_response::RequestFailure,
         peer_call::MAX_BUFFERED_RESPONSE_BYTES,
         pressure_report::PRESSURE_HEADER,
         request_log::LineCategory,
@@ -26,8 +27,9 @@
     crate::{
         crash::{RequestDigest, RunEnd, SuspectStanding, choose_isolation_target},
         net::{
-            ResponseBody, ResponsePrefix, ReuseRule, SendFailure, TargetConnection,
-            clean_response_headers, read_request, read_response, remove_content_length, set_header,
+            BudgetRefusal, RequestError, ResponseBody, ResponsePrefix, ReuseRule, SendFailure,
+            TargetConnection, clean_response_headers, read_reserved_request,
+            read_reserved_response, read_response, remove_content_length, set_header,
         },
     },
     bytes::Bytes,
@@ -68,7 +70,7 @@
     state: Arc<SidecarState<P>>,
     request: Request<Incoming>,
 ) -> Response<RelayBody> {
-    let (mut head, body) = request.into_parts();
+    let (mut head, mut body) = request.into_parts();
     let Some(context) = head.headers.remove(HOP_CONTEXT_HEADER) else {
         return match head.uri.path() {
             SUSPECTS_PATH => serve_suspects(&state, body).await,
@@ -87,8 +89,13 @@
         );
         return to_response(&state, AttemptReport::failed(AttemptFailure::NoTarget));
     };
-    let body = match read_request(body, MAX_BODY_BYTES, BODY_TIMEOUT).await {
+    let budget = &state.body_budget;
+    let body = match read_reserved_request(&mut body, MAX_BODY_BYTES, BODY_TIMEOUT, budget).await {
         Ok(body) => body,
+        Err(RequestError::NoMemory(refusal)) => {
+            report_no_memory(&state, &head.headers, refusal);
+            return to_response(&state, AttemptReport::failed(AttemptFailure::QueueFull));
+        }
         Err(error) => {
             slog::info!(state.log.logger, "call refused: its body did not arrive from the peer";
                 "error" => %error);
@@ -103,6 +110,23 @@
     to_response(&state, report)
 }
 
+/// Reports a call whose body does not fit into the memory. Sidecars of older builds know the failure
+/// by which the call is refused, and try another target.
+fn report_no_memory<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    headers: &HeaderMap,
+    refusal: BudgetRefusal,
+) {
+    let reason = RequestFailure::NoMemory;
+    metrics::counter!("banyantrestle_hop_failures_total", "reason" => reason.to_string())
+        .increment(1);
+    if state.log.try_acquire(LineCategory::Refused) {
+        let id = header_text(headers, &state.platform.headers().request_id);
+        slog::info!(state.log.logger, "call refused: no memory for its body";
+            "request" => id, "error" => %refusal, "held_bytes" => state.body_budget.held());
+    }
+}
+
 /// Sends the configuration document in force to another sidecar.
 fn serve_config<P: PlatformAdapter>(state: &SidecarState<P>, path: &str) -> Response<RelayBody> {
     let config = state.config.borrow().clone();
@@ -481,7 +505,8 @@
     } else {
         SlotOutcome::Responded
     };
-    match read_response(body, MAX_BUFFERED_RESPONSE_BYTES).await {
+    let budget = &state.body_budget;
+    match read_reserved_response(body, MAX_BUFFERED_RESPONSE_BYTES, budget).await {
         Ok(ResponsePrefix::Complete { data, trailers }) => {
             connection.release_with_timeout(keep_alive_time);
             target_run.finish(outcome, RunEnd::Answered);
--- a/src/sidecar/local_response.rs
+++ b/src/sidecar/local_response.rs
@@ -26,6 +26,9 @@
     NoConfig,
     NoRoute,
     BodyTooLarge,
+    /// The bodies that the sidecar holds leave no memory for that of the request; nothing was
+    /// forwarded.
+    NoMemory,
     /// The request body did not arrive in time; nothing was forwarded.
     BodyLate,
     /// The ingress sidecar refused the request because a service it calls has no capacity for its
@@ -72,6 +75,9 @@
             Self::NoConfig => "no configuration had been received yet; not run",
             Self::NoRoute => "no route of the configuration in force matches the request",
             Self::BodyTooLarge => "the body exceeded the configured limit; not run",
+            Self::NoMemory => {
+                "the bodies of other requests left no memory for that of the request; not run"
+            }
             Self::BodyLate => "the body did not arrive in time; not run",
             Self::NoCapacity => {
                 "a service that the request calls had no capacity for its rank; not run"
@@ -113,6 +119,7 @@
         match self {
             Self::NoConfig
             | Self::NoCapacity
+            | Self::NoMemory
             | Self::KeyUnproven
             | Self::QuotaUnknown
             | Self::ShuttingDown
--- a/src/sidecar/outbound/outbound_service.rs
+++ b/src/sidecar/outbound/outbound_service.rs
@@ -19,13 +19,16 @@
     },
     crate::{
         context::ServiceName,
-        net::{RequestArrival, RequestError, ResponseBody, read_request},
+        net::{
+            BudgetRefusal, RequestArrival, RequestError, ResponseBody, discard_request,
+            read_reserved_request,
+        },
         time::TimePoint,
     },
     bytes::Bytes,
     http::{
         HeaderValue, Request, Response,
-        header::{CONNECTION, CONTENT_LENGTH},
+        header::{CONNECTION, CONTENT_LENGTH, EXPECT},
         request::Parts,
     },
     hyper::body::{Body, Incoming},
@@ -34,6 +37,9 @@
     tokio::time::timeout_at,
 };
 
+/// Maximum time for which the rest of a body is read that was refused for lack of memory.
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(2);
+
 /// A call whose route is known.
 struct RoutedCall {
     config: Arc<RouteConfig>,
@@ -231,9 +237,15 @@
     let started_at = state.clock.now();
     let time_left = started_at.until(routed.deadline);
     let mut phase = state.phase.subscribe();
-    let reading = read_body(&head, body, routed.config.limits.body_bytes, time_left);
+    let reading = read_body(
+        state,
+        &head,
+        body,
+        routed.config.limits.body_bytes,
+        time_left,
+    );
     let body = tokio::select! {
-        body = reading => body?,
+        body = reading => body.map_err(|failure| read_failure(failure, &routed.rule))?,
         _ = phase.wait_for(|phase| *phase == SidecarPhase::Stopping) => {
             return Err(RequestFailure::BodyLate.into());
         }
@@ -395,9 +407,10 @@
 }
 
 /// Reads a whole body; fails at once if the declared length exceeds the limit.
-async fn read_body(
+async fn read_body<P: PlatformAdapter>(
+    state: &SidecarState<P>,
     head: &Parts,
-    body: Incoming,
+    mut body: Incoming,
     limit: usize,
     timeout: Duration,
 ) -> Result<Bytes, RequestFailure> {
@@ -409,13 +422,33 @@
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let result = read_request(body, limit, timeout).await;
+    let result = read_reserved_request(&mut body, limit, timeout, &state.body_budget).await;
     result.map_err(|error| match error {
         RequestError::TooLarge { .. } => RequestFailure::BodyTooLarge,
         RequestError::TooSlow { .. } | RequestError::Broken(_) => RequestFailure::BodyLate,
+        RequestError::NoMemory(refusal) => {
+            // A caller that waits for the bytes to be read is sent the response only.
+            if !head.headers.contains_key(EXPECT) {
+                tokio::spawn(discard_request(body, timeout.min(MAX_DISCARD_TIME)));
+            }
+            match refusal {
+                BudgetRefusal::Full => RequestFailure::NoMemory,
+                BudgetRefusal::TooLarge => RequestFailure::BodyTooLarge,
+            }
+        }
     })
 }
 
+/// Response to a request whose body was not read.
+fn read_failure(failure: RequestFailure, rule: &RouteRule) -> LocalAnswer {
+    let answer = LocalAnswer::from(failure);
+    if failure == RequestFailure::NoMemory {
+        answer.with_delay(retry_after(rule, DEFAULT_RETRY_DELAY))
+    } else {
+        answer
+    }
+}
+
 /// Retry delay of a caller whose request has failed; `None` if it may have run.
 fn failure_delay<P: PlatformAdapter>(
     state: &SidecarState<P>,
--- a/src/sidecar/peer_call.rs
+++ b/src/sidecar/peer_call.rs
@@ -16,7 +16,7 @@
     },
     crate::{
         context::ServiceName,
-        net::{ResponseBody, ResponsePrefix, SendFailure, read_response},
+        net::{ResponseBody, ResponsePrefix, SendFailure, read_reserved_response},
     },
     http::{HeaderMap, Response},
     hyper::body::Incoming,
@@ -226,9 +226,10 @@
     }
     let tree_cost = tree_cost.map_or_else(TreeCost::default, |text| TreeCost::decode(&text));
     let load = load.and_then(|text| TargetLoad::decode(&text));
+    let budget = &state.body_budget;
     let result = match failure {
         Some(text) => Err(text.parse().unwrap_or(AttemptFailure::PeerConnectionBroken)),
-        None => match read_response(body, MAX_BUFFERED_RESPONSE_BYTES).await {
+        None => match read_reserved_response(body, MAX_BUFFERED_RESPONSE_BYTES, budget).await {
             Ok(ResponsePrefix::Complete { data, trailers }) => Ok(Response::from_parts(
                 head,
                 ResponseBody::buffered(data, trailers),
--- a/src/sidecar/request_tally.rs
+++ b/src/sidecar/request_tally.rs
@@ -51,7 +51,7 @@
 
     pub(crate) const fn of_failure(failure: RequestFailure) -> Self {
         match failure {
-            RequestFailure::NoCapacity => Self::Refused,
+            RequestFailure::NoCapacity | RequestFailure::NoMemory => Self::Refused,
             RequestFailure::NotRun | RequestFailure::ShuttingDown => Self::NotRun,
             RequestFailure::DeadlinePassed => Self::TimedOut,
             RequestFailure::Unknown => Self::Unknown,
--- a/src/sidecar/sidecar_daemon.rs
+++ b/src/sidecar/sidecar_daemon.rs
@@ -27,8 +27,8 @@
         error::StepError,
         membership::{MemberId, MembershipHandle, MembershipSettings},
         net::{
-            ListenerLimits, ListenerShutdown, MeshPool, bind, serve_callers, serve_http1,
-            serve_mesh,
+            BodyBudget, ListenerLimits, ListenerShutdown, MeshPool, bind, serve_callers,
+            serve_http1, serve_mesh,
         },
         table::TableStore,
         time::{BootClock, PauseDetector, ProcessClock, TimerService},
@@ -67,6 +67,9 @@
 const MAX_INTERNAL_HEADER_BYTES: usize = 64 * 1024;
 const INTERNAL_HEADER_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Percentage of the memory limit that bodies may take together.
+const BODY_MEMORY_PERCENT: usize = 60;
+
 /// A running sidecar.
 #[derive(Debug)]
 pub struct SidecarDaemon<P> {
@@ -133,6 +136,7 @@
             unread_fields: UnreadFields::default(),
             membership,
             mesh_pool: MeshPool::new(MESH_SILENCE_LIMIT),
+            body_budget: Arc::new(BodyBudget::new(body_bytes(&settings))),
             running: Arc::new(RunningCalls::default()),
             in_flight: TaskTracker::new(),
             recorder: process_recorder(),
@@ -271,6 +275,10 @@
     }
 }
 
+const fn body_bytes(settings: &SidecarSettings) -> usize {
+    settings.memory_limit / 100 * BODY_MEMORY_PERCENT
+}
+
 fn membership_settings(settings: &SidecarSettings, clock: ProcessClock) -> MembershipSettings {
     MembershipSettings {
         id: MemberId {
--- a/src/sidecar/sidecar_settings.rs
+++ b/src/sidecar/sidecar_settings.rs
@@ -40,6 +40,8 @@
     pub heartbeat_interval: Duration,
     /// Time from the stop signal until the process is killed.
     pub shutdown_grace: Duration,
+    /// Memory at which the process is killed, in bytes.
+    pub memory_limit: usize,
     pub retry_limits: RetryLimits,
     /// What each rank of requests gets of an overloaded service at least.
     pub least_service: LeastService,
--- a/src/sidecar/sidecar_state.rs
+++ b/src/sidecar/sidecar_state.rs
@@ -10,7 +10,7 @@
     crate::{
         context::ServiceName,
         membership::{MemberView, MembershipHandle},
-        net::MeshPool,
+        net::{BodyBudget, MeshPool},
         time::{BootClock, PauseDetector, TimePoint},
     },
     bytes::Bytes,
@@ -73,6 +73,8 @@
     pub(crate) unread_fields: UnreadFields,
     pub(crate) membership: MembershipHandle,
     pub(crate) mesh_pool: MeshPool,
+    /// Memory for the bodies of requests and responses.
+    pub(crate) body_budget: Arc<BodyBudget>,
     /// Calls that the local target is running.
     pub(crate) running: Arc<RunningCalls>,
     /// Requests on the outbound listener that have no response yet, and responses of the local
@@ -214,6 +216,8 @@
                 "delay_ms" => sample.max_delay.as_millis(),
                 "processor_share" => sample.processor_share);
         }
+        let held = u32::try_from(self.body_budget.held()).unwrap_or(u32::MAX);
+        gauge!("banyantrestle_body_bytes").set(held);
         let admission = self.admission();
         for (service, limiter) in admission.limiters() {
             let label = service.to_string();
