Purchases outlast a pause of the sidecar beside their target

What callers saw: a sidecar that does not run for 1 s (SIGSTOP, as a throttled or paused VM) costs all calls on the connections to it 502, though its target answers each of them. With purchases of 2.5 s, 4 of 4 got 502 beside pauses of 1.0, 1.5 and 1.8 s, on and on, while each had run once; 0 of 4 beside pauses of 0.5 and 0.7 s.

Cause: the pool closes a connection between sidecars with all its calls once a PING gets no response within 0.6 s (net/mesh_pool.rs, keep_alive_timeout). hyper sends that PING as soon as a call starts on a connection that was idle, so the 1.2 s of MESH_SILENCE_LIMIT could be as little as 0.6 s. A call that may be sent again gains by that: it goes to another target. Any other is answered 502 and loses the response that its target is working on.

Ruled out by the same runs: a pause of 0.5 to 1.8 s of the sidecar that sent the calls, and 60 ms of each 100 ms stopped at either end for 2.5 s, break nothing, before and after.

Silence is now noticed per call: after 1.2 s in which nothing was received, not even a response to PING, the connection gets no further calls (the next opens another), and the peer is backed off as before. Calls of idempotent routes end then and are sent to another target; the others wait until their deadlines. They may still get the response, as the connection is closed after 20 s only. A pause of the process itself counts for one check of two, since what arrived meanwhile is read after it. The older daemon keeps its limits.

The price: a purchase to a sidecar that is gone without a reset gets its 502 or 504 at its deadline in place of 502 after 1.2 s.

purchases_outlast_a_pause_of_the_sidecar_beside_their_target fails on (502, 502, 502, 502); the three others of paused_peer pass there, too, and guard what must stay.

--- a/src/daemon/daemon_process.rs
+++ b/src/daemon/daemon_process.rs
@@ -94,7 +94,7 @@
         };
         let events = EventLog::new(member, clock, settings.limits.events);
         let silence = Duration::from_millis(settings.limits.silence_ms);
-        let mesh = Arc::new(MeshPool::new(silence));
+        let mesh = Arc::new(MeshPool::new(silence.into()));
         let transport = MeshTransport::new(mesh.clone(), key.clone());
         let identity = ClaimIdentity {
             member,
--- a/src/net/mesh_pool.rs
+++ b/src/net/mesh_pool.rs
@@ -1,5 +1,5 @@
 use {
-    super::send_failure::SendFailure,
+    super::{send_failure::SendFailure, silence_watch::SilenceWatch},
     crate::error::{ProcessStep, StepError},
     bytes::Bytes,
     http::{Request, Response},
@@ -12,6 +12,7 @@
     std::{
         collections::HashMap,
         net::SocketAddr,
+        ops::ControlFlow,
         sync::{
             Arc, Mutex, PoisonError,
             atomic::{AtomicU64, Ordering},
@@ -23,6 +24,7 @@
         sync::Mutex as AsyncMutex,
         time::{Instant, timeout, timeout_at},
     },
+    tokio_util::io::InspectReader,
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -38,33 +40,67 @@
 pub(crate) struct MeshPool {
     peers: Mutex<HashMap<SocketAddr, Arc<AsyncMutex<Option<MeshConnection>>>>>,
     next_id: AtomicU64,
-    /// Time after which a connection on which nothing was received, not even a response to PING,
-    /// is closed.
-    silence_timeout: Duration,
+    silence: SilenceLimits,
+}
+
+/// Times for which nothing is received on a connection, not even a response to PING.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SilenceLimits {
+    /// Time after which no further call is sent on the connection.
+    pub(crate) reuse: Duration,
+    /// Time after which the connection is closed, with the calls that still wait.
+    pub(crate) close: Duration,
+}
+
+impl From<Duration> for SilenceLimits {
+    fn from(limit: Duration) -> Self {
+        Self {
+            reuse: limit,
+            close: limit,
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
 struct MeshConnection {
     id: u64,
     sender: SendRequest<Full<Bytes>>,
+    watch: SilenceWatch,
 }
 
 impl MeshPool {
-    pub(crate) fn new(silence_timeout: Duration) -> Self {
+    pub(crate) fn new(silence: SilenceLimits) -> Self {
         Self {
             peers: Mutex::default(),
             next_id: AtomicU64::new(0),
-            silence_timeout,
+            silence,
         }
     }
 
-    /// Sends a call and waits for the head of its response.
+    /// Sends a call and waits for the head of its response until the connection is silent.
     pub(crate) async fn send(
         &self,
         peer: SocketAddr,
         request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Response<Incoming>, SendFailure> {
+        let end_call = || ControlFlow::Break(());
+        let sending = self.send_watched(peer, request, deadline, end_call);
+        sending.await.map(|(response, _)| response)
+    }
+
+    /// Sends a call and waits for the head of its response. While the connection is silent,
+    /// `on_silence` decides whether the call goes on waiting.
+    pub(crate) async fn send_watched<S>(
+        &self,
+        peer: SocketAddr,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+        mut on_silence: S,
+    ) -> Result<(Response<Incoming>, SilenceWatch), SendFailure>
+    where
+        S: FnMut() -> ControlFlow<()>,
+    {
         let mut request = request;
         // If the connection closes before the first byte is sent, hyper returns the request, which is
         // then sent on a new connection.
@@ -72,9 +108,14 @@
             let connection = self.connection(peer, deadline).await?;
             let mut sender = connection.sender.clone();
             let sending = sender.try_send_request(request);
-            match timeout_at(deadline, sending).await {
-                Ok(Ok(response)) => return Ok(response),
-                Ok(Err(mut error)) => match error.take_message() {
+            let watched = connection.watch.run(sending, &mut on_silence);
+            match timeout_at(deadline, watched).await {
+                Ok(Some(Ok(response))) => return Ok((response, connection.watch)),
+                Ok(None) => {
+                    let error = call_error(peer, "nothing received, not even responses to PINGs");
+                    return Err(SendFailure::Broken(error));
+                }
+                Ok(Some(Err(mut error))) => match error.take_message() {
                     Some(message) => {
                         self.discard(peer, connection.id).await;
                         request = message;
@@ -107,6 +148,7 @@
             .map_err(|_| SendFailure::NotSent(call_error(peer, "no connection by the deadline")))?;
         if let Some(connection) = slot.as_ref()
             && !connection.sender.is_closed()
+            && !connection.watch.is_silent()
         {
             return Ok(connection.clone());
         }
@@ -123,10 +165,18 @@
         stream
             .set_nodelay(true)
             .map_err(|error| call_error(peer, error))?;
+        let watch = SilenceWatch::new(self.silence.reuse);
+        let stream_watch = watch.clone();
+        let stream = InspectReader::new(stream, move |bytes| {
+            if !bytes.is_empty() {
+                stream_watch.record_read();
+            }
+        });
+        let ping_interval = self.silence.reuse / 2;
         let (sender, connection) = Builder::new(TokioExecutor::new())
             .timer(TokioTimer::new())
-            .keep_alive_interval(self.silence_timeout / 2)
-            .keep_alive_timeout(self.silence_timeout / 2)
+            .keep_alive_interval(ping_interval)
+            .keep_alive_timeout(self.silence.close.saturating_sub(ping_interval))
             .initial_stream_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
             .handshake(TokioIo::new(stream))
@@ -135,7 +185,7 @@
         // An error of the connection is also returned to each of its calls.
         tokio::spawn(async move { connection.await.ok() });
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
-        Ok(MeshConnection { id, sender })
+        Ok(MeshConnection { id, sender, watch })
     }
 
     /// Removes a connection from the pool; calls in flight on it continue.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -16,6 +16,7 @@
 mod response_body;
 mod response_reader;
 mod send_failure;
+mod silence_watch;
 mod target_pool;
 
 pub use {
@@ -32,7 +33,7 @@
     listener::{
         ListenerLimits, ListenerShutdown, bind, serve_callers, serve_http, serve_http1, serve_mesh,
     },
-    mesh_pool::MeshPool,
+    mesh_pool::{MeshPool, SilenceLimits},
     mesh_protocol::{
         CLAIMS_PATH, HOLDER_QUERY_PATH, MESH_PREFIX, PERMIT_PATH, POLICY_PATH, call_tag,
         encode_tag, is_valid_call_tag, is_valid_message_tag, message_tag,
@@ -41,6 +42,7 @@
     response_body::{NoObserver, ResponseBody, ResponseError, StreamObserver, StreamOutcome},
     response_reader::{ResponsePrefix, read_response},
     send_failure::SendFailure,
+    silence_watch::SilenceWatch,
     target_pool::{ReuseRule, TargetConnection, TargetPool},
 };
 
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -66,7 +66,7 @@
     let relay = TcpRelay::start(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), echo)
         .await
         .expect("a free port");
-    let pool = MeshPool::new(SILENCE_TIMEOUT);
+    let pool = MeshPool::new(SILENCE_TIMEOUT.into());
     let first = send_text(&pool, relay.address(), "first").await;
     assert_eq!(first.expect("a response"), "first");
     relay.silence();
--- a/src/sidecar/peer_call.rs
+++ b/src/sidecar/peer_call.rs
@@ -3,7 +3,9 @@
         FailureCause, HopContext, HopFormat, PeerOutcome, PlatformAdapter, PressureReport,
         TargetLoad, TreeCost,
         account_gate::PROOF_HEADER,
-        attempt_report::{ATTEMPT_FAILURE_HEADER, AttemptFailure, AttemptReport, ONLY_PEER_HEADER},
+        attempt_report::{
+            ATTEMPT_FAILURE_HEADER, AttemptFailure, AttemptReport, ONLY_PEER_HEADER, RelayBody,
+        },
         failure_cause::CAUSE_HEADER,
         forwarded_call::ForwardedCall,
         inbound_service::run_on_local_target,
@@ -16,11 +18,11 @@
     },
     crate::{
         context::ServiceName,
-        net::{ResponseBody, ResponsePrefix, SendFailure, read_response},
+        net::{ResponseBody, ResponsePrefix, SendFailure, SilenceWatch, read_response},
     },
     http::{HeaderMap, Response},
     hyper::body::Incoming,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{net::SocketAddr, ops::ControlFlow, sync::Arc, time::Duration},
 };
 
 /// Bytes of a response that are buffered before relaying starts.
@@ -172,13 +174,17 @@
     };
     let deadline = state.clock.instant_of(context.deadline) + POOL_TIMEOUT_MARGIN;
     let asked_at = state.clock.now();
-    match state.mesh_pool.send(peer, request, deadline).await {
-        Ok(mut response) => {
+    let on_silence = || decide_on_silence(state, context, peer);
+    let sending = state
+        .mesh_pool
+        .send_watched(peer, request, deadline, on_silence);
+    match sending.await {
+        Ok((mut response, watch)) => {
             if let Some(text) = take_header_text(response.headers_mut(), PROOF_HEADER) {
                 let version = state.config().map_or(0, |config| config.version);
                 state.accounts.merge_proof(version, asked_at, &text);
             }
-            read_report(state, response, context, peer).await
+            read_report(state, response, &watch, context, peer).await
         }
         Err(failure) => {
             let kind = match failure {
@@ -197,9 +203,25 @@
     }
 }
 
+/// Whether a call goes on waiting for a peer that is silent. One that may be sent again does not;
+/// any other would lose the response of a target that may be running it.
+fn decide_on_silence<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    context: &HopContext,
+    peer: SocketAddr,
+) -> ControlFlow<()> {
+    if context.is_idempotent {
+        return ControlFlow::Break(());
+    }
+    let now = state.clock.now();
+    state.peers().record_silence(now, &context.service, peer);
+    ControlFlow::Continue(())
+}
+
 async fn read_report<P: PlatformAdapter>(
     state: &SidecarState<P>,
     response: Response<Incoming>,
+    watch: &SilenceWatch,
     context: &HopContext,
     peer: SocketAddr,
 ) -> AttemptReport {
@@ -228,24 +250,16 @@
     let load = load.and_then(|text| TargetLoad::decode(&text));
     let result = match failure {
         Some(text) => Err(text.parse().unwrap_or(AttemptFailure::PeerConnectionBroken)),
-        None => match read_response(body, MAX_BUFFERED_RESPONSE_BYTES).await {
-            Ok(ResponsePrefix::Complete { data, trailers }) => Ok(Response::from_parts(
-                head,
-                ResponseBody::buffered(data, trailers),
-            )),
-            Ok(ResponsePrefix::Partial { prefix, rest }) => {
-                let deadline = state.clock.instant_of(context.deadline);
-                let body = ResponseBody::streamed(prefix, rest, deadline, None);
-                Ok(Response::from_parts(head, body))
-            }
-            Err(error) => {
-                if state.log.try_acquire(LineCategory::Failure) {
-                    slog::info!(state.log.logger, "response of the peer was cut off";
-                        "service" => %context.service, "error" => %error);
-                }
-                Err(AttemptFailure::PeerConnectionBroken)
-            }
-        },
+        None => {
+            read_body(
+                state,
+                Response::from_parts(head, body),
+                watch,
+                context,
+                peer,
+            )
+            .await
+        }
     };
     AttemptReport {
         result,
@@ -256,6 +270,37 @@
     }
 }
 
+/// Reads the response of a target that a peer relays.
+async fn read_body<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    response: Response<Incoming>,
+    watch: &SilenceWatch,
+    context: &HopContext,
+    peer: SocketAddr,
+) -> Result<Response<RelayBody>, AttemptFailure> {
+    let (head, body) = response.into_parts();
+    let reading = read_response(body, MAX_BUFFERED_RESPONSE_BYTES);
+    let on_silence = || decide_on_silence(state, context, peer);
+    let failure = match watch.run(reading, on_silence).await {
+        Some(Ok(ResponsePrefix::Complete { data, trailers })) => {
+            let body = ResponseBody::buffered(data, trailers);
+            return Ok(Response::from_parts(head, body));
+        }
+        Some(Ok(ResponsePrefix::Partial { prefix, rest })) => {
+            let deadline = state.clock.instant_of(context.deadline);
+            let body = ResponseBody::streamed(prefix, rest, deadline, None);
+            return Ok(Response::from_parts(head, body));
+        }
+        Some(Err(error)) => error.to_string(),
+        None => "nothing received".to_owned(),
+    };
+    if state.log.try_acquire(LineCategory::Failure) {
+        slog::info!(state.log.logger, "response of the peer was cut off";
+            "service" => %context.service, "error" => failure);
+    }
+    Err(AttemptFailure::PeerConnectionBroken)
+}
+
 fn take_header_text(headers: &mut HeaderMap, name: &'static str) -> Option<String> {
     let value = headers.remove(name)?;
     value.to_str().ok().map(str::to_owned)
--- a/src/sidecar/peer_table.rs
+++ b/src/sidecar/peer_table.rs
@@ -298,15 +298,28 @@
         outcome: PeerOutcome,
         load: Option<TargetLoad>,
     ) {
-        let peers = self.services.get_mut(service);
-        let entry = peers.and_then(|peers| {
-            let mut entries = peers.entries.iter_mut();
-            entries.find(|entry| entry.address == peer)
-        });
-        if let Some(entry) = entry {
-            entry.record_outcome(now, outcome, load, self.callers);
+        let callers = self.callers;
+        if let Some(entry) = self.entry_mut(service, peer) {
+            entry.record_outcome(now, outcome, load, callers);
+        }
+    }
+
+    /// Records that nothing is received from a peer while calls wait for it.
+    pub(crate) fn record_silence(
+        &mut self,
+        now: TimePoint,
+        service: &ServiceName,
+        peer: SocketAddr,
+    ) {
+        if let Some(entry) = self.entry_mut(service, peer) {
+            entry.back_off(now);
         }
     }
+
+    fn entry_mut(&mut self, service: &ServiceName, peer: SocketAddr) -> Option<&mut PeerEntry> {
+        let mut entries = self.services.get_mut(service)?.entries.iter_mut();
+        entries.find(|entry| entry.address == peer)
+    }
 }
 
 impl PeerEntry {
@@ -447,10 +460,7 @@
                 self.failure_rate += (1.0 - self.failure_rate) * FAILURE_SAMPLE_WEIGHT;
             }
             PeerOutcome::Refused => self.backoff_until = now + REFUSAL_BACKOFF,
-            PeerOutcome::Unreachable => {
-                self.backoff = (self.backoff * 2).clamp(MIN_BACKOFF, MAX_BACKOFF);
-                self.backoff_until = now + self.backoff;
-            }
+            PeerOutcome::Unreachable => self.back_off(now),
             PeerOutcome::RateLimited => {
                 if let Some(pace) = &mut self.pace {
                     pace.record_refusal();
@@ -459,6 +469,11 @@
             PeerOutcome::Inconclusive => {}
         }
     }
+
+    fn back_off(&mut self, now: TimePoint) {
+        self.backoff = (self.backoff * 2).clamp(MIN_BACKOFF, MAX_BACKOFF);
+        self.backoff_until = now + self.backoff;
+    }
 }
 
 /// Draws an index with a probability proportional to its weight.
--- a/src/sidecar/sidecar_daemon.rs
+++ b/src/sidecar/sidecar_daemon.rs
@@ -27,8 +27,8 @@
         error::StepError,
         membership::{MemberId, MembershipHandle, MembershipSettings},
         net::{
-            ListenerLimits, ListenerShutdown, MeshPool, bind, serve_callers, serve_http1,
-            serve_mesh,
+            ListenerLimits, ListenerShutdown, MeshPool, SilenceLimits, bind, serve_callers,
+            serve_http1, serve_mesh,
         },
         table::TableStore,
         time::{BootClock, PauseDetector, ProcessClock, TimerService},
@@ -56,10 +56,10 @@
 const MAX_WAIT_FOR_PEERS: Duration = Duration::from_secs(2);
 /// Interval between checks whether the sidecar can serve.
 const READY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Silence after which a connection to a peer sidecar is treated as broken.
+/// Silence of a peer sidecar after which calls that may be sent again do not wait for it.
 const MESH_SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
-/// Silence after which an accepted connection is closed.
-const ACCEPTED_SILENCE_LIMIT: Duration = Duration::from_secs(20);
+/// Silence after which a connection between sidecars is closed.
+const CONNECTION_SILENCE_LIMIT: Duration = Duration::from_secs(20);
 /// Maximum connections of callers and of the target.
 const MAX_OUTBOUND_CONNECTIONS: usize = 2_500;
 /// Limits of each listener for other sidecars, readiness checks, and target reports.
@@ -132,7 +132,10 @@
             )),
             unread_fields: UnreadFields::default(),
             membership,
-            mesh_pool: MeshPool::new(MESH_SILENCE_LIMIT),
+            mesh_pool: MeshPool::new(SilenceLimits {
+                reuse: MESH_SILENCE_LIMIT,
+                close: CONNECTION_SILENCE_LIMIT,
+            }),
             running: Arc::new(RunningCalls::default()),
             in_flight: TaskTracker::new(),
             recorder: process_recorder(),
@@ -258,7 +261,7 @@
         header_bytes: limits.header_bytes,
         header_timeout: limits.idle_timeout,
         connections: MAX_OUTBOUND_CONNECTIONS,
-        silence_timeout: ACCEPTED_SILENCE_LIMIT,
+        silence_timeout: CONNECTION_SILENCE_LIMIT,
     }
 }
 
@@ -267,7 +270,7 @@
         header_bytes: MAX_INTERNAL_HEADER_BYTES,
         header_timeout: INTERNAL_HEADER_TIMEOUT,
         connections: MAX_INTERNAL_CONNECTIONS,
-        silence_timeout: ACCEPTED_SILENCE_LIMIT,
+        silence_timeout: CONNECTION_SILENCE_LIMIT,
     }
 }
 
