Running requests count when a stop decides whether there is time for another

Purchases of 4.5 s that came 0.8 to 1.9 s after the SIGTERM were passed on and answered 502 while the target worked on them. What a route's requests take was taken from those that had ended, here one of 1 ms; those that had been running for seconds did not count. The other way round, one slow request made all of its route be refused for 10 to 20 s.

`RouteDurations` now also knows the starts of the requests that are running: a request may take twice as long as the oldest one has been running, as that is on average half-way. Of the requests that have ended one in 100 is taken for an outlier, of the running ones one in 10, but fewer than 100 or 10 requests have none, and at most seven durations are passed over. A route of which no request has ended recently is judged by the deadline, as before.

--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -77,6 +77,7 @@
 mod route_rule;
 mod run_guard;
 mod running_calls;
+mod running_request;
 mod served_count;
 mod service_limiter;
 mod service_ranks;
--- a/src/sidecar/outbound/outbound_service.rs
+++ b/src/sidecar/outbound/outbound_service.rs
@@ -8,6 +8,7 @@
             forwarded_call::{ForwardedCall, header_text, request_host},
             local_response::{RequestFailure, local_response},
             running_calls::RunningCall,
+            running_request::RunningRequest,
             sidecar_state::{SidecarPhase, SidecarState},
         },
         answer_body::AnswerBody,
@@ -309,7 +310,8 @@
     let mut phase = state.phase.subscribe();
     let drain_deadline = phase.wait_for(|phase| *phase == SidecarPhase::Stopping);
     let mut cause = None;
-    let started_at = state.clock.now();
+    let is_root = routed.parent.is_none();
+    let running = is_root.then(|| RunningRequest::start(state, &routed.rule.name));
     let forwarding = timeout_at(
         deadline_instant,
         forward_with_retries(state, outbound, &mut cause),
@@ -318,8 +320,8 @@
         result = forwarding => result,
         _ = drain_deadline => return Err(RequestFailure::Unknown),
     };
-    if routed.parent.is_none() {
-        record_duration(state, routed, started_at, &result);
+    if let Some(running) = running {
+        running.finish(response_end(state, routed, &result));
     }
     if result.is_err() {
         let elapsed = routed.arrived_at.until(routed.deadline);
@@ -335,20 +337,20 @@
     result.unwrap_or(Err(RequestFailure::DeadlinePassed))
 }
 
-/// Records how long a request has taken. One whose response is relayed as it arrives is taken to
-/// last until its deadline.
-fn record_duration<P: PlatformAdapter, E>(
+/// End of a request that has a result. One whose response is relayed as it arrives is taken to last
+/// until its deadline.
+fn response_end<P: PlatformAdapter, E>(
     state: &SidecarState<P>,
     routed: &RoutedCall,
-    started_at: TimePoint,
     result: &Result<Result<Response<RelayBody>, RequestFailure>, E>,
-) {
-    let now = state.clock.now();
+) -> TimePoint {
     let is_streamed = matches!(result, Ok(Ok(response))
         if matches!(response.body(), ResponseBody::Streamed(_)));
-    let ended_at = if is_streamed { routed.deadline } else { now };
-    let duration = started_at.until(ended_at);
-    state.durations().record(now, &routed.rule.name, duration);
+    if is_streamed {
+        routed.deadline
+    } else {
+        state.clock.now()
+    }
 }
 
 /// The earliest deadline that the caller, the route and the parent call allow.
