A request that waits for a credit is answered when the sidecar stops

A request that was waiting for an answer of a quota owner was in no branch that ends at `SidecarPhase::Stopping`: the process could exit under it, and the caller got no answer. It is answered 503 (`shutting-down`, not run) now.

Found by reading; no run has shown it, and there is no regression test: the wait for one owner is 250 ms and that for any owner 400 ms, so the request has to arrive in the last half second of a stop that a running target keeps open.

--- a/src/sidecar/outbound/outbound_service.rs
+++ b/src/sidecar/outbound/outbound_service.rs
@@ -259,7 +259,13 @@
             service: &service,
             account: routed.account.as_ref(),
         };
-        let mut credit = admit_account(state, root).await?;
+        let mut credit = tokio::select! {
+            credit = admit_account(state, root) => credit?,
+            _ = phase.wait_for(|phase| *phase == SidecarPhase::Stopping) => {
+                return Err(LocalAnswer::from(RequestFailure::ShuttingDown)
+                    .with_delay(Duration::ZERO));
+            }
+        };
         let admitted = admit_request(state, root, started_at)?;
         context.rank = admitted.queue_rank;
         if let Some(credit) = &mut credit {
