A keep-alive timeout of a target no longer ends the request

What a caller sees: the connection closes without an answer, though the target has answered with 200 and the sidecar has read all of it. A target whose response carries "Keep-Alive: timeout=" does this to each request.

Cause: release_with_timeout (net/target_pool.rs) adds the timeout that the target names, up to u64::MAX seconds, to the present time, and Instant + Duration panics on overflow. That the users' targets send such a value is not known.

The time for which an idle connection is kept is now an hour at most, which was the time for targets that name none.

response_with_the_longest_keep_alive_timeout_is_delivered fails without the change: "overflow when adding duration to instant", then "connection closed before message completed". The other sums of times and values from outside were read: TimePoint saturates, deadlines are bounded by the route's timeout, configured durations by MAX_SECONDS.

--- a/src/net/target_pool.rs
+++ b/src/net/target_pool.rs
@@ -30,8 +30,8 @@
 const MAX_IDLE_CONNECTIONS: usize = 256;
 /// Refused calls after which a connection is closed.
 const MAX_REFUSED_CALLS: usize = 8;
-/// Time for which an idle connection is kept if the target does not specify one.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
+/// Longest time for which an idle connection is kept, also if the target specifies none.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 
 /// Pool of HTTP/1.1 connections to the target beside the daemon.
 #[derive(Debug)]
@@ -280,7 +280,7 @@
 
     /// Returns the connection to the pool after a complete response.
     pub(crate) fn release(self) {
-        self.release_with_timeout(DEFAULT_IDLE_TIMEOUT);
+        self.release_with_timeout(MAX_IDLE_TIMEOUT);
     }
 
     /// Returns the connection to the pool after the call was refused on it.
@@ -304,7 +304,7 @@
                 sender: self.sender,
                 lease: self.lease,
                 idle_since: Instant::now(),
-                expires_at: Instant::now() + idle_timeout,
+                expires_at: Instant::now() + idle_timeout.min(MAX_IDLE_TIMEOUT),
                 refused_calls: self.refused_calls,
             });
         }
