A stop waits for what it owes to other sidecars, not for silent ones

A call counts as taken until the HTTP server has taken the last byte of its response, which it does only as the flow window allows: buffered bodies are handed out in parts of 16 KiB. The stop waits for that without a bound of its own, and then 0.5 s for the connections to close. The membership protocol gets 50 ms to stop.

--- a/src/net/response_body.rs
+++ b/src/net/response_body.rs
@@ -12,6 +12,10 @@
     tokio::time::{Instant, Sleep, sleep_until},
 };
 
+/// Bytes of a buffered body that the server takes at once. It takes more only when the connection
+/// does.
+const MAX_FRAME_BYTES: usize = 16 * 1024;
+
 /// Outcome of a streamed response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StreamOutcome {
@@ -98,7 +102,10 @@
 
 impl BufferedBody {
     fn next_frame(&mut self) -> Option<Frame<Bytes>> {
-        if let Some(data) = self.data.take() {
+        if let Some(mut data) = self.data.take() {
+            if data.len() > MAX_FRAME_BYTES {
+                self.data = Some(data.split_off(MAX_FRAME_BYTES));
+            }
             return Some(Frame::data(data));
         }
         self.trailers.take().map(Frame::trailers)
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -20,6 +20,7 @@
         slot_semaphore::SlotRefusal,
         streamed_run::StreamedRun,
         suspect_exchange::{SUSPECTS_PATH, serve_suspects},
+        taken_body::TakenBody,
         target_incarnation::TargetIncarnation,
         target_notice::apply_response_notice,
         tree_cost::TREE_COST_HEADER,
@@ -36,6 +37,7 @@
     http::{
         HeaderMap, HeaderValue, Request, Response, StatusCode,
         header::{CONTENT_ENCODING, HeaderName},
+        request::Parts,
     },
     hyper::body::Incoming,
     std::{sync::Arc, time::Duration},
@@ -69,17 +71,27 @@
 pub(crate) async fn serve_inbound<P: PlatformAdapter>(
     state: Arc<SidecarState<P>>,
     request: Request<Incoming>,
-) -> Response<RelayBody> {
-    let (mut head, mut body) = request.into_parts();
-    let Some(context) = head.headers.remove(HOP_CONTEXT_HEADER) else {
-        return match head.uri.path() {
+) -> Response<TakenBody> {
+    let taken = state.taken.token();
+    let (mut head, body) = request.into_parts();
+    let response = match head.headers.remove(HOP_CONTEXT_HEADER) {
+        Some(context) => serve_call(&state, head, body, &context).await,
+        None => match head.uri.path() {
             SUSPECTS_PATH => serve_suspects(&state, body).await,
             CREDITS_PATH => serve_credits(&state, body).await,
             PROOF_PATH => serve_proof(&state),
             path => serve_config(&state, path),
-        };
+        },
     };
-    let _taken = state.taken.token();
+    response.map(|body| TakenBody::new(body, taken))
+}
+
+async fn serve_call<P: PlatformAdapter>(
+    state: &Arc<SidecarState<P>>,
+    mut head: Parts,
+    mut body: Incoming,
+    context: &HeaderValue,
+) -> Response<RelayBody> {
     // Its times count from when it was sent, which a pause of this process may have hidden.
     let sent_at = state.pauses.earliest_arrival(state.clock.now());
     let context = context.to_str().ok();
@@ -88,30 +100,30 @@
             state.log.logger,
             "call refused: malformed context header from a peer"
         );
-        return to_response(&state, AttemptReport::failed(AttemptFailure::NoTarget));
+        return to_response(state, AttemptReport::failed(AttemptFailure::NoTarget));
     };
     let budget = &state.body_budget;
     let body = match read_reserved_request(&mut body, MAX_BODY_BYTES, BODY_TIMEOUT, budget).await {
         Ok(body) => body,
         Err(RequestError::NoMemory(refusal)) => {
-            report_no_memory(&state, &head.headers, refusal);
-            return to_response(&state, AttemptReport::failed(AttemptFailure::QueueFull));
+            report_no_memory(state, &head.headers, refusal);
+            return to_response(state, AttemptReport::failed(AttemptFailure::QueueFull));
         }
         Err(error) => {
             slog::info!(state.log.logger, "call refused: its body did not arrive from the peer";
                 "error" => %error);
-            return to_response(&state, AttemptReport::failed(AttemptFailure::NoTarget));
+            return to_response(state, AttemptReport::failed(AttemptFailure::NoTarget));
         }
     };
     if let Some(incarnation) = TargetIncarnation::take_leaving_header(&mut head.headers) {
-        record_leaving(&state, &incarnation, "peer");
+        record_leaving(state, &incarnation, "peer");
     }
     if !state.takes_calls() {
-        return to_response(&state, AttemptReport::failed(AttemptFailure::TargetClosed));
+        return to_response(state, AttemptReport::failed(AttemptFailure::TargetClosed));
     }
     let call = ForwardedCall::new(head, body, state.platform.headers());
-    let report = run_on_local_target(&state, &call, &context).await;
-    to_response(&state, report)
+    let report = run_on_local_target(state, &call, &context).await;
+    to_response(state, report)
 }
 
 /// Reports a call whose body does not fit into the memory. Sidecars of older builds know the failure
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -89,6 +89,7 @@
 mod slot_semaphore;
 mod streamed_run;
 mod suspect_exchange;
+mod taken_body;
 mod target_incarnation;
 mod target_notice;
 mod target_probe;
--- a/src/sidecar/sidecar_shutdown.rs
+++ b/src/sidecar/sidecar_shutdown.rs
@@ -10,6 +10,11 @@
     tokio::time::{Instant, interval, sleep_until, timeout, timeout_at},
 };
 
+/// Time in which other sidecars answer that a connection is closed. They owe and are owed nothing by
+/// then, and one that is suspended or can't be reached never answers.
+const PEER_CLOSE_TIME: Duration = Duration::from_millis(500);
+/// Time in which the membership protocol stops.
+const MEMBERSHIP_STOP_TIME: Duration = Duration::from_millis(50);
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 impl<P: PlatformAdapter> SidecarDaemon<P> {
@@ -34,7 +39,9 @@
         timeout(LAST_WRITE_TIME, join_all(shutdowns.map(close_gracefully)))
             .await
             .ok();
-        self.state.membership.stop().await;
+        timeout(MEMBERSHIP_STOP_TIME, self.state.membership.stop())
+            .await
+            .ok();
         for shutdown in shutdowns {
             shutdown.close();
         }
@@ -56,11 +63,11 @@
         self.outbound_shutdown.draining.cancel();
         wait_until(|| self.is_target_idle() && self.state.in_flight.is_empty()).await;
         // A connection ends once its responses have been written.
-        join(
-            close_gracefully(&self.outbound_shutdown),
-            close_gracefully(&self.mesh_shutdown),
-        )
-        .await;
+        let closing_mesh = timeout(PEER_CLOSE_TIME, close_gracefully(&self.mesh_shutdown));
+        join(close_gracefully(&self.outbound_shutdown), closing_mesh)
+            .await
+            .1
+            .ok();
     }
 
     fn is_target_idle(&self) -> bool {
