--- a/src/daemon/watch_tasks.rs
+++ b/src/daemon/watch_tasks.rs
@@ -38,7 +38,10 @@
     let mut listed = state.membership.listed_members();
     while listed.changed().await.is_ok() {
         let count = *listed.borrow_and_update();
-        state.policies.set_listed_members(count).await;
+        state
+            .policies
+            .set_listed_members(count.unwrap_or_default())
+            .await;
     }
 }
 
--- a/src/membership/bootstrap_task.rs
+++ b/src/membership/bootstrap_task.rs
@@ -30,6 +30,8 @@
 const MAX_REWRITE_DELAY: Duration = Duration::from_millis(300);
 const MIN_RETRY_DELAY: Duration = Duration::from_secs(1);
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(60);
+/// Maximum delay of a daemon that knows no other one.
+const MAX_LONE_RETRY_DELAY: Duration = Duration::from_secs(4);
 const MIN_SCAN_INTERVAL: Duration = Duration::from_secs(300);
 /// Minimum mean time between two scans of the table by any daemon of the deployment, which bounds
 /// the load on the table service.
@@ -70,7 +72,7 @@
     pub actor: Address<MembershipActor>,
     pub view: watch::Receiver<Arc<MemberView>>,
     /// Number of other daemons in the table at the last scan.
-    pub listed: watch::Sender<usize>,
+    pub listed: watch::Sender<Option<usize>>,
     pub clock: ProcessClock,
     pub log: Logger,
 }
@@ -87,7 +89,12 @@
                 warn!(self.log, "member table request failed; retrying after a delay";
                     "step" => %error.step, "peer" => &error.peer, "error" => %error.source);
                 sleep(retry_delay.mul_f64(jitter)).await;
-                retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
+                let max_delay = if self.view.borrow().members.len() > 1 {
+                    MAX_RETRY_DELAY
+                } else {
+                    MAX_LONE_RETRY_DELAY
+                };
+                retry_delay = (retry_delay * 2).min(max_delay);
                 continue;
             }
             retry_delay = MIN_RETRY_DELAY;
@@ -125,7 +132,7 @@
         let addresses = rows.iter().filter_map(|row| Some(parse_row(row)?.gossip));
         let addresses: Vec<_> = addresses.filter(|&peer| peer != id.address).collect();
         info!(self.log, "member table read"; "rows" => rows.len());
-        self.listed.send_replace(addresses.len());
+        self.listed.send_replace(Some(addresses.len()));
         let contacts = SetContacts {
             source: ContactSource::Table,
             addresses,
--- a/src/membership/membership_handle.rs
+++ b/src/membership/membership_handle.rs
@@ -34,7 +34,7 @@
     actor: Address<MembershipActor>,
     view: watch::Receiver<Arc<MemberView>>,
     policy: watch::Receiver<PolicyLocation>,
-    listed: watch::Receiver<usize>,
+    listed: watch::Receiver<Option<usize>>,
 }
 
 impl MembershipHandle {
@@ -62,7 +62,7 @@
             hash: 0,
             holder: settings.mesh,
         });
-        let (listed_sender, listed) = watch::channel(0);
+        let (listed_sender, listed) = watch::channel(None);
         let outputs = ActorOutputs {
             view: view_sender,
             policy: policy_sender,
@@ -120,9 +120,10 @@
         self.policy.clone()
     }
 
-    /// Number of other daemons that the member table lists, whether they live or not.
+    /// Number of other daemons that the member table lists, whether they live or not; `None` until
+    /// the table has been read.
     #[must_use]
-    pub fn listed_members(&self) -> watch::Receiver<usize> {
+    pub fn listed_members(&self) -> watch::Receiver<Option<usize>> {
         self.listed.clone()
     }
 
--- a/src/sidecar/account_gate/account_state.rs
+++ b/src/sidecar/account_gate/account_state.rs
@@ -40,6 +40,8 @@
     members: HashMap<SocketAddr, MemberState>,
     /// Members that may own accounts.
     candidates: Vec<SocketAddr>,
+    /// Whether the other members are known, or that there are none.
+    is_known: bool,
 }
 
 impl AccountState {
@@ -113,13 +115,27 @@
         action(purse)
     }
 
-    /// The owners of an account with this limit; it is divided among all of them.
+    /// Lets accounts have owners from now on: the other members are known, or there are none.
+    pub(crate) fn set_members_known(&self) {
+        self.lock_members().is_known = true;
+        self.generation.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The owners of an account with this limit; it is divided among all of them. None while other
+    /// members may exist that are not known.
     pub(super) fn quota_owners(&self, account: &str, limit: &AccountLimit) -> Vec<SocketAddr> {
         let count = quota_owner_count(limit);
-        let members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
+        let members = self.lock_members();
+        if !members.is_known {
+            return Vec::new();
+        }
         choose_quota_owners(account, count, members.candidates.iter().copied())
     }
 
+    fn lock_members(&self) -> MutexGuard<'_, QuotaMembers> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Applies a membership view. Members that are leaving still own their parts until they are
     /// gone.
     pub(crate) fn update_members(&self, now: TimePoint, view: &MemberView) {
@@ -129,7 +145,7 @@
             .filter(|record| record.state != MemberState::Dead)
             .map(|record| (record.mesh, record.state))
             .collect();
-        let mut members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut members = self.lock_members();
         let before = std::mem::replace(&mut members.members, current);
         let lost = before
             .iter()
--- a/src/sidecar/sidecar_daemon.rs
+++ b/src/sidecar/sidecar_daemon.rs
@@ -180,6 +180,7 @@
         tokio::spawn(watch_gossip(self.state.clone()));
         tokio::spawn(watch_members(self.state.clone()));
         tokio::spawn(wait_until_ready(self.state.clone()));
+        tokio::spawn(wait_until_members_known(self.state.clone()));
         tokio::spawn(watch_target(self.state.clone()));
         tokio::spawn(announce_suspects(self.state.clone()));
         tokio::spawn(compare_suspects(self.state.clone()));
@@ -317,6 +318,23 @@
     state.advance_to(SidecarPhase::Serving);
 }
 
+/// Lets the limits of accounts be divided once another member is known, or the member table has been
+/// read and none of those that it lists has been found.
+async fn wait_until_members_known<P: PlatformAdapter>(state: Arc<SidecarState<P>>) {
+    let mut views = state.membership.view();
+    let mut listed = state.membership.listed_members();
+    let is_alone = async {
+        // This can't fail before the membership stops.
+        listed.wait_for(Option::is_some).await.ok();
+        sleep(MAX_WAIT_FOR_PEERS).await;
+    };
+    tokio::select! {
+        _ = views.wait_for(|view| view.members.len() > 1) => {}
+        () = is_alone => {}
+    }
+    state.accounts.set_members_known();
+}
+
 async fn watch_target<P: PlatformAdapter>(state: Arc<SidecarState<P>>) {
     let mut ticks = interval(TARGET_CHECK_INTERVAL);
     loop {
--- a/standins/src/store/store_mode.rs
+++ b/standins/src/store/store_mode.rs
@@ -11,4 +11,13 @@
     LostResponses,
     /// Responds to feed calls with 410, as if the history were lost.
     HistoryLost,
+    /// Answers calls for this table with 503 and the others as usual.
+    TableBusy(&'static str),
+}
+
+impl StoreMode {
+    /// Whether calls for `table` alone are refused.
+    pub(crate) fn is_busy(self, table: &str) -> bool {
+        matches!(self, Self::TableBusy(busy) if busy == table)
+    }
 }
--- a/standins/src/store/store_standin.rs
+++ b/standins/src/store/store_standin.rs
@@ -152,6 +152,9 @@
         let query = read_query(head.uri.query().unwrap_or_default());
         let text = |name: &str| query.get(name).cloned().unwrap_or_default();
         match head.uri.path() {
+            "/v1/rows-get" if mode.is_busy(&text("table")) => {
+                json_response(StatusCode::SERVICE_UNAVAILABLE, &Value::Null)
+            }
             "/v1/rows-get" => {
                 let rows = self.rows().read(&text("table"), &text("from"), 0);
                 json_response(StatusCode::OK, &rows)
@@ -178,6 +181,9 @@
                     .await
                     .map(http_body_util::Collected::to_bytes);
                 let body = serde_json::from_slice(&body.unwrap_or_default()).unwrap_or_default();
+                if writes_of(&body).any(|table| mode.is_busy(table)) {
+                    return json_response(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
+                }
                 let result = self.rows().transact(&body);
                 if mode == StoreMode::LostResponses {
                     return pending().await;
@@ -199,6 +205,12 @@
         .collect()
 }
 
+/// Tables that a transaction writes to.
+fn writes_of(body: &Value) -> impl Iterator<Item = &str> {
+    let writes = body["puts"].as_array().into_iter().flatten();
+    writes.filter_map(|row| row["table"].as_str())
+}
+
 fn json_response(status: StatusCode, value: &Value) -> Response<StandinBody> {
     let mut response = Response::new(StandinBody::text(value.to_string()));
     *response.status_mut() = status;
