A connection with an idle timeout of zero is not checked without a pause

Found by review, not seen: with an idle timeout of 0 and a request in flight the timer of the connection would have been set to the present time again and again.

--- a/src/net/caller_connection.rs
+++ b/src/net/caller_connection.rs
@@ -17,6 +17,9 @@
 /// the listener drains.
 const LAST_REQUEST_TIME: Duration = Duration::from_millis(300);
 
+/// Shortest time between two checks whether the connection is idle.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// How the service of a connection has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionEnd {
@@ -63,6 +66,7 @@
                 return ConnectionEnd::Idle;
             }
             let rest = limit.saturating_sub(idle_time.unwrap_or_default());
+            let rest = rest.max(MIN_CHECK_INTERVAL);
             timer.as_mut().reset(Instant::now() + rest);
         }
     }
