Let calls without an alternative wait for a silent peer

What callers saw: reads were answered 502 after 1.2 s in which the sidecar beside their target had not run, with most of their deadline left and no other target to send them to.

Cause: a call that may be sent again never waited for a silent peer, whether or not there was a target or an attempt left for it.

Such a call now leaves its peer only if the next step would send it to a target that is not avoided at present, or relay a failure that a target has answered. Any other waits until its deadline, as purchases do, and is asked again at each further silence.

--- a/src/sidecar/outbound/call_forwarding.rs
+++ b/src/sidecar/outbound/call_forwarding.rs
@@ -97,7 +97,8 @@
             return failed_response.ok_or(failure);
         };
         owed.set_owed(true);
-        let mut report = send_attempt(state, call, &context, peer).await;
+        let has_alternative = || may_leave_peer(state, origin, &context, (history, &tried), peer);
+        let mut report = send_attempt(state, call, &context, peer, has_alternative).await;
         record_pressure(state, &context.service, &mut report.tree_cost);
         let is_complete = is_success(&report.result);
         record_cost(state, origin, &report.tree_cost, is_complete);
@@ -120,14 +121,8 @@
         let has_timed_out = matches!(result, Err(AttemptFailure::DeadlinePassed));
         let attempt_outcome = match result {
             Ok(response) if has_child_calls => {
-                log_response(
-                    state,
-                    call,
-                    &context,
-                    peer,
-                    response.status(),
-                    Some(failure_cause),
-                );
+                let status = response.status();
+                log_response(state, call, &context, peer, status, Some(failure_cause));
                 return Ok(response);
             }
             Ok(response) => {
@@ -171,6 +166,34 @@
     cause.get_or_insert_with(|| FailureCause::new(&context.service, outcome.into()));
 }
 
+/// Whether a call that ends its attempt at `peer` without a response is sent to another target, or
+/// gets a response that an earlier one has sent.
+fn may_leave_peer<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    origin: CallOrigin<'_>,
+    context: &HopContext,
+    (mut history, tried): (AttemptHistory, &TriedTargets),
+    peer: SocketAddr,
+) -> bool {
+    let rule = origin.rule;
+    let now = state.clock.now();
+    let outcome = AttemptOutcome::Unknown;
+    let time_left = now.until(context.deadline);
+    let is_idempotent = rule.is_idempotent();
+    match history.next_step(outcome, is_idempotent, rule.max_attempts, time_left) {
+        NextStep::Retry => {
+            let mut tried = tried.clone();
+            tried.record(peer, outcome);
+            let has_time =
+                origin.parent.is_some() || state.has_time_for(&rule.name, context.deadline);
+            let peers = state.peers();
+            has_time && peers.has_usable(now, &context.service, &tried, rule.max_attempts)
+        }
+        NextStep::RelayFailure => true,
+        NextStep::RespondNotRun | NextStep::RespondUnknown | NextStep::RespondRefused => false,
+    }
+}
+
 /// Failure of a call that is not sent again: `not_run` if it has not run on any target.
 fn failure_after(history: &AttemptHistory, not_run: RequestFailure) -> RequestFailure {
     if history.has_not_run() {
--- a/src/sidecar/peer_call.rs
+++ b/src/sidecar/peer_call.rs
@@ -56,12 +56,14 @@
     }
 }
 
-/// Sends a call to the target of `peer`, the sidecar that was chosen for it.
-pub(crate) async fn send_attempt<P: PlatformAdapter>(
+/// Sends a call to the target of `peer`, the sidecar that was chosen for it. `has_alternative` tells
+/// whether the call need not wait for a peer that is silent.
+pub(crate) async fn send_attempt<P: PlatformAdapter, F: Fn() -> bool>(
     state: &Arc<SidecarState<P>>,
     call: &ForwardedCall,
     context: &HopContext,
     peer: SocketAddr,
+    has_alternative: F,
 ) -> AttemptReport {
     let mut guard = InFlightGuard {
         state,
@@ -72,7 +74,7 @@
     let report = if peer == state.settings.listen.mesh {
         run_on_local_target(state, call, context).await
     } else {
-        send_to_peer(state, call, context, peer).await
+        send_to_peer(state, call, context, peer, has_alternative).await
     };
     guard.finish(peer_outcome(&report), report.load);
     report
@@ -120,12 +122,14 @@
 
 /// Sends a call to a peer; one that may run an older build gets it once more in the format of that
 /// build.
-async fn send_to_peer<P: PlatformAdapter>(
+async fn send_to_peer<P: PlatformAdapter, F: Fn() -> bool>(
     state: &SidecarState<P>,
     call: &ForwardedCall,
     context: &HopContext,
     peer: SocketAddr,
+    has_alternative: F,
 ) -> AttemptReport {
+    let on_silence = || decide_on_silence(state, context, peer, &has_alternative);
     let formats = &state.peer_formats;
     let now = state.clock.now();
     let known = formats.format(now, peer);
@@ -134,7 +138,7 @@
     } else {
         HopFormat::WithAccount
     };
-    let report = send_in_format(state, call, context, peer, format).await;
+    let report = send_in_format(state, call, context, peer, format, on_silence).await;
     let is_unread = matches!(report.result, Err(AttemptFailure::NoTarget));
     let may_try_older = format == HopFormat::WithAccount
         && context.fits(HopFormat::WithoutAccount)
@@ -143,7 +147,7 @@
         return report;
     }
     let older = HopFormat::WithoutAccount;
-    let report = send_in_format(state, call, context, peer, older).await;
+    let report = send_in_format(state, call, context, peer, older, on_silence).await;
     let is_read = !matches!(report.result, Err(AttemptFailure::NoTarget));
     formats.record_older(state.clock.now(), peer, is_read);
     if is_read {
@@ -152,12 +156,13 @@
     report
 }
 
-async fn send_in_format<P: PlatformAdapter>(
+async fn send_in_format<P: PlatformAdapter, S: Fn() -> ControlFlow<()>>(
     state: &SidecarState<P>,
     call: &ForwardedCall,
     context: &HopContext,
     peer: SocketAddr,
     format: HopFormat,
+    on_silence: S,
 ) -> AttemptReport {
     let request = match call.to_peer_request(context, state.clock.now(), format) {
         Ok(mut request) => {
@@ -174,17 +179,16 @@
     };
     let deadline = state.clock.instant_of(context.deadline) + POOL_TIMEOUT_MARGIN;
     let asked_at = state.clock.now();
-    let on_silence = || decide_on_silence(state, context, peer);
     let sending = state
         .mesh_pool
-        .send_watched(peer, request, deadline, on_silence);
+        .send_watched(peer, request, deadline, &on_silence);
     match sending.await {
         Ok((mut response, watch)) => {
             if let Some(text) = take_header_text(response.headers_mut(), PROOF_HEADER) {
                 let version = state.config().map_or(0, |config| config.version);
                 state.accounts.merge_proof(version, asked_at, &text);
             }
-            read_report(state, response, &watch, context, peer).await
+            read_report(state, response, &watch, context, peer, on_silence).await
         }
         Err(failure) => {
             let kind = match failure {
@@ -203,14 +207,15 @@
     }
 }
 
-/// Whether a call goes on waiting for a peer that is silent. One that may be sent again does not;
+/// Whether a call goes on waiting for a peer that is silent. One that has an alternative does not;
 /// any other would lose the response of a target that may be running it.
-fn decide_on_silence<P: PlatformAdapter>(
+fn decide_on_silence<P: PlatformAdapter, F: Fn() -> bool>(
     state: &SidecarState<P>,
     context: &HopContext,
     peer: SocketAddr,
+    has_alternative: F,
 ) -> ControlFlow<()> {
-    if context.is_idempotent {
+    if has_alternative() {
         return ControlFlow::Break(());
     }
     let now = state.clock.now();
@@ -218,12 +223,13 @@
     ControlFlow::Continue(())
 }
 
-async fn read_report<P: PlatformAdapter>(
+async fn read_report<P: PlatformAdapter, S: Fn() -> ControlFlow<()>>(
     state: &SidecarState<P>,
     response: Response<Incoming>,
     watch: &SilenceWatch,
     context: &HopContext,
     peer: SocketAddr,
+    on_silence: S,
 ) -> AttemptReport {
     let (mut head, body) = response.into_parts();
     if let Some(incarnation) = TargetIncarnation::take_leaving_header(&mut head.headers) {
@@ -248,18 +254,11 @@
     }
     let tree_cost = tree_cost.map_or_else(TreeCost::default, |text| TreeCost::decode(&text));
     let load = load.and_then(|text| TargetLoad::decode(&text));
-    let result = match failure {
-        Some(text) => Err(text.parse().unwrap_or(AttemptFailure::PeerConnectionBroken)),
-        None => {
-            read_body(
-                state,
-                Response::from_parts(head, body),
-                watch,
-                context,
-                peer,
-            )
-            .await
-        }
+    let result = if let Some(text) = failure {
+        Err(text.parse().unwrap_or(AttemptFailure::PeerConnectionBroken))
+    } else {
+        let response = Response::from_parts(head, body);
+        read_body(state, response, watch, context, on_silence).await
     };
     AttemptReport {
         result,
@@ -271,17 +270,16 @@
 }
 
 /// Reads the response of a target that a peer relays.
-async fn read_body<P: PlatformAdapter>(
+async fn read_body<P: PlatformAdapter, S: Fn() -> ControlFlow<()>>(
     state: &SidecarState<P>,
     response: Response<Incoming>,
     watch: &SilenceWatch,
     context: &HopContext,
-    peer: SocketAddr,
+    on_silence: S,
 ) -> Result<Response<RelayBody>, AttemptFailure> {
     let (head, body) = response.into_parts();
     let limit = MAX_BUFFERED_RESPONSE_BYTES;
     let reading = read_reserved_response(body, limit, &state.body_budget);
-    let on_silence = || decide_on_silence(state, context, peer);
     let failure = match watch.run(reading, on_silence).await {
         Some(Ok(ResponsePrefix::Complete { data, trailers })) => {
             let body = ResponseBody::buffered(data, trailers);
--- a/src/sidecar/peer_table.rs
+++ b/src/sidecar/peer_table.rs
@@ -263,6 +263,24 @@
         Some(candidates.swap_remove(best?.0).start_call())
     }
 
+    /// Whether [`Self::choose`] finds a target that is not avoided at present.
+    #[must_use]
+    pub fn has_usable(
+        &self,
+        now: TimePoint,
+        service: &ServiceName,
+        tried: &TriedTargets,
+        max_targets: u32,
+    ) -> bool {
+        let peers = self.services.get(service);
+        let mut entries = peers.into_iter().flat_map(|peers| &peers.entries);
+        entries.any(|entry| {
+            let is_allowed = tried.allows_first_attempt(entry.address, max_targets)
+                || tried.allows_retry(entry.address);
+            is_allowed && entry.is_usable(now)
+        })
+    }
+
     /// Counts a call as in flight at a target that was not chosen by [`Self::choose`].
     pub fn start_call(&mut self, service: &ServiceName, peer: SocketAddr) {
         let peers = self.services.get_mut(service);
