Answer the caller if the handler of its request panics

What callers saw: a panic in the handler closed the caller's connection without a response.

The handler of a caller's request now runs under `catch_unwind`. After a panic the caller gets 502 if a target may have run the request, by the state of the response that it is owed, and otherwise 503. The panic hook logs and counts the panic as before.

Evidence: caller_gets_a_response_if_the_handler_panics has a codec that panics before a purchase is sent and while its target works. Without the change it failed at the first one with "connection closed before message completed"; with it the two are answered 503 and 502, and only the second one has run.

A handler that serves another sidecar is left as it is: each of its calls is an HTTP/2 stream, which hyper resets when its task ends, and the caller's sidecar answers as after any broken connection.

--- a/src/sidecar/outbound/outbound_service.rs
+++ b/src/sidecar/outbound/outbound_service.rs
@@ -27,6 +27,7 @@
         time::TimePoint,
     },
     bytes::Bytes,
+    futures_util::FutureExt,
     http::{
         HeaderValue, Request, Response,
         header::{CONNECTION, CONTENT_LENGTH, EXPECT},
@@ -34,7 +35,7 @@
     },
     hyper::body::{Body, Incoming},
     rand::RngExt,
-    std::{sync::Arc, time::Duration},
+    std::{panic::AssertUnwindSafe, sync::Arc, time::Duration},
     tokio::time::timeout_at,
 };
 
@@ -128,7 +129,9 @@
     let id = header_text(request.headers(), &state.platform.headers().request_id);
     let id = id.unwrap_or_default().to_owned();
     let answer = OwedAnswer::new(state.clone(), arrival.caller(), &id, arrived_at);
-    let mut response = handle_request(&state, request, &id, &answer, arrived_at).await;
+    let handling = handle_request(&state, request, &id, &answer, arrived_at);
+    let handled = AssertUnwindSafe(handling).catch_unwind().await;
+    let mut response = handled.unwrap_or_else(|_| respond_after_panic(&state, &id, &answer));
     if state.phase() >= SidecarPhase::Draining {
         let headers = response.headers_mut();
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
@@ -161,6 +164,21 @@
     })
 }
 
+/// Response to a request whose handler has panicked, which the panic hook reports.
+fn respond_after_panic<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    id: &str,
+    owed: &OwedAnswer<P>,
+) -> Response<RelayBody> {
+    let (failure, delay) = if owed.is_owed() {
+        (RequestFailure::Unknown, None)
+    } else {
+        (RequestFailure::NotRun, Some(DEFAULT_RETRY_DELAY))
+    };
+    report_local_response(state, id, failure);
+    local_response(failure, id, delay, state.platform.headers())
+}
+
 /// Finds the route, the parent and the account of a call.
 fn find_route<P: PlatformAdapter>(
     state: &SidecarState<P>,
--- a/src/sidecar/outbound/owed_answer.rs
+++ b/src/sidecar/outbound/owed_answer.rs
@@ -78,6 +78,11 @@
         self.is_owed.store(is_owed, Ordering::Relaxed);
     }
 
+    /// Whether a target may have run the request.
+    pub(crate) fn is_owed(&self) -> bool {
+        self.is_owed.load(Ordering::Relaxed)
+    }
+
     /// Records that the response is complete.
     pub(crate) fn finish(&self) {
         self.set_owed(false);
