Send a call again whose stream the peer has refused

What callers saw: 502, which leaves open whether a purchase has run, for a call on an HTTP/2 stream that another sidecar had refused before it processed it (RST_STREAM with REFUSED_STREAM).

Such a call now counts as not sent, so that it goes to another target, or is answered 503.

Evidence: call_has_not_been_sent_if_its_stream_is_refused failed without the change, the failure being `Broken` with "Reset(StreamId(1), REFUSED_STREAM, Remote)". A stream reset for another reason still leaves open whether the call has run.

GOAWAY is left as it is. Its error is the same for a stream above the last one that the peer has processed and for one below it that ends with the connection, and hyper does not tell the stream of a call, so that a purchase that has run might be sent again. A call that is handed to a connection after its GOAWAY is returned by hyper and sent on a new one already.

--- a/src/net/mesh_pool.rs
+++ b/src/net/mesh_pool.rs
@@ -2,6 +2,7 @@
     super::{send_failure::SendFailure, silence_watch::SilenceWatch},
     crate::error::{ProcessStep, StepError},
     bytes::Bytes,
+    h2::Reason,
     http::{Request, Response},
     http_body_util::Full,
     hyper::{
@@ -11,6 +12,7 @@
     hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer},
     std::{
         collections::HashMap,
+        error::Error,
         net::SocketAddr,
         ops::ControlFlow,
         sync::{
@@ -120,7 +122,7 @@
                         self.discard(peer, connection.id).await;
                         request = message;
                     }
-                    None => return Err(SendFailure::Broken(call_error(peer, error.into_error()))),
+                    None => return Err(send_failure(peer, error.into_error())),
                 },
                 Err(_) => {
                     self.discard(peer, connection.id).await;
@@ -212,9 +214,23 @@
     }
 }
 
+/// Failure of a call that hyper has sent, in part at least.
+fn send_failure(peer: SocketAddr, error: hyper::Error) -> SendFailure {
+    let cause = error.source().and_then(<dyn Error>::downcast_ref);
+    let is_refused = cause.is_some_and(|cause: &h2::Error| {
+        cause.is_remote() && cause.is_reset() && cause.reason() == Some(Reason::REFUSED_STREAM)
+    });
+    let error = call_error(peer, error);
+    if is_refused {
+        SendFailure::NotSent(error)
+    } else {
+        SendFailure::Broken(error)
+    }
+}
+
 fn call_error<E>(peer: SocketAddr, error: E) -> StepError
 where
-    E: Into<Box<dyn std::error::Error + Send + Sync>>,
+    E: Into<Box<dyn Error + Send + Sync>>,
 {
     StepError::new(ProcessStep::CallMesh, peer, error)
 }
--- a/src/net/send_failure.rs
+++ b/src/net/send_failure.rs
@@ -3,7 +3,7 @@
 /// Why a call to a daemon or a target got no response.
 #[derive(Debug)]
 pub(crate) enum SendFailure {
-    /// No byte of the call was sent.
+    /// No byte of the call was sent, or the peer has refused it unprocessed.
     NotSent(StepError),
     /// The peer may have received the call.
     Broken(StepError),
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -6,6 +6,7 @@
         ResponseBody, ReuseRule, SendFailure, TargetPool, bind, serve_mesh,
     },
     bytes::Bytes,
+    h2::{Reason, server::handshake},
     http::{Request, Response},
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
@@ -77,6 +78,31 @@
     assert_eq!(next.expect("a response over a new connection"), "next");
 }
 
+/// A call that the peer had refused unprocessed counted as one that may have run.
+#[tokio::test]
+async fn call_has_not_been_sent_if_its_stream_is_refused() {
+    for reason in [Reason::REFUSED_STREAM, Reason::CANCEL] {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let listener = bind(any).await.expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        tokio::spawn(async move {
+            let (stream, _) = listener.accept().await.expect("a connection");
+            let mut connection = handshake(stream).await.expect("HTTP/2");
+            while let Some(Ok((_, mut response))) = connection.accept().await {
+                response.send_reset(reason);
+            }
+        });
+        let pool = MeshPool::new(SILENCE_TIMEOUT.into());
+        let result = send_text(&pool, address, "refused").await;
+        let is_sent = match &result {
+            Err(SendFailure::NotSent(_)) => false,
+            Err(SendFailure::Broken(_)) => true,
+            other => panic!("{other:?}"),
+        };
+        assert_eq!(is_sent, reason == Reason::CANCEL, "{result:?}");
+    }
+}
+
 /// Starts a target that responds to each request with the number of its connection.
 async fn start_counting_target() -> SocketAddr {
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
