Deadlines between sidecars count from the sender's clock, not from a guessed pause

A sidecar that had not run for 0.5 s took the whole pause off the time of every call that it read within the next 0.3 s, since any of them might have waited in the socket that long.

Cause: a call bears the time that is left, and its receiver can't tell when it was sent. Class of fault: one process guesses the delay of another.

Now a call also bears a reading of its sender's clock (the boot clock, which counts suspensions; its id is drawn at the start). The receiver keeps the least difference to its own clock over 10 to 20 s; whatever a call took beyond that is its delay, whichever process or network caused it. Older builds leave the two fields unread and send none; for them, and for the first call of a sender, the guess remains.

Ruled out: dropping the guess, since a call that was sent before a suspension of its receiver would carry too much time; sending wall-clock times, which step.

--- a/src/sidecar/forwarded_call.rs
+++ b/src/sidecar/forwarded_call.rs
@@ -10,7 +10,10 @@
         target_incarnation::LEAVING_HEADER,
         tree_cost::TREE_COST_HEADER,
     },
-    crate::{net::remove_hop_by_hop_headers, time::TimePoint},
+    crate::{
+        net::remove_hop_by_hop_headers,
+        time::{ClockReading, TimePoint},
+    },
     bytes::Bytes,
     http::{
         HeaderMap, HeaderName, HeaderValue, Method, Request, Uri,
@@ -81,7 +84,7 @@
     pub(crate) fn to_peer_request(
         &self,
         context: &HopContext,
-        now: TimePoint,
+        sent: ClockReading,
         format: HopFormat,
     ) -> Result<Request<Full<Bytes>>, http::Error> {
         let uri = Uri::builder()
@@ -93,7 +96,7 @@
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = uri;
         *request.headers_mut() = self.headers.clone();
-        let mut context = HeaderValue::try_from(context.encode(now, format))?;
+        let mut context = HeaderValue::try_from(context.encode(sent, format))?;
         context.set_sensitive(true);
         request.headers_mut().insert(HOP_CONTEXT_HEADER, context);
         Ok(request)
--- a/src/sidecar/hop_context.rs
+++ b/src/sidecar/hop_context.rs
@@ -1,5 +1,8 @@
 use {
-    crate::{context::ServiceName, time::TimePoint},
+    crate::{
+        context::ServiceName,
+        time::{ClockId, ClockReading, TimePoint},
+    },
     form_urlencoded::byte_serialize,
     std::{sync::Arc, time::Duration},
 };
@@ -14,6 +17,8 @@
 /// Maximum age of the root request, and maximum time until the deadline, in a decoded header.
 const MAX_TIME_OFFSET: Duration = Duration::from_secs(3_600);
 const SEPARATOR: char = ';';
+/// Number of fields before the reading of the sender's clock.
+const FIELDS_BEFORE_CLOCK: usize = 10;
 
 /// Context of a call, sent from the sidecar of its caller to that of its target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -47,7 +52,7 @@
 pub enum HopFormat {
     /// Eight fields; builds without accounts read nothing else.
     WithoutAccount,
-    /// Ten fields.
+    /// Twelve fields; builds without the last two leave them unread.
     WithAccount,
 }
 
@@ -58,11 +63,12 @@
         self.earlier_attempts > 0 || self.is_inherited_retry
     }
 
-    /// Encodes the header value; times are sent as ms before or after `now`. The eighth field has
-    /// the flags `r` (inherited retry) and `i` (idempotent). The account is left out where `format`
-    /// has no fields for it.
+    /// Encodes the header value; times are sent as ms before or after `sent`, which is added as the
+    /// last two fields. The eighth field has the flags `r` (inherited retry) and `i` (idempotent).
+    /// The account and `sent` are left out where `format` has no fields for them.
     #[must_use]
-    pub fn encode(&self, now: TimePoint, format: HopFormat) -> String {
+    pub fn encode(&self, sent: ClockReading, format: HopFormat) -> String {
+        let now = sent.time;
         let text = format!(
             "{};{};{};{};{};{};{};{}{}",
             self.service,
@@ -82,7 +88,8 @@
         let account = account.map_or_else(String::new, encode_name);
         let validity = self.key_valid_until.map(|end| now.until(end).as_millis());
         let validity = validity.map_or_else(String::new, |millis| millis.to_string());
-        format!("{text};{account};{validity}")
+        let clock = sent.clock.as_u32();
+        format!("{text};{account};{validity};{clock:x};{}", now.as_millis())
     }
 
     /// Whether the call may be sent to a peer that knows no accounts.
@@ -91,6 +98,21 @@
         format == HopFormat::WithAccount || !has_account
     }
 
+    /// Reading of the sender's clock in a header value; `None` if an older build has sent it.
+    #[must_use]
+    pub fn decode_clock(text: &str) -> Option<ClockReading> {
+        if text.len() > MAX_HEADER_BYTES {
+            return None;
+        }
+        let mut fields = text.split(SEPARATOR).skip(FIELDS_BEFORE_CLOCK);
+        let clock = u32::from_str_radix(fields.next()?, 16).ok()?;
+        let millis = fields.next()?.parse().ok()?;
+        Some(ClockReading {
+            clock: ClockId::new(clock),
+            time: TimePoint::from_millis(millis),
+        })
+    }
+
     /// Parses a header value that arrived at `now`; `None` if a field is malformed or out of
     /// bounds.
     #[must_use]
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -32,6 +32,7 @@
             TargetConnection, clean_response_headers, read_reserved_request,
             read_reserved_response, read_response, remove_content_length, set_header,
         },
+        time::TimePoint,
     },
     bytes::Bytes,
     http::{
@@ -92,10 +93,9 @@
     mut body: Incoming,
     context: &HeaderValue,
 ) -> Response<RelayBody> {
-    // Its times count from when it was sent, which a pause of this process may have hidden.
-    let sent_at = state.pauses.earliest_arrival(state.clock.now());
-    let context = context.to_str().ok();
-    let Some(context) = context.and_then(|text| HopContext::decode(text, sent_at)) else {
+    let text = context.to_str().ok();
+    let context = text.and_then(|text| HopContext::decode(text, sent_at(state, text)));
+    let Some(context) = context else {
         slog::warn!(
             state.log.logger,
             "call refused: malformed context header from a peer"
@@ -126,6 +126,15 @@
     to_response(state, report)
 }
 
+/// When a call was sent, from which its times count. A pause of this process may hide how long a call
+/// of an unknown sender has waited.
+fn sent_at<P: PlatformAdapter>(state: &SidecarState<P>, context: &str) -> TimePoint {
+    let now = state.clock.now();
+    HopContext::decode_clock(context)
+        .and_then(|reading| state.remote_clocks.sent_at(reading, now))
+        .unwrap_or_else(|| state.pauses.earliest_arrival(now))
+}
+
 /// Reports a call whose body does not fit into the memory. Sidecars of older builds know the failure
 /// by which the call is refused, and try another target.
 fn report_no_memory<P: PlatformAdapter>(
--- a/src/sidecar/peer_call.rs
+++ b/src/sidecar/peer_call.rs
@@ -159,7 +159,7 @@
     peer: SocketAddr,
     format: HopFormat,
 ) -> AttemptReport {
-    let request = match call.to_peer_request(context, state.clock.now(), format) {
+    let request = match call.to_peer_request(context, state.clock_reading(), format) {
         Ok(mut request) => {
             if let Some(incarnation) = state.leaving_peers.get(peer) {
                 incarnation.set_leaving_header(request.headers_mut());
--- a/src/sidecar/sidecar_daemon.rs
+++ b/src/sidecar/sidecar_daemon.rs
@@ -31,7 +31,7 @@
             serve_callers, serve_http1, serve_mesh,
         },
         table::TableStore,
-        time::{BootClock, PauseDetector, ProcessClock, TimerService},
+        time::{BootClock, ClockId, PauseDetector, ProcessClock, RemoteClocks, TimerService},
     },
     std::{
         net::SocketAddr,
@@ -123,6 +123,8 @@
         let tracker = TargetTracker::new(settings.service.clone(), settings.heartbeat_interval);
         let state = Arc::new(SidecarState {
             clock,
+            clock_id: ClockId::random(),
+            remote_clocks: RemoteClocks::default(),
             pauses: PauseDetector::new(now),
             platform,
             log: RequestLog::new(logger.clone(), clock),
--- a/src/sidecar/sidecar_state.rs
+++ b/src/sidecar/sidecar_state.rs
@@ -11,7 +11,7 @@
         context::ServiceName,
         membership::{MemberView, MembershipHandle},
         net::{BodyBudget, MeshPool},
-        time::{BootClock, PauseDetector, TimePoint},
+        time::{BootClock, ClockId, ClockReading, PauseDetector, RemoteClocks, TimePoint},
     },
     bytes::Bytes,
     metrics::gauge,
@@ -66,6 +66,9 @@
 #[derive(Debug)]
 pub(crate) struct SidecarState<P> {
     pub(crate) clock: BootClock,
+    /// Identity of `clock` in messages to other sidecars.
+    pub(crate) clock_id: ClockId,
+    pub(crate) remote_clocks: RemoteClocks,
     pub(crate) pauses: PauseDetector,
     pub(crate) settings: SidecarSettings,
     pub(crate) platform: P,
@@ -104,6 +107,13 @@
 }
 
 impl<P: PlatformAdapter> SidecarState<P> {
+    pub(crate) fn clock_reading(&self) -> ClockReading {
+        ClockReading {
+            clock: self.clock_id,
+            time: self.clock.now(),
+        }
+    }
+
     pub(crate) fn config(&self) -> Option<Arc<RouteConfig>> {
         let config = self.config.borrow();
         config.as_ref().map(|active| active.config.clone())
--- a/tests/sidecar/headers.rs
+++ b/tests/sidecar/headers.rs
@@ -5,7 +5,7 @@
             FailureCause, HopContext, HopFormat, MAX_CALL_DEPTH, PressureReport, QueuePressure,
             ServicePressure, TargetLoad, TreeCost,
         },
-        time::TimePoint,
+        time::{ClockId, ClockReading, TimePoint},
     },
     proptest::{option, prelude::*},
     std::time::Duration,
@@ -42,14 +42,17 @@
             account: account.map(Into::into),
             key_valid_until: validity.map(|validity| now + Duration::from_millis(validity)),
         };
-        let text = context.encode(now, HopFormat::WithAccount);
+        let sent = reading(now);
+        let text = context.encode(sent, HopFormat::WithAccount);
         prop_assert_eq!(HopContext::decode(&text, now), Some(context));
+        prop_assert_eq!(HopContext::decode_clock(&text), Some(sent));
     }
 
     #[test]
     fn arbitrary_headers_decode_without_panic(text in ".{0,300}") {
         let now = TimePoint::ORIGIN;
         let _ = HopContext::decode(&text, now);
+        let _ = HopContext::decode_clock(&text);
         let _ = TargetLoad::decode(&text);
         let _ = FailureCause::decode(&text);
         prop_assert!(TreeCost::decode(&text).services().len() <= 4);
@@ -58,12 +61,23 @@
 }
 
 /// A context of older and of later builds, as recorded between sidecars.
-const RECORDED_CONTEXTS: [(&str, &str); 3] = [
+const RECORDED_CONTEXTS: [(&str, &str); 4] = [
     ("without accounts", "deep;shop;254;120;880;1;0;ri"),
     ("with accounts", "deep;shop;254;120;880;1;0;ri;;"),
-    ("with a later field", "deep;shop;254;120;880;1;0;ri;;;later"),
+    ("with a clock", "deep;shop;254;120;880;1;0;ri;;;c10c;200000"),
+    (
+        "with a later field",
+        "deep;shop;254;120;880;1;0;ri;;;c10c;200000;later",
+    ),
 ];
 
+fn reading(time: TimePoint) -> ClockReading {
+    ClockReading {
+        clock: ClockId::new(0xc10c),
+        time,
+    }
+}
+
 fn recorded_context(now: TimePoint) -> HopContext {
     HopContext {
         service: service("deep"),
@@ -93,9 +107,31 @@
 fn contexts_are_written_as_older_builds_read_them() {
     let now = TimePoint::from_millis(200_000);
     let context = recorded_context(now);
-    let formats = [HopFormat::WithoutAccount, HopFormat::WithAccount];
-    for (format, (build, text)) in formats.into_iter().zip(RECORDED_CONTEXTS) {
-        assert_eq!(context.encode(now, format), text, "{build}");
+    let formats = [
+        (HopFormat::WithoutAccount, "without accounts"),
+        (HopFormat::WithAccount, "with a clock"),
+    ];
+    for (format, build) in formats {
+        let recorded = RECORDED_CONTEXTS.iter().find(|(name, _)| *name == build);
+        let (_, text) = recorded.expect("a recorded context");
+        assert_eq!(context.encode(reading(now), format), *text, "{build}");
+    }
+}
+
+#[test]
+fn clocks_are_read_from_contexts_that_have_one() {
+    let now = TimePoint::from_millis(200_000);
+    for (build, text) in RECORDED_CONTEXTS {
+        let has_clock = text.contains("c10c");
+        let expected = has_clock.then(|| reading(now));
+        assert_eq!(HopContext::decode_clock(text), expected, "{build}");
+    }
+    for text in [
+        "deep;shop;254;120;880;1;0;ri;;;later",
+        "a;b;1;0;100;0;0;;;;x;1",
+        ";;;;;;;;;;1;-1",
+    ] {
+        assert_eq!(HopContext::decode_clock(text), None, "{text:?}");
     }
 }
 
