A target's own call lasts until the deadline that the target names

Cause: the sidecar cut the call to the deadline of the call that the target was running, by its own count. The target counts from when it reads that call, later by the time that either of the two processes waited for the processor.

A target that names a deadline has taken that of its own call into account. The sidecar now allows it to lie 0.25 s beyond its own count; without a deadline, or further beyond, its own count holds. If the call of the target has ended, its target closes the connection of the call below it, as before.

--- a/src/sidecar/outbound/outbound_service.rs
+++ b/src/sidecar/outbound/outbound_service.rs
@@ -40,6 +40,9 @@
 
 /// Maximum time for which the rest of a body is read that was refused for lack of memory.
 const MAX_DISCARD_TIME: Duration = Duration::from_secs(2);
+/// Time by which a deadline that the target names may lie beyond that of the call it runs. The target
+/// counts from when it reads the call, which may be later than its sidecar counts.
+const MAX_TARGET_DELAY: Duration = Duration::from_millis(250);
 
 /// A call whose route is known.
 struct RoutedCall {
@@ -371,7 +374,8 @@
     }
 }
 
-/// The earliest deadline that the caller, the route and the parent call allow.
+/// The earliest deadline that the caller, the route and the parent call allow. A target that names a
+/// deadline has shortened it to that of the parent call, by its own count.
 fn call_deadline<P: PlatformAdapter>(
     state: &SidecarState<P>,
     head: &Parts,
@@ -384,7 +388,15 @@
     let millis = text.and_then(|text| text.parse().ok());
     let timeout = millis.map_or(rule.timeout, Duration::from_millis);
     let deadline = arrived_at + timeout.min(rule.timeout);
-    parent.map_or(deadline, |parent| deadline.min(parent.context.deadline))
+    let Some(parent) = parent else {
+        return deadline;
+    };
+    let parent_deadline = parent.context.deadline;
+    if millis.is_some() {
+        deadline.min(parent_deadline + MAX_TARGET_DELAY)
+    } else {
+        deadline.min(parent_deadline)
+    }
 }
 
 fn build_context<P: PlatformAdapter>(
