--- a/src/auth/mod.rs
+++ b/src/auth/mod.rs
@@ -2,4 +2,4 @@
 
 mod shared_key;
 
-pub use shared_key::{SharedKey, TAG_BYTES};
+pub use shared_key::{KeyGeneration, SharedKey, TAG_BYTES};
--- a/src/membership/exchange_connection.rs
+++ b/src/membership/exchange_connection.rs
@@ -1,5 +1,5 @@
 use {
-    crate::auth::{SharedKey, TAG_BYTES},
+    crate::auth::{KeyGeneration, SharedKey, TAG_BYTES},
     serde::{Serialize, de::DeserializeOwned},
     std::io::{self, ErrorKind},
     tokio::{
@@ -22,6 +22,8 @@
 pub struct ExchangeConnection {
     stream: TcpStream,
     key: SharedKey,
+    /// Key of this side's messages; the responder takes that of the initiator.
+    generation: KeyGeneration,
     nonces: [u8; 2 * NONCE_BYTES],
     /// Messages sent and received so far.
     message_count: u8,
@@ -51,12 +53,18 @@
         Ok(Self {
             stream,
             key,
+            generation: KeyGeneration::Current,
             nonces,
             message_count: 0,
             bytes: 2 * NONCE_BYTES as u64,
         })
     }
 
+    /// Sets the key of this side's messages.
+    pub const fn set_generation(&mut self, generation: KeyGeneration) {
+        self.generation = generation;
+    }
+
     /// Bytes sent and received so far.
     pub const fn bytes(&self) -> u64 {
         self.bytes
@@ -66,7 +74,9 @@
         let prefix = self.next_tag_prefix();
         let start = prefix.len();
         let tagged = postcard::to_extend(message, prefix).map_err(invalid)?;
-        let tag = self.key.tag(EXCHANGE_PURPOSE, &tagged);
+        let tag = self
+            .key
+            .tag_with(self.generation, EXCHANGE_PURPOSE, &tagged);
         let payload = &tagged[start..];
         let length = u32::try_from(payload.len()).map_err(invalid)?;
         self.stream.write_all(&length.to_le_bytes()).await?;
@@ -94,11 +104,9 @@
             ));
         }
         let (message, tag) = tagged.split_at(start + length);
-        if !self.key.is_valid_tag(EXCHANGE_PURPOSE, message, tag) {
-            return Err(invalid(
-                "authentication tag of the exchange message does not match",
-            ));
-        }
+        let generation = self.key.verify(EXCHANGE_PURPOSE, message, tag);
+        self.generation = generation
+            .ok_or_else(|| invalid("authentication tag of the exchange message does not match"))?;
         let decoded = postcard::from_bytes(&message[start..]).map_err(invalid)?;
         self.count_message(length);
         Ok(decoded)
--- a/src/membership/exchange_task.rs
+++ b/src/membership/exchange_task.rs
@@ -7,7 +7,7 @@
         exchange_connection::{ExchangeConnection, MAX_DIGEST_BYTES, MAX_MESSAGE_BYTES},
     },
     crate::{
-        auth::SharedKey,
+        auth::{KeyGeneration, SharedKey},
         error::{ProcessStep, StepError},
     },
     std::{io, net::SocketAddr, pin::pin, sync::Arc, time::Duration},
@@ -32,9 +32,14 @@
 const ACCEPT_ERROR_DELAY: Duration = Duration::from_millis(50);
 
 /// Runs an exchange with `peer` as initiator and reports its result to the actor.
-pub async fn run_exchange(peer: SocketAddr, key: SharedKey, actor: Address<MembershipActor>) {
+pub async fn run_exchange(
+    peer: SocketAddr,
+    key: SharedKey,
+    generation: KeyGeneration,
+    actor: Address<MembershipActor>,
+) {
     let mut bytes = 0;
-    let exchange = initiate_exchange(peer, key, &actor, &mut bytes);
+    let exchange = initiate_exchange(peer, key, generation, &actor, &mut bytes);
     let result = with_timeout(EXCHANGE_TIMEOUT, exchange).await;
     report_exchange(&actor, peer, bytes, result, true).await;
 }
@@ -73,6 +78,7 @@
 async fn initiate_exchange(
     peer: SocketAddr,
     key: SharedKey,
+    generation: KeyGeneration,
     actor: &Address<MembershipActor>,
     bytes: &mut u64,
 ) -> io::Result<()> {
@@ -81,6 +87,7 @@
         ExchangeConnection::handshake(stream, key, true).await
     };
     let mut connection = with_timeout(HANDSHAKE_TIMEOUT, handshake).await?;
+    connection.set_generation(generation);
     let digest = actor.send(BuildDigest).await.map_err(io::Error::other)?;
     connection.send(&digest).await?;
     let diff: ExchangeDiff = connection.receive(MAX_MESSAGE_BYTES).await?;
--- a/src/membership/membership_actor.rs
+++ b/src/membership/membership_actor.rs
@@ -119,7 +119,13 @@
         }
         if let Some(actor) = address.try_upgrade() {
             self.initiated_exchanges += 1;
-            tokio::spawn(run_exchange(peer.address, self.key.clone(), actor));
+            let generation = self.core.key_of(peer);
+            tokio::spawn(run_exchange(
+                peer.address,
+                self.key.clone(),
+                generation,
+                actor,
+            ));
         }
     }
 
--- a/src/membership/membership_core.rs
+++ b/src/membership/membership_core.rs
@@ -8,7 +8,10 @@
         member_registry::MAX_EXCHANGE_UPDATES, table_exchange,
         update_dissemination::disseminate_updates,
     },
-    crate::{auth::SharedKey, time::TimePoint},
+    crate::{
+        auth::{KeyGeneration, SharedKey},
+        time::TimePoint,
+    },
     rand::{Rng, RngExt},
     std::{net::SocketAddr, time::Duration},
 };
@@ -71,6 +74,12 @@
         self.context.registry.own_record()
     }
 
+    /// The key to begin an exchange with a member with.
+    pub(crate) fn key_of(&self, peer: MemberId) -> KeyGeneration {
+        let known = self.context.outbox.key_of(peer);
+        known.unwrap_or(KeyGeneration::Current)
+    }
+
     /// Counts since the start, without those of exchanges and send errors, which the driver counts.
     #[must_use]
     pub const fn counters(&self) -> GossipCounters {
@@ -210,7 +219,8 @@
         rng: &mut R,
     ) -> Result<(), DropReason> {
         let codec = self.context.outbox.codec().clone();
-        let (header, updates) = codec.decode(datagram)?;
+        let (header, updates, generation) = codec.decode(datagram)?;
+        self.context.outbox.record_key(header.sender, generation);
         self.check_recipient(&header)?;
         match header.body {
             PacketBody::Challenge { cookie } => {
--- a/src/membership/packet_codec.rs
+++ b/src/membership/packet_codec.rs
@@ -1,6 +1,6 @@
 use {
     super::{MemberUpdate, PacketHeader},
-    crate::auth::{SharedKey, TAG_BYTES},
+    crate::auth::{KeyGeneration, SharedKey, TAG_BYTES},
     serde::Serialize,
     strum::{Display, EnumCount, IntoStaticStr, VariantArray},
 };
@@ -70,18 +70,28 @@
 
     /// Appends the authentication tag.
     pub fn seal(&self, datagram: &mut Vec<u8>) {
-        let tag = self.key.tag(PACKET_PURPOSE, datagram);
+        self.seal_with(KeyGeneration::Current, datagram);
+    }
+
+    /// Like [`Self::seal`], for a recipient that may have the older key only.
+    pub(crate) fn seal_with(&self, generation: KeyGeneration, datagram: &mut Vec<u8>) {
+        let tag = self.key.tag_with(generation, PACKET_PURPOSE, datagram);
         datagram.extend_from_slice(&tag);
     }
 
-    /// Verifies a datagram and decodes its header.
+    /// The keys that a recipient may have.
+    pub(crate) const fn generations(&self) -> &'static [KeyGeneration] {
+        self.key.generations()
+    }
+
+    /// Verifies a datagram and decodes its header; also returns the key of its sender.
     ///
     /// # Errors
     /// The size, the version or the tag of the datagram is wrong, or its header can't be decoded.
     pub fn decode<'a>(
         &self,
         datagram: &'a [u8],
-    ) -> Result<(PacketHeader, UpdateReader<'a>), DropReason> {
+    ) -> Result<(PacketHeader, UpdateReader<'a>, KeyGeneration), DropReason> {
         if datagram.len() <= TAG_BYTES || datagram.len() > MAX_DATAGRAM_BYTES {
             return Err(DropReason::Size);
         }
@@ -89,12 +99,11 @@
         if message.first() != Some(&PACKET_VERSION) {
             return Err(DropReason::Version);
         }
-        if !self.key.is_valid_tag(PACKET_PURPOSE, message, tag) {
-            return Err(DropReason::Tag);
-        }
+        let generation = self.key.verify(PACKET_PURPOSE, message, tag);
+        let generation = generation.ok_or(DropReason::Tag)?;
         let (header, rest) =
             postcard::take_from_bytes(&message[1..]).map_err(|_| DropReason::Format)?;
-        Ok((header, UpdateReader { rest, count: 0 }))
+        Ok((header, UpdateReader { rest, count: 0 }, generation))
     }
 }
 
--- a/src/membership/packet_outbox.rs
+++ b/src/membership/packet_outbox.rs
@@ -1,11 +1,16 @@
 use {
     super::{
-        CoreEffect, MemberEntry, MemberId, MemberRegistry, MemberState, MemberUpdate, PacketBody,
-        PacketCodec, PacketHeader, PolicyDissemination,
+        CoreEffect, MAX_MEMBERS, MemberEntry, MemberId, MemberRegistry, MemberState, MemberUpdate,
+        PacketBody, PacketCodec, PacketHeader, PolicyDissemination,
         dissemination_queue::{UpdateBudget, retransmit_limit},
         packet_codec::encode_update,
     },
-    std::{collections::VecDeque, net::SocketAddr},
+    crate::auth::KeyGeneration,
+    std::{
+        collections::{HashMap, VecDeque},
+        net::SocketAddr,
+        slice,
+    },
 };
 
 /// Maximum number of datagrams to non-members between two ticks.
@@ -17,16 +22,19 @@
     codec: PacketCodec,
     sequence: u64,
     effects: VecDeque<CoreEffect>,
+    /// Keys of the processes that have sent datagrams, while not all have the same.
+    keys: HashMap<MemberId, KeyGeneration>,
     non_member_quota: u32,
 }
 
 impl PacketOutbox {
     #[must_use]
-    pub const fn new(codec: PacketCodec) -> Self {
+    pub fn new(codec: PacketCodec) -> Self {
         Self {
             codec,
             sequence: 0,
             effects: VecDeque::new(),
+            keys: HashMap::new(),
             non_member_quota: NON_MEMBER_DATAGRAMS_PER_TICK,
         }
     }
@@ -36,6 +44,25 @@
         &self.codec
     }
 
+    /// Records the key of a process; one that has both sends either until it knows that of this one.
+    pub fn record_key(&mut self, sender: MemberId, generation: KeyGeneration) {
+        if self.codec.generations().len() < 2 {
+            return;
+        }
+        if self.keys.len() >= MAX_MEMBERS && !self.keys.contains_key(&sender) {
+            self.keys.clear();
+        }
+        let known = self.keys.entry(sender).or_insert(generation);
+        if generation == KeyGeneration::Current {
+            *known = generation;
+        }
+    }
+
+    #[must_use]
+    pub fn key_of(&self, process: MemberId) -> Option<KeyGeneration> {
+        self.keys.get(&process).copied()
+    }
+
     pub fn next_effect(&mut self) -> Option<CoreEffect> {
         self.effects.pop_front()
     }
@@ -69,7 +96,7 @@
             .queue_mut()
             .fill_datagram(&mut datagram, budget, limit);
         policy.count_transmission();
-        self.finish_datagram(recipient.address, datagram);
+        self.finish_datagram(recipient, datagram);
     }
 
     /// Sends a datagram without updates to an address whose process is unknown.
@@ -85,7 +112,7 @@
             started_ms: 0,
         };
         let datagram = self.start_datagram(registry, policy, recipient, body);
-        self.finish_datagram(address, datagram);
+        self.finish_datagram(recipient, datagram);
     }
 
     /// Sends a datagram to a process that is not a member, within the quota; an introduction
@@ -107,7 +134,7 @@
             let record = MemberUpdate::Record(Box::new(record));
             datagram.extend_from_slice(&encode_update(&record));
         }
-        self.finish_datagram(recipient.address, datagram);
+        self.finish_datagram(recipient, datagram);
     }
 
     fn start_datagram(
@@ -130,9 +157,16 @@
         self.codec.encode_header(&header)
     }
 
-    fn finish_datagram(&mut self, to: SocketAddr, mut datagram: Vec<u8>) {
-        self.codec.seal(&mut datagram);
-        self.effects.push_back(CoreEffect::Send { to, datagram });
+    /// Seals a datagram with the key of its recipient, or with each that it may have.
+    fn finish_datagram(&mut self, recipient: MemberId, datagram: Vec<u8>) {
+        let known = self.key_of(recipient);
+        let known = known.as_ref().map(slice::from_ref);
+        for &generation in known.unwrap_or(self.codec.generations()) {
+            let mut datagram = datagram.clone();
+            self.codec.seal_with(generation, &mut datagram);
+            let to = recipient.address;
+            self.effects.push_back(CoreEffect::Send { to, datagram });
+        }
     }
 }
 
--- a/src/sidecar/sidecar_daemon.rs
+++ b/src/sidecar/sidecar_daemon.rs
@@ -301,7 +301,7 @@
         admin: settings.listen.admin,
         gossip: settings.listen.gossip,
         peers: settings.peers.clone(),
-        key: SharedKey::derive(&settings.deployment),
+        key: SharedKey::derive(&settings.mesh_secret).with_older(&settings.deployment),
     }
 }
 
--- a/src/sidecar/sidecar_settings.rs
+++ b/src/sidecar/sidecar_settings.rs
@@ -33,9 +33,12 @@
     pub listen: ListenAddresses,
     /// Gossip addresses of possible peer sidecars.
     pub peers: Vec<SocketAddr>,
+    /// Text that all sidecars of one deployment share and no others, as long as its list of data
+    /// centres stays the same; request digests and the gossip key of older builds are derived from it.
+    pub deployment: String,
     /// Text that all sidecars of one deployment share and no others; the key of their gossip is
     /// derived from it.
-    pub deployment: String,
+    pub mesh_secret: String,
     /// Interval between the heartbeats of the local target.
     pub heartbeat_interval: Duration,
     /// Time from the stop signal until the process is killed.
--- a/standins/src/gossip/simulated_network.rs
+++ b/standins/src/gossip/simulated_network.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Sets the key of processes that start later.
+    pub fn set_key(&mut self, key: SharedKey) {
+        self.key = key;
+    }
+
     #[must_use]
     pub fn core(&self, index: usize) -> &MembershipCore {
         &self.members[index].core
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -3,6 +3,7 @@
 
 use {
     banyantrestle::{
+        auth::SharedKey,
         context::ServiceName,
         membership::{
             CoreEffect, DropReason, LEAVE_TIMEOUT, MemberState, PARTITION_TIMEOUT,
@@ -332,3 +333,29 @@
     });
     assert!(known.is_some());
 }
+
+/// A change of the data centres changed the key, and restarted processes formed a fleet of their own.
+#[test]
+fn processes_with_the_key_of_another_build_or_other_settings_join() {
+    let current = || SharedKey::derive("store");
+    let older = |zones: &str| SharedKey::derive(zones);
+    let keys = [
+        ("same settings", current().with_older("a b")),
+        ("a further data centre", current().with_older("a b c")),
+        ("older build", older("a b")),
+    ];
+    for (name, key) in keys {
+        let mut network = SimulatedNetwork::new(21, LOSS_RATIO);
+        network.set_key(current().with_older("a b"));
+        network.add_members(6, &LOCATIONS);
+        let joined = network.run_until(JOIN_TIMEOUT, SimulatedNetwork::is_fully_joined);
+        assert!(joined.is_some(), "{name}: not joined");
+        network.kill(3);
+        network.set_key(key);
+        network.restart(3, 0);
+        let joined = network.run_until(JOIN_TIMEOUT, SimulatedNetwork::is_fully_joined);
+        assert!(joined.is_some(), "{name}: not joined again");
+        network.run(MINUTE);
+        assert!(network.is_fully_joined(), "{name}: not joined any more");
+    }
+}
