--- a/src/sidecar/outbound/outbound_service.rs
+++ b/src/sidecar/outbound/outbound_service.rs
@@ -43,7 +43,7 @@
 const MAX_DISCARD_TIME: Duration = Duration::from_secs(2);
 /// Time by which a deadline that the target names may lie beyond that of the call it runs. The target
 /// counts from when it reads the call, which may be later than its sidecar counts.
-const MAX_TARGET_DELAY: Duration = Duration::from_millis(250);
+const MAX_TARGET_DELAY: Duration = Duration::from_millis(400);
 
 /// A call whose route is known.
 struct RoutedCall {
