--- a/src/membership/packet_outbox.rs
+++ b/src/membership/packet_outbox.rs
@@ -96,7 +96,7 @@
             .queue_mut()
             .fill_datagram(&mut datagram, budget, limit);
         policy.count_transmission();
-        self.finish_datagram(recipient, datagram);
+        self.finish_datagram(recipient, &datagram);
     }
 
     /// Sends a datagram without updates to an address whose process is unknown.
@@ -112,7 +112,7 @@
             started_ms: 0,
         };
         let datagram = self.start_datagram(registry, policy, recipient, body);
-        self.finish_datagram(recipient, datagram);
+        self.finish_datagram(recipient, &datagram);
     }
 
     /// Sends a datagram to a process that is not a member, within the quota; an introduction
@@ -134,7 +134,7 @@
             let record = MemberUpdate::Record(Box::new(record));
             datagram.extend_from_slice(&encode_update(&record));
         }
-        self.finish_datagram(recipient, datagram);
+        self.finish_datagram(recipient, &datagram);
     }
 
     fn start_datagram(
@@ -158,11 +158,11 @@
     }
 
     /// Seals a datagram with the key of its recipient, or with each that it may have.
-    fn finish_datagram(&mut self, recipient: MemberId, datagram: Vec<u8>) {
+    fn finish_datagram(&mut self, recipient: MemberId, datagram: &[u8]) {
         let known = self.key_of(recipient);
         let known = known.as_ref().map(slice::from_ref);
         for &generation in known.unwrap_or(self.codec.generations()) {
-            let mut datagram = datagram.clone();
+            let mut datagram = datagram.to_owned();
             self.codec.seal_with(generation, &mut datagram);
             let to = recipient.address;
             self.effects.push_back(CoreEffect::Send { to, datagram });
