Log what a stop leaves behind, with the reason

A stop passed over calls that were left at the end of the grace, connections that were still open after the last responses or that peers had not closed in time, and a membership protocol that took longer than its time. Each now has a log line with the numbers.

--- a/src/sidecar/sidecar_shutdown.rs
+++ b/src/sidecar/sidecar_shutdown.rs
@@ -23,29 +23,34 @@
         let start = Instant::now();
         let drain = DrainWindow::new(self.state.clock.now(), self.state.settings.shutdown_grace);
         self.state.start_drain(drain);
-        // The calls that are left at the end are ended below.
-        timeout_at(
-            self.state.clock.instant_of(drain.end),
-            self.complete_calls(drain),
-        )
-        .await
-        .ok();
+        let log = &self.state.log.logger;
+        let completing = self.complete_calls(drain);
+        let end = self.state.clock.instant_of(drain.end);
+        if timeout_at(end, completing).await.is_err() {
+            slog::warn!(log, "calls ended by the stop: the grace was over";
+                "in_flight" => self.state.in_flight.len(), "taken" => self.state.taken.len());
+        }
         self.state.advance_to(SidecarPhase::Stopping);
         let shutdowns = [
             &self.outbound_shutdown,
             &self.mesh_shutdown,
             &self.internal_shutdown,
         ];
-        timeout(LAST_WRITE_TIME, join_all(shutdowns.map(close_gracefully)))
-            .await
-            .ok();
-        timeout(MEMBERSHIP_STOP_TIME, self.state.membership.stop())
-            .await
-            .ok();
+        let closing = join_all(shutdowns.map(close_gracefully));
+        if timeout(LAST_WRITE_TIME, closing).await.is_err() {
+            let [callers, peers, internal] = shutdowns.map(|shutdown| shutdown.tracker.len());
+            slog::warn!(log, "connections ended by the stop: still open after the last responses";
+                "callers" => callers, "peers" => peers, "internal" => internal);
+        }
+        let stopping = timeout(MEMBERSHIP_STOP_TIME, self.state.membership.stop());
+        if stopping.await.is_err() {
+            slog::info!(log, "membership protocol still running: it took longer to stop";
+                "limit_ms" => MEMBERSHIP_STOP_TIME.as_millis());
+        }
         for shutdown in shutdowns {
             shutdown.close();
         }
-        slog::info!(self.state.log.logger, "stopped";
+        slog::info!(log, "stopped";
             "took_ms" => start.elapsed().as_millis(), "in_flight" => self.state.in_flight.len());
     }
 
@@ -64,10 +69,12 @@
         wait_until(|| self.is_target_idle() && self.state.in_flight.is_empty()).await;
         // A connection ends once its responses have been written.
         let closing_mesh = timeout(PEER_CLOSE_TIME, close_gracefully(&self.mesh_shutdown));
-        join(close_gracefully(&self.outbound_shutdown), closing_mesh)
-            .await
-            .1
-            .ok();
+        let closing_callers = close_gracefully(&self.outbound_shutdown);
+        let ((), closed_mesh) = join(closing_callers, closing_mesh).await;
+        if closed_mesh.is_err() {
+            slog::info!(self.state.log.logger, "connections of peers still open: not closed in time";
+                "peers" => self.mesh_shutdown.tracker.len());
+        }
     }
 
     fn is_target_idle(&self) -> bool {
