A target that sends bytes before a request is not taken for crashed

The probe of a target whose connection broke took any end of its read for a closed connection, also a byte that was received. A target that sends bytes without a request would count as crashed after each connection that broke, and its requests as suspects. Found by reading, not seen in a fleet. Now only the end of the connection or an error counts.

--- a/src/sidecar/target_probe.rs
+++ b/src/sidecar/target_probe.rs
@@ -19,5 +19,5 @@
     };
     let mut buffer = [0];
     let closing = timeout(PROBE_READ_TIME, stream.read(&mut buffer)).await;
-    closing.is_err()
+    !matches!(closing, Ok(Ok(0) | Err(_)))
 }
--- a/src/sidecar/tests.rs
+++ b/src/sidecar/tests.rs
@@ -1,9 +1,10 @@
 //! Tests of parts that are not visible outside.
 
 use {
-    super::{HopFormat, peer_formats::PeerFormats},
+    super::{HopFormat, peer_formats::PeerFormats, target_probe::accepts_connections},
     crate::time::TimePoint,
-    std::net::SocketAddr,
+    std::net::{Ipv4Addr, SocketAddr},
+    tokio::{io::AsyncWriteExt, net::TcpListener},
 };
 
 fn at(millis: u64) -> TimePoint {
@@ -33,3 +34,17 @@
     assert!(!formats.may_try_older(at(100), peer()));
     assert!(formats.may_try_older(at(600), peer()));
 }
+
+#[tokio::test]
+async fn target_that_sends_bytes_before_a_request_has_not_crashed() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+    let listener = listener.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let sending = async {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        stream.write_all(b"a").await.expect("a reader");
+        stream
+    };
+    let (_stream, is_alive) = tokio::join!(sending, accepts_connections(address));
+    assert!(is_alive);
+}
