One connection no longer takes the whole thread, interim responses are bounded

Interim responses without end also went on until the deadline.

Cause: hyper reads a head, and the size of a chunk, until nothing is left, and loopback is as fast as it reads. The budget of a Tokio task counts 128 reads of up to 64 KiB each, so one poll took megabytes, forty connections in a row.

FairStream returns Pending after 64 KiB of a turn and wakes its task, so the other tasks run between. It wraps the connections to targets, to and from other sidecars, and to admin and readiness; those of callers already have a bounded input. The rest of a caller's input that is dropped at the end yields after each read: reading it had no budget at all. A call whose target sends more than 128 interim responses ends as a bad response of the target and its connection closes.

--- a/src/daemon/call_router.rs
+++ b/src/daemon/call_router.rs
@@ -172,7 +172,7 @@
                     refusal.with_retry_after(NO_TARGET_RETRY_AFTER),
                 ))
             }
-            Err(SendFailure::Broken(error)) => {
+            Err(SendFailure::Broken(error) | SendFailure::BadResponse(error)) => {
                 in_flight.finish(TargetOutcome::Broken);
                 Err(RoutedRefusal::from(broken_refusal(error.to_string())))
             }
--- a/src/daemon/guarded_call.rs
+++ b/src/daemon/guarded_call.rs
@@ -132,7 +132,7 @@
                 let refusal = CallRefusal::not_run(RefusalKind::NoTarget, error.to_string());
                 Err(refusal.with_retry_after(UNREACHABLE_TARGET_RETRY_AFTER))
             }
-            Err(SendFailure::Broken(error)) => {
+            Err(SendFailure::Broken(error) | SendFailure::BadResponse(error)) => {
                 self.ticket.finish(CompletionKind::Failure);
                 let kind = RefusalKind::ResponseBroken;
                 Err(CallRefusal::unknown(kind, error.to_string()))
--- a/src/net/caller_input.rs
+++ b/src/net/caller_input.rs
@@ -9,7 +9,7 @@
         task::{Context, Poll, Waker},
         time::Duration,
     },
-    tokio::{io::ReadBuf, net::tcp::OwnedReadHalf, sync::Notify},
+    tokio::{io::ReadBuf, net::tcp::OwnedReadHalf, sync::Notify, task::yield_now},
 };
 
 /// Bytes that one read takes from the socket.
@@ -176,7 +176,8 @@
     pub(crate) async fn discard_rest(&self, reader: &OwnedReadHalf) {
         while !self.state().is_closed && reader.readable().await.is_ok() {
             match read_chunk(reader) {
-                Ok(data) if !data.is_empty() => {}
+                // A caller may send as fast as it is read.
+                Ok(data) if !data.is_empty() => yield_now().await,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 _ => return,
             }
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -2,6 +2,7 @@
     super::{
         caller_connection::{CallerConnection, ConnectionEnd},
         caller_input::{CallerInput, RequestArrival},
+        fair_stream::FairStream,
         read_ahead_stream::ReadAheadStream,
     },
     crate::{
@@ -116,7 +117,8 @@
         shutdown,
         move |stream, shutdown| {
             let service = handler_service(handler.clone());
-            let connection = builder.serve_connection(TokioIo::new(stream), service);
+            let connection =
+                builder.serve_connection(TokioIo::new(FairStream::new(stream)), service);
             serve_until_shutdown(connection.into_owned(), shutdown)
         },
     )
@@ -145,7 +147,7 @@
             let service = handler_service(handler.clone());
             let builder = http1_builder(limits());
             serve_until_shutdown(
-                builder.serve_connection(TokioIo::new(stream), service),
+                builder.serve_connection(TokioIo::new(FairStream::new(stream)), service),
                 shutdown,
             )
         },
@@ -255,7 +257,8 @@
         shutdown,
         move |stream, shutdown| {
             let service = handler_service(handler.clone());
-            let connection = builder.serve_connection(TokioIo::new(stream), service);
+            let connection =
+                builder.serve_connection(TokioIo::new(FairStream::new(stream)), service);
             serve_until_shutdown(connection, shutdown)
         },
     )
--- a/src/net/mesh_pool.rs
+++ b/src/net/mesh_pool.rs
@@ -1,5 +1,5 @@
 use {
-    super::{send_failure::SendFailure, silence_watch::SilenceWatch},
+    super::{fair_stream::FairStream, send_failure::SendFailure, silence_watch::SilenceWatch},
     crate::error::{ProcessStep, StepError},
     bytes::Bytes,
     http::{Request, Response},
@@ -179,7 +179,7 @@
             .keep_alive_timeout(self.silence.close.saturating_sub(ping_interval))
             .initial_stream_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(FairStream::new(stream)))
             .await
             .map_err(|error| call_error(peer, error))?;
         // An error of the connection is also returned to each of its calls.
--- a/src/net/send_failure.rs
+++ b/src/net/send_failure.rs
@@ -7,6 +7,8 @@
     NotSent(StepError),
     /// The peer may have received the call.
     Broken(StepError),
+    /// The target sent what is no response to the call.
+    BadResponse(StepError),
     /// The deadline passed after the call was sent.
     TimedOut(StepError),
 }
@@ -14,7 +16,10 @@
 impl SendFailure {
     pub(crate) fn into_error(self) -> StepError {
         match self {
-            Self::NotSent(error) | Self::Broken(error) | Self::TimedOut(error) => error,
+            Self::NotSent(error)
+            | Self::Broken(error)
+            | Self::BadResponse(error)
+            | Self::TimedOut(error) => error,
         }
     }
 }
--- a/src/net/target_pool.rs
+++ b/src/net/target_pool.rs
@@ -1,5 +1,5 @@
 use {
-    super::send_failure::SendFailure,
+    super::{fair_stream::FairStream, interim_count::InterimCount, send_failure::SendFailure},
     crate::error::{ProcessStep, StepError},
     bytes::Bytes,
     http::{Request, Response},
@@ -7,6 +7,7 @@
     hyper::{
         body::Incoming,
         client::conn::http1::{Builder, Connection, SendRequest},
+        ext::on_informational,
     },
     hyper_util::rt::TokioIo,
     std::{
@@ -153,11 +154,25 @@
         let mut request = request;
         loop {
             let mut connection = self.connection(rule, deadline).await?;
+            let interim_count = InterimCount::default();
+            let recorded_count = interim_count.clone();
+            on_informational(&mut request, move |_| recorded_count.record());
             let sending = connection.sender.try_send_request(request);
+            let sending = async {
+                tokio::select! {
+                    biased;
+                    () = interim_count.exceeded() => None,
+                    sent = sending => Some(sent),
+                }
+            };
             match timeout_at(deadline, sending).await {
-                Ok(Ok(response)) => return Ok((response, connection)),
+                Ok(Some(Ok(response))) => return Ok((response, connection)),
+                Ok(None) => {
+                    let error = self.error("too many interim responses");
+                    return Err(SendFailure::BadResponse(error));
+                }
                 // The target closed the idle connection before any byte of the call was sent.
-                Ok(Err(mut error)) => match error.take_message() {
+                Ok(Some(Err(mut error))) => match error.take_message() {
                     Some(message) => request = message,
                     None => return Err(SendFailure::Broken(self.error(error.into_error()))),
                 },
@@ -242,7 +257,7 @@
             .map_err(|error| self.error(error))?;
         let (sender, connection) = Builder::new()
             .max_buf_size(MAX_READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(FairStream::new(stream)))
             .await
             .map_err(|error| self.error(error))?;
         let lease = ConnectionLease::default();
@@ -260,7 +275,7 @@
 
 /// Runs a connection until it ends or its lease does.
 async fn run_connection(
-    connection: Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    connection: Connection<TokioIo<FairStream<TcpStream>>, Full<Bytes>>,
     lease: ConnectionLease,
 ) {
     tokio::select! {
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -3,27 +3,35 @@
 use {
     super::{
         BodyBudget, BudgetRefusal, ListenerLimits, ListenerShutdown, MeshPool, NoObserver,
-        ResponseBody, ReuseRule, SendFailure, TargetPool, bind, serve_mesh,
+        ResponseBody, ReuseRule, SendFailure, TargetPool, bind,
+        fair_stream::{FairStream, MAX_TURN_BYTES},
+        interim_count::MAX_INTERIM_RESPONSES,
+        serve_mesh,
     },
     bytes::Bytes,
+    futures_util::FutureExt,
     http::{Request, Response},
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
     standins::relay::TcpRelay,
     std::{
+        io,
         net::{Ipv4Addr, SocketAddr},
+        pin::Pin,
         sync::Arc,
+        task::{Context, Poll},
         time::Duration,
     },
     tokio::{
-        io::{AsyncReadExt, AsyncWriteExt},
-        time::{Instant, sleep},
+        io::{AsyncRead, AsyncReadExt, AsyncWriteExt, ReadBuf},
+        time::{Instant, sleep, timeout},
     },
 };
 
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Much longer than the silence timeout, so that only the PINGs can end a call.
 const DEADLINE: Duration = Duration::from_secs(120);
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
 
 async fn start_echo_server() -> SocketAddr {
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
@@ -193,3 +201,54 @@
     assert_eq!(reservation.try_grow(1), Err(BudgetRefusal::TooLarge));
     assert_eq!(budget.held(), LARGEST_BODY_BYTES);
 }
+
+#[tokio::test]
+async fn interim_responses_without_end_end_a_call_before_its_deadline() {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let listener = bind(any).await.expect("a free port");
+    let pool = TargetPool::new(listener.local_addr().expect("bound"), 8);
+    let flooding = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let responses = "HTTP/1.1 102 Processing\r\n\r\n".repeat(MAX_INTERIM_RESPONSES as usize);
+        while stream.write_all(responses.as_bytes()).await.is_ok() {}
+    });
+    let request = Request::new(Full::default());
+    let sending = pool.send(request, Instant::now() + DEADLINE);
+    let sent = timeout(CLOSE_TIMEOUT, sending).await;
+    assert!(
+        matches!(sent, Ok(Err(SendFailure::BadResponse(_)))),
+        "{sent:?}"
+    );
+    let closed = timeout(CLOSE_TIMEOUT, flooding).await;
+    closed.expect("a closed connection").expect("no panic");
+}
+
+struct EndlessInput;
+
+impl AsyncRead for EndlessInput {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        buffer.initialize_unfilled().fill(b'a');
+        buffer.advance(buffer.remaining());
+        Poll::Ready(Ok(()))
+    }
+}
+
+#[tokio::test]
+async fn input_without_end_lets_other_tasks_run() {
+    let mut stream = FairStream::new(EndlessInput);
+    let mut buffer = [0; MAX_TURN_BYTES / 8];
+    for _ in 0..2 {
+        let mut turn_bytes = 0;
+        while let Some(read) = stream.read(&mut buffer).now_or_never() {
+            turn_bytes += read.expect("input");
+            assert!(turn_bytes <= MAX_TURN_BYTES);
+        }
+    }
+    let mut input = vec![0; MAX_TURN_BYTES * 3];
+    let reading = timeout(CLOSE_TIMEOUT, stream.read_exact(&mut input));
+    reading.await.expect("a turn after each").expect("input");
+}
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -433,6 +433,7 @@
             let (kind, end) = match failure {
                 SendFailure::NotSent(_) => (AttemptFailure::TargetConnectFailed, RunEnd::NotRun),
                 SendFailure::Broken(_) => (AttemptFailure::TargetConnectionBroken, RunEnd::Broken),
+                SendFailure::BadResponse(_) => (AttemptFailure::BadResponse, RunEnd::Abandoned),
                 SendFailure::TimedOut(_) => {
                     (AttemptFailure::TargetConnectionBroken, RunEnd::Abandoned)
                 }
--- a/src/sidecar/peer_call.rs
+++ b/src/sidecar/peer_call.rs
@@ -189,7 +189,7 @@
         Err(failure) => {
             let kind = match failure {
                 SendFailure::NotSent(_) => AttemptFailure::PeerUnreachable,
-                SendFailure::Broken(_) | SendFailure::TimedOut(_) => {
+                SendFailure::Broken(_) | SendFailure::BadResponse(_) | SendFailure::TimedOut(_) => {
                     AttemptFailure::PeerConnectionBroken
                 }
             };
