Short chunks of a response are joined while it is buffered

What callers saw: nothing yet. A target that sends its body in chunks of one byte made its sidecar hold 32 bytes and more of bookkeeping, and the framing, for each byte. The memory budget counted one.

Why it works: chunks under 1 KiB behind the first are copied into one of 16 KiB. A body that arrives in one piece is still not copied.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 mod call_request;
 mod caller_connection;
 mod caller_input;
+mod chunk_list;
 mod header_names;
 mod listener;
 mod mesh_pool;
--- a/src/net/response_reader.rs
+++ b/src/net/response_reader.rs
@@ -1,5 +1,8 @@
 use {
-    super::body_budget::{BodyBudget, BodyReservation},
+    super::{
+        body_budget::{BodyBudget, BodyReservation},
+        chunk_list::ChunkList,
+    },
     bytes::{Bytes, BytesMut},
     http::HeaderMap,
     http_body_util::BodyExt,
@@ -47,7 +50,7 @@
     limit: usize,
     budget: Option<&Arc<BodyBudget>>,
 ) -> Result<ResponsePrefix, hyper::Error> {
-    let mut chunks = VecDeque::new();
+    let mut list = ChunkList::default();
     let mut length = 0;
     let mut trailers = None;
     let mut reservation = None;
@@ -55,11 +58,12 @@
         match frame?.into_data() {
             Ok(data) => {
                 length += data.len();
-                chunks.push_back(data);
+                list.push(data);
             }
             Err(frame) => trailers = frame.into_trailers().ok(),
         }
         if length > limit || !try_reserve(&mut reservation, budget, length) {
+            let mut chunks = list.into_chunks();
             if let Some(reservation) = reservation
                 && let Some(last) = chunks.pop_back()
             {
@@ -71,7 +75,7 @@
             });
         }
     }
-    let data = concat_chunks(chunks, length);
+    let data = concat_chunks(list.into_chunks(), length);
     let data = match reservation {
         Some(reservation) => reservation.attach(data),
         None => data,
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         BodyBudget, BudgetRefusal, ListenerLimits, ListenerShutdown, MeshPool, NoObserver,
-        ResponseBody, ReuseRule, SendFailure, TargetPool, bind, serve_mesh,
+        ResponseBody, ReuseRule, SendFailure, TargetPool, bind, chunk_list::ChunkList, serve_mesh,
     },
     bytes::Bytes,
     http::{Request, Response},
@@ -193,3 +193,20 @@
     assert_eq!(reservation.try_grow(1), Err(BudgetRefusal::TooLarge));
     assert_eq!(budget.held(), LARGEST_BODY_BYTES);
 }
+
+/// A body in chunks of one byte took 40 times its length.
+#[test]
+fn short_chunks_are_joined_in_their_order() {
+    let body: Vec<u8> = (0..50_000_u32)
+        .map(|index| index.to_le_bytes()[0])
+        .collect();
+    for (chunk_bytes, most_chunks) in [(1, 5), (1_000, 5), (2_000, 25), (50_000, 1)] {
+        let mut list = ChunkList::default();
+        for chunk in body.chunks(chunk_bytes) {
+            list.push(Bytes::copy_from_slice(chunk));
+        }
+        let chunks: Vec<Bytes> = list.into_chunks().into();
+        assert!(chunks.len() <= most_chunks, "{}", chunks.len());
+        assert_eq!(chunks.concat(), body);
+    }
+}
