Buffers of relayed responses count toward the memory of the process

What callers saw: a sidecar whose callers read slowly took more memory than its limit, is killed at it, and all its requests go unanswered.

Cause: the budget counted bodies that are read, not what lies between sockets: up to 400 KiB that wait to be sent to another sidecar (the default of hyper), 256 KiB received from one (the stream window), and two reads of 64 KiB from the target, for each call.

Ruled out: kernel buffers, which VmHWM does not show, and bodies in the budget, which stay under it.

Why it works: each buffer has a named bound, the stream window and the send buffer 64 KiB. The reservation ends with the response. Without room the caller gets no-memory, and another sidecar queue-full, which older builds know.

--- a/src/net/body_budget.rs
+++ b/src/net/body_budget.rs
@@ -56,6 +56,17 @@
         Ok(reservation)
     }
 
+    /// Reserves memory for the buffers of a call; unlike a large body, it may use the whole budget.
+    pub(crate) fn try_reserve_buffers(
+        self: &Arc<Self>,
+        bytes: usize,
+    ) -> Result<BodyReservation, BudgetRefusal> {
+        let budget = self.clone();
+        let mut reservation = BodyReservation { budget, bytes: 0 };
+        reservation.grow_within(bytes, self.limit)?;
+        Ok(reservation)
+    }
+
     /// Bytes that a body of `length` and all others may take together.
     const fn limit_for(&self, length: usize) -> usize {
         if length <= MAX_SMALL_BODY_BYTES {
@@ -80,8 +91,12 @@
 
     /// Reserves more memory for the same body.
     pub(crate) fn try_grow(&mut self, bytes: usize) -> Result<(), BudgetRefusal> {
+        let limit = self.budget.limit_for(self.bytes.saturating_add(bytes));
+        self.grow_within(bytes, limit)
+    }
+
+    fn grow_within(&mut self, bytes: usize, limit: usize) -> Result<(), BudgetRefusal> {
         let length = self.bytes.saturating_add(bytes);
-        let limit = self.budget.limit_for(length);
         if length > limit {
             return Err(BudgetRefusal::TooLarge);
         }
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -34,6 +34,8 @@
 /// Much larger than the window of a stream, so that a request body that is read slowly does not
 /// block the others.
 const CONNECTION_WINDOW_BYTES: u32 = 64 * 1024 * 1024;
+/// Bytes of a response between daemons that wait to be sent.
+pub(crate) const MAX_SEND_BUFFER_BYTES: usize = 64 * 1024;
 /// Maximum number of headers of an HTTP/1.1 request.
 const MAX_HEADERS: usize = 128;
 /// Smallest read buffer that hyper accepts for HTTP/1.1, in bytes.
@@ -247,6 +249,7 @@
         .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX))
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .max_send_buf_size(MAX_SEND_BUFFER_BYTES)
         .keep_alive_interval(limits.silence_timeout / 2)
         .keep_alive_timeout(limits.silence_timeout / 2);
     accept_connections(
--- a/src/net/mesh_pool.rs
+++ b/src/net/mesh_pool.rs
@@ -30,7 +30,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of connections on which one call is tried.
 const MAX_SEND_ATTEMPTS: u32 = 2;
-const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
+/// Bytes of a response that are received before they are read.
+pub(crate) const STREAM_WINDOW_BYTES: u32 = 64 * 1024;
 /// Much larger than the window of a stream, so that a slow reader of one response does not block
 /// the others.
 const CONNECTION_WINDOW_BYTES: u32 = 64 * 1024 * 1024;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -23,7 +23,7 @@
 mod target_pool;
 
 pub(crate) use {
-    body_budget::{BodyBudget, BudgetRefusal},
+    body_budget::{BodyBudget, BodyReservation, BudgetRefusal},
     call_request::{CallRequest, parse_route},
     caller_input::{CallerPresence, RequestArrival},
     header_names::{
@@ -31,9 +31,10 @@
         remove_content_length, remove_daemon_headers, remove_hop_by_hop_headers, set_header,
     },
     listener::{
-        ListenerLimits, ListenerShutdown, bind, serve_callers, serve_http, serve_http1, serve_mesh,
+        ListenerLimits, ListenerShutdown, MAX_SEND_BUFFER_BYTES, bind, serve_callers, serve_http,
+        serve_http1, serve_mesh,
     },
-    mesh_pool::{MeshPool, SilenceLimits},
+    mesh_pool::{MeshPool, STREAM_WINDOW_BYTES, SilenceLimits},
     mesh_protocol::{
         CLAIMS_PATH, HOLDER_QUERY_PATH, MESH_PREFIX, PERMIT_PATH, POLICY_PATH, call_tag,
         encode_tag, is_valid_call_tag, is_valid_message_tag, message_tag,
@@ -43,7 +44,7 @@
     response_reader::{ResponsePrefix, read_reserved_response, read_response},
     send_failure::SendFailure,
     silence_watch::SilenceWatch,
-    target_pool::{ReuseRule, TargetConnection, TargetPool},
+    target_pool::{MAX_READ_BUFFER_BYTES, ReuseRule, TargetConnection, TargetPool},
 };
 pub use {
     call_refusal::{CallRefusal, RefusalKind},
--- a/src/net/response_body.rs
+++ b/src/net/response_body.rs
@@ -1,4 +1,5 @@
 use {
+    super::body_budget::BodyReservation,
     bytes::Bytes,
     futures_util::future::FutureExt,
     http::HeaderMap,
@@ -69,6 +70,8 @@
     rest: Incoming,
     deadline: Pin<Box<Sleep>>,
     observer: Option<O>,
+    /// Memory of the buffers between the sender and the receiver.
+    buffers: Option<BodyReservation>,
 }
 
 impl<O: StreamObserver> ResponseBody<O> {
@@ -96,8 +99,16 @@
             rest,
             deadline: Box::pin(sleep_until(deadline)),
             observer: Some(observer),
+            buffers: None,
         }))
     }
+
+    /// Keeps the reservation for as long as the response is streamed.
+    pub(crate) fn hold_buffers(&mut self, reservation: BodyReservation) {
+        if let Self::Streamed(body) = self {
+            body.buffers = Some(reservation);
+        }
+    }
 }
 
 impl BufferedBody {
--- a/src/net/target_pool.rs
+++ b/src/net/target_pool.rs
@@ -22,7 +22,7 @@
 };
 
 /// Maximum read buffer of a connection, which also bounds the head of a response.
-const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
 /// Interval at which the lease of a connection is read.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -210,3 +210,14 @@
         assert_eq!(chunks.concat(), body);
     }
 }
+
+#[test]
+fn buffers_of_calls_may_use_what_large_bodies_leave() {
+    let budget = Arc::new(BodyBudget::new(BUDGET_BYTES));
+    let large = budget.try_reserve(LARGEST_BODY_BYTES).expect("memory");
+    let buffers = budget.try_reserve_buffers(100_000).expect("memory");
+    let refused = budget.try_reserve_buffers(1);
+    assert_eq!(refused.err(), Some(BudgetRefusal::Full));
+    drop((large, buffers));
+    assert_eq!(budget.held(), 0);
+}
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -28,9 +28,10 @@
     crate::{
         crash::{RequestDigest, RunEnd, SuspectStanding, choose_isolation_target},
         net::{
-            BudgetRefusal, RequestError, ResponseBody, ResponsePrefix, ReuseRule, SendFailure,
-            TargetConnection, clean_response_headers, read_reserved_request,
-            read_reserved_response, read_response, remove_content_length, set_header,
+            BudgetRefusal, MAX_READ_BUFFER_BYTES, MAX_SEND_BUFFER_BYTES, RequestError,
+            ResponseBody, ResponsePrefix, ReuseRule, SendFailure, TargetConnection,
+            clean_response_headers, read_reserved_request, read_reserved_response, read_response,
+            remove_content_length, set_header,
         },
     },
     bytes::Bytes,
@@ -47,6 +48,9 @@
 /// Maximum body of a call from another sidecar, in bytes; that sidecar enforces the configured
 /// limit.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+/// Bytes of a response that are in buffers while it is relayed: two reads from the target, and what
+/// waits to be sent.
+const RUN_BUFFER_BYTES: usize = 2 * MAX_READ_BUFFER_BYTES + MAX_SEND_BUFFER_BYTES;
 /// Timeout for the body of a call from another sidecar.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after the deadline of a call at which its connection to the target is closed.
@@ -106,7 +110,8 @@
     let body = match read_reserved_request(&mut body, MAX_BODY_BYTES, BODY_TIMEOUT, budget).await {
         Ok(body) => body,
         Err(RequestError::NoMemory(refusal)) => {
-            report_no_memory(state, &head.headers, refusal);
+            let id = header_text(&head.headers, &state.platform.headers().request_id);
+            report_no_memory(state, id.unwrap_or_default(), "body", refusal);
             return to_response(state, AttemptReport::failed(AttemptFailure::QueueFull));
         }
         Err(error) => {
@@ -126,19 +131,19 @@
     to_response(state, report)
 }
 
-/// Reports a call whose body does not fit into the memory. Sidecars of older builds know the failure
+/// Reports a call whose body or response has no room in the memory. Sidecars of older builds know the failure
 /// by which the call is refused, and try another target.
 fn report_no_memory<P: PlatformAdapter>(
     state: &SidecarState<P>,
-    headers: &HeaderMap,
+    id: &str,
+    part: &str,
     refusal: BudgetRefusal,
 ) {
     let reason = RequestFailure::NoMemory;
     metrics::counter!("banyantrestle_hop_failures_total", "reason" => reason.to_string())
         .increment(1);
     if state.log.try_acquire(LineCategory::Refused) {
-        let id = header_text(headers, &state.platform.headers().request_id);
-        slog::info!(state.log.logger, "call refused: no memory for its body";
+        slog::info!(state.log.logger, "call refused: no memory for its {}", part;
             "request" => id, "error" => %refusal, "held_bytes" => state.body_budget.held());
     }
 }
@@ -278,6 +283,18 @@
         }
         return AttemptReport::failed(AttemptFailure::TargetClosed);
     }
+    let reserved = state.body_budget.try_reserve_buffers(RUN_BUFFER_BYTES);
+    let buffers = match reserved {
+        Ok(buffers) => buffers,
+        Err(refusal) => {
+            report_no_memory(state, &call.id, "response", refusal);
+            permit.release(SlotOutcome::Abandoned);
+            if context.is_retry() {
+                state.retry_budget().return_unused(context.rank);
+            }
+            return AttemptReport::failed(AttemptFailure::QueueFull);
+        }
+    };
     let started_at = permit.started_at();
     let Some(run) = state.crash_watch.try_start(target, digest) else {
         if context.is_retry() {
@@ -290,6 +307,7 @@
         permit,
         run,
         in_flight: state.in_flight.token(),
+        buffers,
     };
     if !context.is_retry() {
         let now = state.clock.now();
--- a/src/sidecar/outbound/outbound_service.rs
+++ b/src/sidecar/outbound/outbound_service.rs
@@ -21,8 +21,8 @@
     crate::{
         context::ServiceName,
         net::{
-            BudgetRefusal, RequestArrival, RequestError, ResponseBody, discard_request,
-            read_reserved_request,
+            BudgetRefusal, RequestArrival, RequestError, ResponseBody, STREAM_WINDOW_BYTES,
+            discard_request, read_reserved_request,
         },
         time::TimePoint,
     },
@@ -255,6 +255,10 @@
     if routed.config.accounts.is_some() {
         call.remove_credential(names);
     }
+    let buffers = state
+        .body_budget
+        .try_reserve_buffers(STREAM_WINDOW_BYTES as usize)
+        .map_err(|_| read_failure(RequestFailure::NoMemory, &routed.rule))?;
     let mut context = build_context(state, &routed).ok_or(RequestFailure::TooDeep)?;
     let caller = context.caller_identity();
     if let Some(digest) = state.crash_watch.refused_digest(&call, &caller) {
@@ -294,7 +298,8 @@
     };
     let result = forward_until_deadline(state, outbound, &routed, &service).await;
     match result {
-        Ok(response) => {
+        Ok(mut response) => {
+            response.body_mut().hold_buffers(buffers);
             if let Some((admitted, _)) = &mut admission
                 && response.status().is_success()
             {
--- a/src/sidecar/streamed_run.rs
+++ b/src/sidecar/streamed_run.rs
@@ -2,7 +2,7 @@
     super::{SlotOutcome, run_guard::RunGuard, slot_semaphore::SlotPermit},
     crate::{
         crash::RunEnd,
-        net::{StreamObserver, StreamOutcome},
+        net::{BodyReservation, StreamObserver, StreamOutcome},
     },
     tokio_util::task::task_tracker::TaskTrackerToken,
 };
@@ -15,6 +15,8 @@
     pub(crate) run: RunGuard,
     /// Keeps the sidecar from ending meanwhile.
     pub(crate) in_flight: TaskTrackerToken,
+    /// Memory of the buffers between the target and the caller.
+    pub(crate) buffers: BodyReservation,
 }
 
 /// The call that a relayed response belongs to, at the sidecar of its target.
@@ -26,6 +28,7 @@
             permit,
             run,
             in_flight: _in_flight,
+            buffers: _buffers,
         }) = self
         else {
             return;
