--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -4,6 +4,7 @@
     super::{
         BodyBudget, BudgetRefusal, ListenerLimits, ListenerShutdown, MeshPool, NoObserver,
         ResponseBody, ReuseRule, SendFailure, TargetPool, bind,
+        chunk_list::ChunkList,
         fair_stream::{FairStream, MAX_TURN_BYTES},
         interim_count::MAX_INTERIM_RESPONSES,
         serve_mesh,
@@ -278,3 +279,31 @@
     let reading = timeout(CLOSE_TIMEOUT, stream.read_exact(&mut input));
     reading.await.expect("a turn after each").expect("input");
 }
+
+/// A body in chunks of one byte took 40 times its length.
+#[test]
+fn short_chunks_are_joined_in_their_order() {
+    let body: Vec<u8> = (0..50_000_u32)
+        .map(|index| index.to_le_bytes()[0])
+        .collect();
+    for (chunk_bytes, most_chunks) in [(1, 5), (1_000, 5), (2_000, 25), (50_000, 1)] {
+        let mut list = ChunkList::default();
+        for chunk in body.chunks(chunk_bytes) {
+            list.push(Bytes::copy_from_slice(chunk));
+        }
+        let chunks: Vec<Bytes> = list.into_chunks().into();
+        assert!(chunks.len() <= most_chunks, "{}", chunks.len());
+        assert_eq!(chunks.concat(), body);
+    }
+}
+
+#[test]
+fn buffers_of_calls_may_use_what_large_bodies_leave() {
+    let budget = Arc::new(BodyBudget::new(BUDGET_BYTES));
+    let large = budget.try_reserve(LARGEST_BODY_BYTES).expect("memory");
+    let buffers = budget.try_reserve_buffers(100_000).expect("memory");
+    let refused = budget.try_reserve_buffers(1);
+    assert_eq!(refused.err(), Some(BudgetRefusal::Full));
+    drop((large, buffers));
+    assert_eq!(budget.held(), 0);
+}
