Connections to targets close when their lease ends, not up to 1 s later

The end of a lease was read once a second, so a target whose body nobody read held its connection, and sent on, for up to 1 s after the end (0.5 s after the deadline of the call). The new test failed: still open 0.5 s after the end.

The task of a connection now reads the lease when it is polled, which sending a call does, and waits with one timer. The timer is not set anew for a later end, so a call does not cost a timer. Idle connections no longer wake each second.

--- a/src/net/target_pool.rs
+++ b/src/net/target_pool.rs
@@ -11,8 +11,11 @@
     },
     hyper_util::rt::TokioIo,
     std::{
+        future::poll_fn,
         net::SocketAddr,
+        pin::pin,
         sync::{Arc, Mutex, PoisonError},
+        task::Poll,
         time::Duration,
     },
     tokio::{
@@ -24,8 +27,6 @@
 
 /// Maximum read buffer of a connection, which also bounds the head of a response.
 const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
-/// Interval at which the lease of a connection is read.
-const LEASE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of idle connections in the pool.
 const MAX_IDLE_CONNECTIONS: usize = 256;
@@ -97,19 +98,6 @@
     fn end(&self) -> Option<Instant> {
         *self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    /// Waits until the end of the lease has passed. The time is read again in intervals, so that a
-    /// call does not have to wake the task of its connection.
-    async fn wait_for_end(&self) {
-        loop {
-            let now = Instant::now();
-            let end = self.end();
-            if end.is_some_and(|end| end <= now) {
-                return;
-            }
-            sleep_until(now + LEASE_CHECK_INTERVAL).await;
-        }
-    }
 }
 
 /// A connection in use by one call; dropping it closes it unless it was released.
@@ -273,18 +261,31 @@
     }
 }
 
-/// Runs a connection until it ends or its lease does.
+/// Runs a connection until it ends or its lease does. A call that is sent wakes the task, which then
+/// reads the lease again.
 async fn run_connection(
     connection: Connection<TokioIo<FairStream<TcpStream>>, Full<Bytes>>,
     lease: ConnectionLease,
 ) {
-    tokio::select! {
-        // A connection with endless input may use up the budget of the task each time.
-        biased;
-        () = lease.wait_for_end() => {}
+    let mut connection = pin!(connection);
+    let mut timer = pin!(sleep_until(Instant::now()));
+    let running = poll_fn(|context| {
+        while let Some(end) = lease.end() {
+            if end <= Instant::now() {
+                return Poll::Ready(());
+            }
+            // A timer for an earlier call is left to expire.
+            if end < timer.deadline() || timer.is_elapsed() {
+                timer.as_mut().reset(end);
+            }
+            if timer.as_mut().poll(context).is_pending() {
+                break;
+            }
+        }
         // An error of the connection is also returned to the call that uses it.
-        _ = connection => {}
-    }
+        connection.as_mut().poll(context).map(|_| ())
+    });
+    running.await;
 }
 
 impl TargetConnection {
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -24,7 +24,8 @@
     },
     tokio::{
         io::{AsyncRead, AsyncReadExt, AsyncWriteExt, ReadBuf},
-        time::{Instant, sleep, timeout},
+        task::JoinHandle,
+        time::{Instant, sleep, timeout, timeout_at},
     },
 };
 
@@ -202,16 +203,41 @@
     assert_eq!(budget.held(), LARGEST_BODY_BYTES);
 }
 
-#[tokio::test]
-async fn interim_responses_without_end_end_a_call_before_its_deadline() {
+/// Starts a target that sends one response and then `repeated` until its connection is closed.
+async fn start_endless_target(
+    response: &'static str,
+    repeated: &'static str,
+) -> (Arc<TargetPool>, JoinHandle<()>) {
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let listener = bind(any).await.expect("a free port");
     let pool = TargetPool::new(listener.local_addr().expect("bound"), 8);
-    let flooding = tokio::spawn(async move {
+    let sending = tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.expect("a connection");
-        let responses = "HTTP/1.1 102 Processing\r\n\r\n".repeat(MAX_INTERIM_RESPONSES as usize);
-        while stream.write_all(responses.as_bytes()).await.is_ok() {}
+        let start = stream.write_all(response.as_bytes());
+        start.await.expect("a reader");
+        let repeated = repeated.repeat(MAX_INTERIM_RESPONSES as usize);
+        while stream.write_all(repeated.as_bytes()).await.is_ok() {}
     });
+    (pool, sending)
+}
+
+#[tokio::test]
+async fn body_that_is_not_read_does_not_keep_a_connection_open_past_its_lease() {
+    const LEASE: Duration = Duration::from_millis(100);
+    const END_SLACK: Duration = Duration::from_millis(500);
+    let response = "HTTP/1.1 200 OK\r\n\r\n";
+    let (pool, flooding) = start_endless_target(response, "a").await;
+    let end = Instant::now() + LEASE;
+    let sending = pool.send(Request::new(Full::default()), end);
+    let _held = sending.await.expect("a response");
+    let closed = timeout_at(end + END_SLACK, flooding).await;
+    closed.expect("a closed connection").expect("no panic");
+}
+
+#[tokio::test]
+async fn interim_responses_without_end_end_a_call_before_its_deadline() {
+    let response = "HTTP/1.1 102 Processing\r\n\r\n";
+    let (pool, flooding) = start_endless_target(response, response).await;
     let request = Request::new(Full::default());
     let sending = pool.send(request, Instant::now() + DEADLINE);
     let sent = timeout(CLOSE_TIMEOUT, sending).await;
