Offsets of clocks are forgotten after two periods of 2 s, and not learnt from a late message

A sender whose clock stood still (a VM that its hypervisor paused) would have made its calls look late for 10 to 20 s; now for 2 to 4 s. The first message after a pause set the offset, and those behind it, as late, counted as sent now: up to the length of the pause too long. Now each of them gets the guess until one is read outside of a pause. And an offset is kept for 60 s of silence instead of 10, so that the guess is needed less often.

The recorded context with one further field is back beside those with a clock.

--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -135,9 +135,10 @@
 /// of an unknown sender has waited.
 fn sent_at<P: PlatformAdapter>(state: &SidecarState<P>, context: &str) -> TimePoint {
     let now = state.clock.now();
-    HopContext::decode_clock(context)
-        .and_then(|reading| state.remote_clocks.sent_at(reading, now))
-        .unwrap_or_else(|| state.pauses.earliest_arrival(now))
+    let earliest = state.pauses.earliest_arrival(now);
+    HopContext::decode_clock(context).map_or(earliest, |reading| {
+        state.remote_clocks.sent_at(reading, now, earliest)
+    })
 }
 
 /// Reports a call whose body or response has no room in the memory. Sidecars of older builds know the
--- a/src/time/remote_clocks.rs
+++ b/src/time/remote_clocks.rs
@@ -7,8 +7,11 @@
     },
 };
 
-/// Time after which the least offset is measured anew, so that clocks may drift.
-const OFFSET_PERIOD: Duration = Duration::from_secs(10);
+/// Time after which the least offset is measured anew. A clock that stood still makes messages look
+/// late for two periods.
+const OFFSET_PERIOD: Duration = Duration::from_secs(2);
+/// Time without messages after which the offset is forgotten; clocks drift apart.
+const MAX_SILENCE: Duration = Duration::from_secs(60);
 /// Maximum number of clocks whose offset is kept.
 const MAX_CLOCKS: usize = 4_096;
 
@@ -58,14 +61,15 @@
     }
 
     fn is_current(&self, now: TimePoint) -> bool {
-        now.since(self.last_message) < OFFSET_PERIOD
+        now.since(self.last_message) < MAX_SILENCE
     }
 }
 
 impl RemoteClocks {
-    /// When a message was sent that is read at `now` and bears a reading of the sender's clock;
-    /// `None` if too little is known of that clock.
-    pub fn sent_at(&self, reading: ClockReading, now: TimePoint) -> Option<TimePoint> {
+    /// When a message was sent that is read at `now` and bears a reading of the sender's clock. If
+    /// nothing is known of that clock, this is `earliest`, the earliest time that is possible by the
+    /// pauses of this process.
+    pub fn sent_at(&self, reading: ClockReading, now: TimePoint, earliest: TimePoint) -> TimePoint {
         let offset = signed_micros(now).saturating_sub(signed_micros(reading.time));
         let mut offsets = self.offsets.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(known) = offsets.get_mut(&reading.clock)
@@ -74,7 +78,11 @@
             known.record(offset, now);
             let delay = offset.saturating_sub(known.estimate());
             let delay = Duration::from_micros(delay.unsigned_abs());
-            return Some(now - delay);
+            return now - delay;
+        }
+        // The message may itself be late.
+        if earliest < now {
+            return earliest;
         }
         if offsets.len() >= MAX_CLOCKS {
             offsets.retain(|_, known| known.is_current(now));
@@ -82,7 +90,7 @@
         if offsets.len() < MAX_CLOCKS {
             offsets.insert(reading.clock, ClockOffset::new(offset, now));
         }
-        None
+        now
     }
 }
 
--- a/tests/sidecar/headers.rs
+++ b/tests/sidecar/headers.rs
@@ -61,9 +61,10 @@
 }
 
 /// A context of older and of later builds, as recorded between sidecars.
-const RECORDED_CONTEXTS: [(&str, &str); 4] = [
+const RECORDED_CONTEXTS: [(&str, &str); 5] = [
     ("without accounts", "deep;shop;254;120;880;1;0;ri"),
     ("with accounts", "deep;shop;254;120;880;1;0;ri;;"),
+    ("with another field", "deep;shop;254;120;880;1;0;ri;;;later"),
     ("with a clock", "deep;shop;254;120;880;1;0;ri;;;c10c;200000"),
     (
         "with a later field",
