A target's calls keep their parent until its deadline has passed by the target's count

Found by the review: at the deadline by the sidecar's count a call was forgotten, and calls that the target still made for it passed for requests of callers, with another rank, without the limit of their parent, and on routes with accounts with 401.

--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -341,6 +341,9 @@
         Err(_) => true,
     };
     let cause = running.call.last_failure().filter(|_| is_failed);
+    if matches!(result, Err(AttemptFailure::DeadlinePassed)) {
+        running.expire();
+    }
     AttemptReport {
         result,
         tree_cost,
--- a/src/sidecar/outbound/outbound_service.rs
+++ b/src/sidecar/outbound/outbound_service.rs
@@ -7,7 +7,7 @@
             attempt_report::RelayBody,
             forwarded_call::{ForwardedCall, header_text, request_host},
             local_response::{RequestFailure, local_response},
-            running_calls::RunningCall,
+            running_calls::{MAX_TARGET_DELAY, RunningCall},
             running_request::RunningRequest,
             sidecar_state::{SidecarPhase, SidecarState},
         },
@@ -41,9 +41,6 @@
 
 /// Maximum time for which the rest of a body is read that was refused for lack of memory.
 const MAX_DISCARD_TIME: Duration = Duration::from_secs(2);
-/// Time by which a deadline that the target names may lie beyond that of the call it runs. The target
-/// counts from when it reads the call, which may be later than its sidecar counts.
-const MAX_TARGET_DELAY: Duration = Duration::from_millis(400);
 
 /// A call whose route is known.
 struct RoutedCall {
--- a/src/sidecar/running_calls.rs
+++ b/src/sidecar/running_calls.rs
@@ -3,11 +3,16 @@
     std::{
         collections::HashMap,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
     },
+    tokio::time::sleep,
 };
 
 /// Separates the id of a call from the suffix that its caller added for a child call.
 pub(crate) const CALL_ID_SEPARATOR: char = '.';
+/// Time by which a target may count the deadline of a call later than its sidecar does. It counts from
+/// when it reads the call.
+pub(crate) const MAX_TARGET_DELAY: Duration = Duration::from_millis(400);
 /// Maximum number of suffixes that are removed from an id to find the parent call.
 const MAX_CALL_ID_PARTS: usize = 4;
 
@@ -69,6 +74,16 @@
     pub(crate) call: Arc<RunningCall>,
 }
 
+impl RunningGuard {
+    /// Keeps the entry until the deadline has passed by the target's count, too.
+    pub(crate) fn expire(self) {
+        tokio::spawn(async move {
+            sleep(MAX_TARGET_DELAY).await;
+            drop(self);
+        });
+    }
+}
+
 impl RunningCalls {
     pub(crate) fn insert(self: &Arc<Self>, id: &str, context: HopContext) -> RunningGuard {
         let call = Arc::new(RunningCall {
