--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -814,13 +814,24 @@
         id: &str,
         service: &str,
         slots: u32,
+    ) -> Arc<Self> {
+        Self::start_as(admin, app, id, service, slots, now_ms())
+    }
+
+    /// Like [`Self::start`], for a process that was born at `born`.
+    pub fn start_as(
+        admin: SocketAddr,
+        app: SocketAddr,
+        id: &str,
+        service: &str,
+        slots: u32,
+        born: u64,
     ) -> Arc<Self> {
         let beats = Arc::new(Self {
             sequence: AtomicU64::new(0),
             is_over: AtomicBool::new(false),
         });
         let (shared, id, service) = (beats.clone(), id.to_owned(), service.to_owned());
-        let born = now_ms();
         thread::spawn(move || {
             while !shared.is_over.load(Ordering::Relaxed) {
                 let sequence = shared.sequence.fetch_add(1, Ordering::Relaxed) + 1;
