--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -6,6 +6,7 @@
     fs,
     io::{self, Read, Write},
     net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
+    os::fd::AsRawFd,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -39,6 +40,7 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
 
 pub fn send_signal(child: &Child, signal: i32) {
@@ -225,7 +227,34 @@
 
 /// Serves each connection of a listener in a thread of its own.
 pub fn serve<F: Fn(TcpStream) + Send + Sync + 'static>(address: SocketAddr, handler: F) {
+    serve_listener(TcpListener::bind(address).expect("a free port"), handler);
+}
+
+/// Like [`serve`], with segments as on a link between machines and a small window, so that a server
+/// that doesn't read blocks the writer.
+pub fn serve_with_small_window<F>(address: SocketAddr, handler: F)
+where
+    F: Fn(TcpStream) + Send + Sync + 'static,
+{
+    const SOL_SOCKET: i32 = 1;
+    const SO_RCVBUF: i32 = 8;
+    const IPPROTO_TCP: i32 = 6;
+    const TCP_MAXSEG: i32 = 2;
+    const WINDOW_BYTES: i32 = 4 * 1024;
+    const SEGMENT_BYTES: i32 = 1_460;
     let listener = TcpListener::bind(address).expect("a free port");
+    let options = [
+        (SOL_SOCKET, SO_RCVBUF, WINDOW_BYTES),
+        (IPPROTO_TCP, TCP_MAXSEG, SEGMENT_BYTES),
+    ];
+    for (level, name, value) in options {
+        // Accepted sockets inherit the options.
+        unsafe { setsockopt(listener.as_raw_fd(), level, name, &value, 4) };
+    }
+    serve_listener(listener, handler);
+}
+
+fn serve_listener<F: Fn(TcpStream) + Send + Sync + 'static>(listener: TcpListener, handler: F) {
     let handler = Arc::new(handler);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
