--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -431,12 +431,14 @@
 
 type RowKey = (String, String, String);
 
-#[derive(Default)]
-struct StoreState {
+#[derive(Clone, Default)]
+pub struct StoreState {
     rows: BTreeMap<RowKey, (String, u64)>,
     /// Newest change of each row, with the rows that were removed.
     changes: BTreeMap<RowKey, u64>,
     version: u64,
+    /// Rises each time that the store comes back from an older copy.
+    era: u64,
 }
 
 pub struct Store {
@@ -489,6 +491,18 @@
         self.changed.notify_all();
     }
 
+    pub fn copy(&self) -> StoreState {
+        self.state.lock().unwrap().clone()
+    }
+
+    /// Comes back from a copy; all that was written since is gone.
+    pub fn restore(&self, copy: StoreState) {
+        let mut state = self.state.lock().unwrap();
+        let era = state.era + 1;
+        *state = StoreState { era, ..copy };
+        self.changed.notify_all();
+    }
+
     fn serve_connection(&self, stream: TcpStream) {
         let mut writer = stream.try_clone().expect("a stream");
         let mut reader = Reader::new(stream);
@@ -498,8 +512,9 @@
             } else {
                 self.answer(&request)
             };
-            let headers = "Content-Type: application/json\r\n";
-            if respond(&mut writer, status, headers, body.as_bytes()).is_err() {
+            let era = self.state.lock().unwrap().era;
+            let headers = format!("Content-Type: application/json\r\nStore-Era: {era}\r\n");
+            if respond(&mut writer, status, &headers, body.as_bytes()).is_err() {
                 return;
             }
         }
@@ -539,6 +554,9 @@
                 let end = Instant::now() + Duration::from_millis(wait);
                 let mut state = self.state.lock().unwrap();
                 loop {
+                    if after > state.version {
+                        return ("410 Gone", "{}".into());
+                    }
                     let is_news = |(key, at): &(&RowKey, &u64)| key.0 == table && **at > after;
                     let rows: Vec<_> = state.changes.iter().filter(is_news).collect();
                     let left = end.saturating_duration_since(Instant::now());
