--- a/review/standins-2/early_answer.rs
+++ b/review/standins-2/early_answer.rs
@@ -8,7 +8,7 @@
     std::{
         net::TcpStream,
         path::{Path, PathBuf},
-        sync::{atomic::Ordering, Arc, Mutex},
+        sync::{Arc, Mutex, atomic::Ordering},
         thread,
         time::{Duration, Instant},
     },
@@ -41,7 +41,10 @@
              Keep-Alive: timeout=10\r\n"
         );
         let is_long = id.starts_with("long-");
-        arrivals.lock().unwrap().push((Instant::now(), host, id, deadline));
+        arrivals
+            .lock()
+            .unwrap()
+            .push((Instant::now(), host, id, deadline));
         if is_long {
             let body = b"too long";
             if respond(&mut writer, "413 Content Too Large", &headers, body).is_err() {
@@ -76,7 +79,12 @@
         route("buy", "/buy/", "unsafe", 800, "catalogue"),
         route("read", "/read/", "safe", DEADLINE_MS, "catalogue"),
     ];
-    store.put_config(&config(1, &routes.join(","), &["catalogue"], MAX_BODY_BYTES));
+    store.put_config(&config(
+        1,
+        &routes.join(","),
+        &["catalogue"],
+        MAX_BODY_BYTES,
+    ));
     let arrivals = Arrivals::default();
     let figures = Figures {
         memory_mb: 260,
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -10,8 +10,8 @@
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
-        atomic::{AtomicBool, AtomicU64, Ordering},
         Arc, Condvar, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -287,7 +287,10 @@
     }
 
     fn skip(letters: &[char], at: &mut usize) {
-        while letters.get(*at).is_some_and(|letter| letter.is_whitespace()) {
+        while letters
+            .get(*at)
+            .is_some_and(|letter| letter.is_whitespace())
+        {
             *at += 1;
         }
     }
@@ -463,7 +466,9 @@
         Some((value, _)) => format!("\"value\":\"{value}\""),
         None => "\"deleted\":true".into(),
     };
-    format!("{{\"table\":\"{table}\",\"part\":\"{part}\",\"key\":\"{name}\",{rest},\"ver\":{version}}}")
+    format!(
+        "{{\"table\":\"{table}\",\"part\":\"{part}\",\"key\":\"{name}\",{rest},\"ver\":{version}}}"
+    )
 }
 
 impl Store {
@@ -776,7 +781,10 @@
         let text = fs::read_to_string(path).unwrap_or_default();
         let line = text.lines().find(|line| line.starts_with(name));
         let figure = line.and_then(|line| line.split_whitespace().nth(1));
-        figure.and_then(|figure| figure.parse::<u64>().ok()).unwrap_or(0) * 1024
+        figure
+            .and_then(|figure| figure.parse::<u64>().ok())
+            .unwrap_or(0)
+            * 1024
     }
 }
 
--- a/review/standins-2/forgotten_leave.rs
+++ b/review/standins-2/forgotten_leave.rs
@@ -9,8 +9,8 @@
         net::TcpStream,
         path::{Path, PathBuf},
         sync::{
-            atomic::{AtomicBool, Ordering},
             Arc, Mutex,
+            atomic::{AtomicBool, Ordering},
         },
         thread,
         time::{Duration, Instant},
@@ -20,7 +20,9 @@
 const DEADLINE_MS: u64 = 5_000;
 const WORK: Duration = Duration::from_millis(120);
 const SLOTS: u32 = 147;
+/// Clients, and further ones that come after the late heartbeat.
 const CLIENTS: usize = 2;
+const FURTHER_CLIENTS: usize = 8;
 /// Time between two requests of a client.
 const PAUSE: Duration = Duration::from_millis(800);
 const DRAIN: Duration = Duration::from_millis(2_000);
@@ -39,7 +41,10 @@
     let mut writer = stream.try_clone().expect("a stream");
     let mut reader = Reader::new(stream);
     while let Ok(request) = reader.message() {
-        let id = request.header("x-banyantrestle-request-id").unwrap_or_default().to_owned();
+        let id = request
+            .header("x-banyantrestle-request-id")
+            .unwrap_or_default()
+            .to_owned();
         arrivals.lock().unwrap().push((Instant::now(), id.clone()));
         thread::sleep(WORK);
         let headers = format!(
@@ -81,7 +86,9 @@
             } else {
                 Arrivals::default()
             };
-            serve(sidecar.address(APP), move |stream| serve_upstream(stream, &arrivals));
+            serve(sidecar.address(APP), move |stream| {
+                serve_upstream(stream, &arrivals)
+            });
             let (admin, app) = (sidecar.address(ADMIN), sidecar.address(APP));
             let id = format!("i-{host}");
             let beats = Heartbeats::start_as(admin, app, &id, "billing", SLOTS, born);
@@ -90,7 +97,13 @@
         .into();
     let is_serving = wait_until(Duration::from_secs(20), || {
         machines.iter().all(|(sidecar, _)| {
-            let bytes = request("POST", "/buy/1", &format!("first-{}", now_ms()), 2_000, b"x");
+            let bytes = request(
+                "POST",
+                "/buy/1",
+                &format!("first-{}", now_ms()),
+                2_000,
+                b"x",
+            );
             let answer = call(sidecar.address(OUTBOUND), &bytes, Duration::from_secs(3));
             sidecar.is_ready() && answer.is_ok_and(|answer| answer.status() == 200)
         })
@@ -104,23 +117,23 @@
 
     // Clients on the two machines that nothing happens to.
     let is_over = Arc::new(AtomicBool::new(false));
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|client| {
-            let outbound = machines[1 + client % 2].0.address(OUTBOUND);
-            let is_over = is_over.clone();
-            thread::spawn(move || {
-                for number in 0.. {
-                    if is_over.load(Ordering::Relaxed) {
-                        return;
-                    }
-                    let id = format!("purchase-{client}-{number}");
-                    let bytes = request("POST", "/buy/1", &id, DEADLINE_MS, b"x");
-                    call(outbound, &bytes, Duration::from_secs(6)).ok();
-                    thread::sleep(PAUSE);
+    let outbounds = [1, 2].map(|machine| machines[machine].0.address(OUTBOUND));
+    let start_client = |client: usize| {
+        let outbound = outbounds[client % 2];
+        let is_over = is_over.clone();
+        thread::spawn(move || {
+            for number in 0.. {
+                if is_over.load(Ordering::Relaxed) {
+                    return;
                 }
-            })
+                let id = format!("purchase-{client}-{number}");
+                let bytes = request("POST", "/buy/1", &id, DEADLINE_MS, b"x");
+                call(outbound, &bytes, Duration::from_secs(6)).ok();
+                thread::sleep(PAUSE);
+            }
         })
-        .collect();
+    };
+    let mut clients: Vec<_> = (0..CLIENTS).map(start_client).collect();
     thread::sleep(Duration::from_secs(2));
 
     let (admin, app) = {
@@ -134,7 +147,8 @@
     let copied_at = Instant::now();
     thread::sleep(Duration::from_millis(300));
     let leave = "DELETE /v1/instances/i-2 HTTP/1.1\r\nHost: sidecar\r\n\r\n";
-    let status = call(admin, leave.as_bytes(), Duration::from_secs(1)).map(|answer| answer.status());
+    let status =
+        call(admin, leave.as_bytes(), Duration::from_secs(1)).map(|answer| answer.status());
     let left_at = Instant::now();
     record.add(format!("upstream i-2 sends DELETE: {status:?}"));
     if !matches!(status, Ok(200)) {
@@ -161,6 +175,7 @@
     let figures = (late_sequence, born, SLOTS);
     let status = beat(admin, app, "i-2", "billing", "ready", figures);
     record.add(format!("a heartbeat of i-2 arrives late: {status:?}"));
+    clients.extend((CLIENTS..CLIENTS + FURTHER_CLIENTS).map(start_client));
     sleep_until(left_at + SERVE_TIME);
     is_over.store(true, Ordering::Relaxed);
     for client in clients {
@@ -171,7 +186,9 @@
     let late: Vec<_> = arrivals.iter().filter(is_late).collect();
     for (at, id) in late.iter().take(5) {
         let since = at.saturating_duration_since(left_at).as_millis();
-        record.add(format!("{id} runs on i-2 {since} ms after the acknowledgement"));
+        record.add(format!(
+            "{id} runs on i-2 {since} ms after the acknowledgement"
+        ));
     }
     let is_broken = !late.is_empty();
     record.add(format!(
--- a/review/standins-2/keyless_calls.rs
+++ b/review/standins-2/keyless_calls.rs
@@ -41,7 +41,10 @@
     let mut writer = stream.try_clone().expect("a stream");
     let mut reader = Reader::new(stream);
     while let Ok(received) = reader.message() {
-        let id = received.header("x-banyantrestle-request-id").unwrap_or_default().to_owned();
+        let id = received
+            .header("x-banyantrestle-request-id")
+            .unwrap_or_default()
+            .to_owned();
         if !received.path().starts_with("/buy/") {
             if !answer(&mut writer, "200 OK", &id) {
                 return;
@@ -58,7 +61,11 @@
         record.add(format!("the upstream's call {call_id} gets: {text}"));
         let is_served = text.contains(" 200 ");
         answers.lock().unwrap().push((call_id, text));
-        let status = if is_served { "200 OK" } else { "500 Internal Server Error" };
+        let status = if is_served {
+            "200 OK"
+        } else {
+            "500 Internal Server Error"
+        };
         if !answer(&mut writer, status, &id) {
             return;
         }
@@ -114,7 +121,11 @@
     let is_serving = wait_until(Duration::from_secs(20), || {
         ["/read/1", "/buy/first"].iter().all(|path| {
             let bytes = keyed("POST", path, &format!("first-{}", now_ms()));
-            let answer = call(sidecars[1].address(OUTBOUND), &bytes, Duration::from_secs(3));
+            let answer = call(
+                sidecars[1].address(OUTBOUND),
+                &bytes,
+                Duration::from_secs(3),
+            );
             answer.is_ok_and(|answer| answer.status() == 200)
         })
     });
@@ -153,7 +164,10 @@
     }
     thread::sleep(Duration::from_secs(2));
     let answers = answers.lock().unwrap();
-    let denied = answers.iter().filter(|(_, text)| text.contains(" 401 ")).count();
+    let denied = answers
+        .iter()
+        .filter(|(_, text)| text.contains(" 401 "))
+        .count();
     let is_broken = denied > ALLOWED;
     record.add(format!(
         "DENIED {}: {denied} of {} calls got 401, {ALLOWED} are allowed",
--- a/review/standins-2/memory.rs
+++ b/review/standins-2/memory.rs
@@ -11,8 +11,8 @@
         net::{SocketAddr, TcpStream},
         path::{Path, PathBuf},
         sync::{
-            atomic::{AtomicBool, AtomicU64, Ordering},
             Arc, Mutex,
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         thread,
         time::{Duration, Instant},
@@ -75,7 +75,9 @@
 fn upload(outbound: SocketAddr, id: &str, length: usize, rate: f64) -> Option<u16> {
     let mut stream = TcpStream::connect(outbound).ok()?;
     stream.set_nodelay(true).ok()?;
-    stream.set_read_timeout(Some(Duration::from_millis(DEADLINE_MS))).ok()?;
+    stream
+        .set_read_timeout(Some(Duration::from_millis(DEADLINE_MS)))
+        .ok()?;
     let head = format!(
         "POST /put/file HTTP/1.1\r\nHost: one.example\r\nX-Banyantrestle-Request-Id: {id}\r\n\
          X-Banyantrestle-Deadline-Ms: {DEADLINE_MS}\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -107,7 +109,9 @@
 ) -> Option<String> {
     let mut stream = TcpStream::connect(outbound).ok()?;
     stream.set_nodelay(true).ok()?;
-    stream.set_read_timeout(Some(Duration::from_millis(DEADLINE_MS))).ok()?;
+    stream
+        .set_read_timeout(Some(Duration::from_millis(DEADLINE_MS)))
+        .ok()?;
     let mut reader = Reader::new(stream.try_clone().ok()?);
     for number in 0.. {
         if is_over.load(Ordering::Relaxed) {
@@ -146,7 +150,9 @@
         .map(|host| {
             let sidecar = Sidecar::start(network, host, "billing", figures, &temporary, program);
             let runs = runs.clone();
-            serve(sidecar.address(APP), move |stream| serve_upstream(stream, &runs));
+            serve(sidecar.address(APP), move |stream| {
+                serve_upstream(stream, &runs)
+            });
             let (admin, app) = (sidecar.address(ADMIN), sidecar.address(APP));
             Heartbeats::start(admin, app, &format!("i-{host}"), "billing", SLOTS);
             sidecar
@@ -155,7 +161,13 @@
     let outbound = sidecars[0].address(OUTBOUND);
     let is_serving = wait_until(Duration::from_secs(20), || {
         sidecars.iter().all(|sidecar| {
-            let bytes = request("POST", "/buy/1", &format!("first-{}", now_ms()), 2_000, b"x");
+            let bytes = request(
+                "POST",
+                "/buy/1",
+                &format!("first-{}", now_ms()),
+                2_000,
+                b"x",
+            );
             let answer = call(sidecar.address(OUTBOUND), &bytes, Duration::from_secs(3));
             sidecar.is_ready() && answer.is_ok_and(|answer| answer.status() == 200)
         })
@@ -210,12 +222,17 @@
         if memory > MEMORY_BYTES {
             // The platform kills a process that exceeds its memory.
             sidecars[0].kill();
-            record.add(format!("sidecar killed: it took {memory} of {MEMORY_BYTES} bytes"));
+            record.add(format!(
+                "sidecar killed: it took {memory} of {MEMORY_BYTES} bytes"
+            ));
             is_over.store(true, Ordering::Relaxed);
         }
         thread::sleep(Duration::from_millis(5));
     }
-    let cut: Vec<_> = kept.into_iter().filter_map(|client| client.join().ok()?).collect();
+    let cut: Vec<_> = kept
+        .into_iter()
+        .filter_map(|client| client.join().ok()?)
+        .collect();
     waves.join().ok();
     thread::sleep(Duration::from_millis(500));
     record.add(format!(
@@ -227,7 +244,9 @@
     let runs = runs.lock().unwrap();
     let lost: Vec<_> = cut.into_iter().filter(|id| runs.contains(id)).collect();
     for id in &lost {
-        record.add(format!("{id}: an upstream ran it; its connection ended without an answer"));
+        record.add(format!(
+            "{id}: an upstream ran it; its connection ended without an answer"
+        ));
     }
     let is_broken = lost.len() > ALLOWED;
     record.add(format!(
--- a/review/standins-2/quota_wait.rs
+++ b/review/standins-2/quota_wait.rs
@@ -8,8 +8,8 @@
         net::TcpStream,
         path::{Path, PathBuf},
         sync::{
-            atomic::{AtomicBool, Ordering},
             Arc, Mutex,
+            atomic::{AtomicBool, Ordering},
         },
         thread,
         time::{Duration, Instant},
@@ -91,7 +91,10 @@
         .collect();
     let document = config(1, &routes, &["catalogue"], 67_108_864);
     let document = document.trim_end_matches('}').to_owned();
-    store.put_config(&format!("{document}}},\"tenants\":{{{}}}}}", tenants.join(",")));
+    store.put_config(&format!(
+        "{document}}},\"tenants\":{{{}}}}}",
+        tenants.join(",")
+    ));
     let figures = Figures {
         memory_mb: 260,
         grace_s: 6,
@@ -139,13 +142,23 @@
                     let sent = sent.clone();
                     thread::spawn(move || {
                         let at = Instant::now();
-                        let answer = call(outbound, &bytes, Duration::from_millis(DEADLINE_MS + FURTHER_MS));
+                        let answer = call(
+                            outbound,
+                            &bytes,
+                            Duration::from_millis(DEADLINE_MS + FURTHER_MS),
+                        );
                         let answer = match answer {
                             Ok(answer) => answer.status().to_string(),
                             Err(error) => format!("none ({})", error.kind()),
                         };
                         let answered_after = at.elapsed();
-                        let entry = Sent { id, tenant, at, answered_after, answer };
+                        let entry = Sent {
+                            id,
+                            tenant,
+                            at,
+                            answered_after,
+                            answer,
+                        };
                         sent.lock().unwrap().push(entry);
                     });
                     thread::sleep(PAUSE);
@@ -156,13 +169,18 @@
     thread::sleep(USUAL_TIME);
     let begin = Instant::now();
     record.add("the cut begins".into());
-    let cut: Vec<_> = sidecars.iter().filter(|sidecar| CUT_HOSTS.contains(&sidecar.host)).collect();
+    let cut: Vec<_> = sidecars
+        .iter()
+        .filter(|sidecar| CUT_HOSTS.contains(&sidecar.host))
+        .collect();
     if has_trouble() {
-        cut.iter().for_each(|sidecar| send_signal(&sidecar.child, SIGSTOP));
+        cut.iter()
+            .for_each(|sidecar| send_signal(&sidecar.child, SIGSTOP));
     }
     thread::sleep(CUT_TIME);
     if has_trouble() {
-        cut.iter().for_each(|sidecar| send_signal(&sidecar.child, SIGCONT));
+        cut.iter()
+            .for_each(|sidecar| send_signal(&sidecar.child, SIGCONT));
     }
     record.add("the cut ends".into());
     thread::sleep(USUAL_TIME);
@@ -179,7 +197,10 @@
         *counts.entry(&entry.answer).or_default() += 1;
     }
     record.add(format!("{} requests, answers {counts:?}", sent.len()));
-    let due: Vec<_> = sent.iter().filter(|entry| entry.answered_after >= TIMEOUT).collect();
+    let due: Vec<_> = sent
+        .iter()
+        .filter(|entry| entry.answered_after >= TIMEOUT)
+        .collect();
     let is_late = |entry: &&&Sent| entry.answered_after >= TIMEOUT + LATENESS;
     let late: Vec<_> = due.iter().filter(is_late).collect();
     for entry in &late {
