--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -759,6 +759,10 @@
     }
 
     pub fn restart(&mut self) {
+        // `bootstrap` is true only when the whole system starts for the first time.
+        let text = fs::read_to_string(&self.settings).expect("the settings");
+        let text = text.replace("bootstrap = true", "bootstrap = false");
+        fs::write(&self.settings, text).expect("a writable folder");
         self.child = spawn(&self.program, &self.settings, &self.log);
     }
 
--- a/review/standins-2/keyless_calls.rs
+++ b/review/standins-2/keyless_calls.rs
@@ -52,10 +52,13 @@
             continue;
         }
         record.add(format!("an upstream runs {id}"));
+        let deadline = received.header("x-banyantrestle-deadline-ms");
+        let deadline_ms: u64 = deadline.and_then(|text| text.parse().ok()).unwrap_or(0);
         thread::sleep(WORK);
-        // Calls of upstreams carry no tenant key.
+        // Calls of upstreams carry no tenant key, and expire at their parent's deadline.
         let call_id = format!("{id}.1");
-        let bytes = request("GET", "/read/1", &call_id, DEADLINE_MS, b"");
+        let left_ms = deadline_ms.saturating_sub(WORK.as_millis() as u64);
+        let bytes = request("GET", "/read/1", &call_id, left_ms, b"");
         let called = call(outbound, &bytes, Duration::from_secs(5));
         let text = called.map_or_else(|error| error.to_string(), |called| called.start);
         record.add(format!("the upstream's call {call_id} gets: {text}"));
