Sidecar: calls of a target are known until it can no longer run their parent

The users saw the same where only the front was killed and where the clients just left.

Cause: a target's call carries no key and is told by the id of a running parent. The parent was known as long as the future that waited for it; that future is dropped when the caller or the front goes away, and the table ends with the process. The target works on.

Change: the guard of a call abandons it by default, and an abandoned call stays in the table until its deadline has passed by the target's count; a complete response, or the certainty that the target didn't run it, removes it (CallTable). The guard goes with a streamed response to its end. The same table keeps what a sidecar has sent to others. A restarted sidecar whose target makes a call with no known parent asks the sidecars that call its target; where nobody knows the parent, the call gets a true 503 until the longest timeout is over, then 401.

A caller without a key, with ids made like a child's of requests that another target runs, gets 503 and after the longest timeout 401, and nothing runs.

Ruled out: the key of the client (calls of calls aren't checked for one). Weighed: 503 alone for all such calls; it would keep the rule and fail each purchase.

Tried and failed: a round of questions that each waiting call began by itself; the members were counted for each call.

--- a/src/error/step_error.rs
+++ b/src/error/step_error.rs
@@ -20,6 +20,7 @@
     ExchangeSuspects,
     RequestCredits,
     RequestProof,
+    RequestSentCalls,
     SendGossip,
     ReceiveGossip,
     /// Anti-entropy exchange of member records over TCP.
--- a/src/sidecar/attempt_report.rs
+++ b/src/sidecar/attempt_report.rs
@@ -158,6 +158,14 @@
         self.tree_cost.services().len() > 1
     }
 
+    /// Whether the target has completed the call or not run it; otherwise it may be running it.
+    pub(crate) fn is_target_done(&self) -> bool {
+        match &self.result {
+            Ok(response) => matches!(response.body(), ResponseBody::Buffered(_)),
+            Err(failure) => failure.attempt_outcome() != AttemptOutcome::Unknown,
+        }
+    }
+
     pub(crate) fn failed(failure: AttemptFailure) -> Self {
         Self {
             result: Err(failure),
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -13,9 +13,11 @@
         live_target::LiveTarget,
         load_header::LOAD_HEADER,
         local_response::RequestFailure,
+        parent_recovery::{SENT_CALLS_PATH, serve_sent_calls},
         peer_call::MAX_BUFFERED_RESPONSE_BYTES,
         pressure_report::PRESSURE_HEADER,
         request_log::LineCategory,
+        running_calls::RunningCall,
         sidecar_state::{SidecarPhase, SidecarState},
         slot_semaphore::SlotRefusal,
         streamed_run::StreamedRun,
@@ -85,6 +87,7 @@
             SUSPECTS_PATH => serve_suspects(&state, body).await,
             CREDITS_PATH => serve_credits(&state, body).await,
             PROOF_PATH => serve_proof(&state),
+            SENT_CALLS_PATH => serve_sent_calls(&state, body).await,
             path => serve_config(&state, path),
         },
     };
@@ -313,11 +316,15 @@
         let report = refuse_suspect(state, digest);
         return report.unwrap_or_else(|| AttemptReport::failed(AttemptFailure::SuspectBusy));
     };
+    let running = RunningCall::new(context.clone());
+    let running = state.running.insert(&call.id, running);
+    let running_call = running.call.clone();
     let run = StreamedRun {
         permit,
         run,
-        in_flight: state.in_flight.token(),
-        buffers,
+        _in_flight: state.in_flight.token(),
+        _buffers: buffers,
+        running,
     };
     if !context.is_retry() {
         let now = state.clock.now();
@@ -326,13 +333,12 @@
     if target.semaphore.rate_limit().is_some() {
         metrics::counter!("banyantrestle_rate_limited_calls_total").increment(1);
     }
-    let running = state.running.insert(&call.id, context.clone());
     let result = match timeout_at(deadline, send_to_target(state, target, call, context, run)).await
     {
         Ok(result) => result,
         Err(_) => Err(AttemptFailure::DeadlinePassed),
     };
-    let mut tree_cost = running.call.tree_cost();
+    let mut tree_cost = running_call.tree_cost();
     let slot_time = state.clock.now().since(started_at);
     tree_cost.add(&context.service, slot_time, target.semaphore.pressure());
     // A failed child call that the target recovered from is not the cause of a failure.
@@ -340,10 +346,7 @@
         Ok(response) => response.status().is_server_error(),
         Err(_) => true,
     };
-    let cause = running.call.last_failure().filter(|_| is_failed);
-    if matches!(result, Err(AttemptFailure::DeadlinePassed)) {
-        running.expire();
-    }
+    let cause = running_call.last_failure().filter(|_| is_failed);
     AttemptReport {
         result,
         tree_cost,
--- a/src/sidecar/local_response.rs
+++ b/src/sidecar/local_response.rs
@@ -41,6 +41,8 @@
     UnknownKey,
     /// It is not known whether the key is still valid.
     KeyUnproven,
+    /// The request carries no key, and may be made for a call that began before this process did.
+    ParentUnknown,
     /// The account has used up its limit.
     QuotaExhausted,
     /// No quota owner of the account could be reached.
@@ -87,6 +89,9 @@
             Self::KeyUnproven => {
                 "the sidecar could not prove that its configuration was new enough for keys; not run"
             }
+            Self::ParentUnknown => {
+                "the request carried no key, and the sidecar did not know all calls of its target; not run"
+            }
             Self::QuotaExhausted => "the account had used up its limit; not run",
             Self::QuotaUnknown => "no quota owner of the account could be reached; not run",
             Self::NotRun => "no target accepted the request; not run",
@@ -121,6 +126,7 @@
             | Self::NoCapacity
             | Self::NoMemory
             | Self::KeyUnproven
+            | Self::ParentUnknown
             | Self::QuotaUnknown
             | Self::ShuttingDown
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -33,6 +33,7 @@
 mod attempt_history;
 mod attempt_report;
 mod call_pace;
+mod call_table;
 mod config_watch;
 mod crash_watch;
 mod departed_targets;
@@ -51,6 +52,7 @@
 mod load_header;
 mod local_response;
 mod outbound;
+mod parent_recovery;
 mod peer_call;
 mod peer_formats;
 mod peer_subset;
@@ -78,6 +80,7 @@
 mod run_guard;
 mod running_calls;
 mod running_request;
+mod sent_call;
 mod served_count;
 mod service_limiter;
 mod service_ranks;
@@ -136,6 +139,6 @@
     tried_targets::TriedTargets,
 };
 pub(crate) use {
+    call_table::CALL_ID_SEPARATOR,
     local_response::{RATE_LIMIT_CAUSE, explain_outcome},
-    running_calls::CALL_ID_SEPARATOR,
 };
--- a/src/sidecar/outbound/outbound_service.rs
+++ b/src/sidecar/outbound/outbound_service.rs
@@ -5,9 +5,11 @@
             RouteConfig, RouteRule,
             account_gate::{RequestAccount, check_credential},
             attempt_report::RelayBody,
+            call_table::{MAX_TARGET_DELAY, parent_ids},
             forwarded_call::{ForwardedCall, header_text, request_host},
             local_response::{RequestFailure, local_response},
-            running_calls::{MAX_TARGET_DELAY, RunningCall},
+            parent_recovery::recover_parent,
+            running_calls::RunningCall,
             running_request::RunningRequest,
             sidecar_state::{SidecarPhase, SidecarState},
         },
@@ -151,7 +153,7 @@
 ) -> Response<RelayBody> {
     let names = state.platform.headers();
     let (head, body) = request.into_parts();
-    let result = match find_route(state, &head, id, arrived_at) {
+    let result = match find_route(state, &head, id, arrived_at).await {
         Ok(routed) if routed.parent.is_none() => run_tallied(state, routed, owed, head, body).await,
         Ok(routed) => run_call(state, routed, owed, head, body).await,
         Err(answer) => Err(answer),
@@ -180,8 +182,8 @@
 }
 
 /// Finds the route, the parent and the account of a call.
-fn find_route<P: PlatformAdapter>(
-    state: &SidecarState<P>,
+async fn find_route<P: PlatformAdapter>(
+    state: &Arc<SidecarState<P>>,
     head: &Parts,
     id: &str,
     arrived_at: TimePoint,
@@ -190,14 +192,7 @@
     let config = state.config().ok_or_else(no_config)?;
     let rule = config.find(request_host(head), head.uri.path()).cloned();
     let rule = rule.ok_or(RequestFailure::NoRoute)?;
-    // Calls of targets carry no key, so a caller that sends one can't pass for a target.
-    let has_key = config.accounts.is_some()
-        && state.platform.read_credential(&head.headers) != CallerCredential::Missing;
-    let parent = if has_key {
-        None
-    } else {
-        state.running.parent_of(id)
-    };
+    let parent = find_parent(state, &config, &rule, head, id).await?;
     let account = if parent.is_some() {
         None
     } else {
@@ -226,6 +221,36 @@
     })
 }
 
+/// Finds the call that the local target makes a call for; `None` if the call starts a chain.
+async fn find_parent<P: PlatformAdapter>(
+    state: &Arc<SidecarState<P>>,
+    config: &RouteConfig,
+    rule: &RouteRule,
+    head: &Parts,
+    id: &str,
+) -> Result<Option<Arc<RunningCall>>, LocalAnswer> {
+    // Calls of targets carry no key, so a caller that sends one can't pass for a target.
+    let has_key = config.accounts.is_some()
+        && state.platform.read_credential(&head.headers) != CallerCredential::Missing;
+    if has_key {
+        return Ok(None);
+    }
+    let parent = state.running.parent_of(state.clock.now(), id);
+    let needs_key = config.accounts.is_some() && !rule.is_public;
+    let is_known = parent.is_some()
+        || !needs_key
+        || parent_ids(id).next().is_none()
+        || !state.may_lack_parents(config.longest_timeout);
+    if is_known {
+        return Ok(parent);
+    }
+    let recovered = recover_parent(state, id).await;
+    recovered.map(Some).ok_or_else(|| {
+        let answer = LocalAnswer::from(RequestFailure::ParentUnknown);
+        answer.with_delay(retry_after(rule, DEFAULT_RETRY_DELAY))
+    })
+}
+
 /// Runs a call that starts a chain and counts how it ends.
 async fn run_tallied<P: PlatformAdapter>(
     state: &Arc<SidecarState<P>>,
--- a/src/sidecar/peer_call.rs
+++ b/src/sidecar/peer_call.rs
@@ -12,6 +12,7 @@
         load_header::LOAD_HEADER,
         pressure_report::PRESSURE_HEADER,
         request_log::LineCategory,
+        sent_call::SentCall,
         sidecar_state::SidecarState,
         target_incarnation::TargetIncarnation,
         tree_cost::TREE_COST_HEADER,
@@ -74,7 +75,16 @@
     let report = if peer == state.settings.listen.mesh {
         run_on_local_target(state, call, context).await
     } else {
-        send_to_peer(state, call, context, peer, has_alternative).await
+        let sent_call = SentCall {
+            peer,
+            context: context.clone(),
+        };
+        let sent = state.sent.insert(&call.id, sent_call);
+        let report = send_to_peer(state, call, context, peer, has_alternative).await;
+        if report.is_target_done() {
+            sent.finish();
+        }
+        report
     };
     guard.finish(peer_outcome(&report), report.load);
     report
--- a/src/sidecar/request_tally.rs
+++ b/src/sidecar/request_tally.rs
@@ -62,6 +62,7 @@
             | RequestFailure::NoKey
             | RequestFailure::UnknownKey
             | RequestFailure::KeyUnproven
+            | RequestFailure::ParentUnknown
             | RequestFailure::QuotaExhausted
             | RequestFailure::QuotaUnknown
             | RequestFailure::TooDeep
--- a/src/sidecar/route_config.rs
+++ b/src/sidecar/route_config.rs
@@ -35,6 +35,8 @@
     /// Client accounts; `None` if requests need no key.
     pub accounts: Option<AccountTable>,
     ranks: RankScale,
+    /// The longest time that a route allows a request.
+    pub longest_timeout: Duration,
 }
 
 impl RouteConfig {
@@ -46,7 +48,9 @@
     ) -> Self {
         let mut hosts: HashMap<String, HashMap<String, Arc<RouteRule>>> = HashMap::new();
         let mut route_ranks = Vec::new();
+        let mut longest_timeout = Duration::ZERO;
         for rule in rules {
+            longest_timeout = longest_timeout.max(rule.timeout);
             route_ranks.push(rule.rank);
             let prefixes = hosts.entry(rule.host.to_ascii_lowercase()).or_default();
             prefixes.insert(rule.prefix.clone(), Arc::new(rule));
@@ -57,6 +61,7 @@
             hosts,
             accounts: None,
             ranks: RankScale::new(route_ranks),
+            longest_timeout,
         }
     }
 
--- a/src/sidecar/sidecar_shutdown.rs
+++ b/src/sidecar/sidecar_shutdown.rs
@@ -78,7 +78,7 @@
     }
 
     fn is_target_idle(&self) -> bool {
-        self.state.taken.is_empty() && self.state.running.is_empty()
+        self.state.taken.is_empty() && !self.state.running.has_guarded()
     }
 }
 
--- a/src/sidecar/sidecar_state.rs
+++ b/src/sidecar/sidecar_state.rs
@@ -3,9 +3,9 @@
         IngressAdmission, PeerTable, PlatformAdapter, RouteConfig, RouteDurations, SidecarSettings,
         TargetRetryBudget, TargetTracker, account_gate::AccountState, crash_watch::CrashWatch,
         departure_log::DepartureLog, drain_window::DrainWindow, leaving_peers::LeavingPeers,
-        live_target::LiveTarget, peer_formats::PeerFormats, process_load::ProcessLoad,
-        request_log::RequestLog, request_tally::RequestTally, running_calls::RunningCalls,
-        unread_fields::UnreadFields,
+        live_target::LiveTarget, parent_recovery::ParentRecovery, peer_formats::PeerFormats,
+        process_load::ProcessLoad, request_log::RequestLog, request_tally::RequestTally,
+        running_calls::RunningCalls, sent_call::SentCalls, unread_fields::UnreadFields,
     },
     crate::{
         context::ServiceName,
@@ -80,8 +80,11 @@
     pub(crate) mesh_pool: MeshPool,
     /// Memory for the bodies of requests and responses.
     pub(crate) body_budget: Arc<BodyBudget>,
-    /// Calls that the local target is running.
+    /// Calls that the local target may be running.
     pub(crate) running: Arc<RunningCalls>,
+    /// Calls that the targets of other sidecars may be running for this one.
+    pub(crate) sent: Arc<SentCalls>,
+    pub(crate) parent_recovery: ParentRecovery,
     /// Calls of other sidecars, and attempts at the local target, that have no response yet.
     pub(crate) taken: TaskTracker,
     /// Requests on the outbound listener that have no response yet, and responses of the local
@@ -205,13 +208,16 @@
     /// Updates the admission rates; each member gets an equal share of the concurrency limit of a
     /// service.
     pub(crate) fn tick_admission(&self) {
-        self.pauses.tick(self.clock.now());
+        let now = self.clock.now();
+        self.pauses.tick(now);
+        self.running.remove_ended(now);
+        self.sent.remove_ended(now);
         let members = self.membership.view().borrow().members.len().max(1);
         let ingress_count = f64::from(u32::try_from(members).unwrap_or(u32::MAX));
         let peers = self.peers();
         let fair_share =
             |service: &ServiceName| peers.total_concurrency_limit(service) / ingress_count;
-        self.admission().tick(self.clock.now(), fair_share);
+        self.admission().tick(now, fair_share);
     }
 
     /// Lets calls start that have waited for the rate limit of the local target.
--- a/src/sidecar/streamed_run.rs
+++ b/src/sidecar/streamed_run.rs
@@ -1,5 +1,7 @@
 use {
-    super::{SlotOutcome, run_guard::RunGuard, slot_semaphore::SlotPermit},
+    super::{
+        SlotOutcome, run_guard::RunGuard, running_calls::RunningGuard, slot_semaphore::SlotPermit,
+    },
     crate::{
         crash::RunEnd,
         net::{BodyReservation, StreamObserver, StreamOutcome},
@@ -14,9 +16,11 @@
     pub(crate) permit: SlotPermit,
     pub(crate) run: RunGuard,
     /// Keeps the sidecar from ending meanwhile.
-    pub(crate) in_flight: TaskTrackerToken,
+    pub(crate) _in_flight: TaskTrackerToken,
     /// Memory of the buffers between the target and the caller.
-    pub(crate) buffers: BodyReservation,
+    pub(crate) _buffers: BodyReservation,
+    /// Makes the call known as the parent of the target's own calls.
+    pub(crate) running: RunningGuard,
 }
 
 /// The call that a relayed response belongs to, at the sidecar of its target.
@@ -24,13 +28,7 @@
 
 impl StreamObserver for ResponseRun {
     fn on_end(self, outcome: StreamOutcome) {
-        let Some(StreamedRun {
-            permit,
-            run,
-            in_flight: _in_flight,
-            buffers: _buffers,
-        }) = self
-        else {
+        let Some(call) = self else {
             return;
         };
         let (slot_outcome, end) = match outcome {
@@ -38,11 +36,11 @@
             StreamOutcome::Broken => (SlotOutcome::Failed, RunEnd::Broken),
             StreamOutcome::Abandoned => (SlotOutcome::Abandoned, RunEnd::Abandoned),
         };
-        permit.release(slot_outcome);
         if end == RunEnd::Broken {
-            run.finish_broken();
+            call.permit.release(slot_outcome);
+            call.run.finish_broken();
         } else {
-            run.finish(end);
+            call.finish(slot_outcome, end);
         }
     }
 }
@@ -51,6 +49,10 @@
     pub(crate) fn finish(self, outcome: SlotOutcome, end: RunEnd) {
         self.permit.release(outcome);
         self.run.finish(end);
+        // After any other end the target may still be running the call.
+        if matches!(end, RunEnd::Answered | RunEnd::NotRun) {
+            self.running.finish();
+        }
     }
 
     /// Ends a call that was not sent to the target.
--- a/standins/src/upstream/upstream_mode.rs
+++ b/standins/src/upstream/upstream_mode.rs
@@ -17,6 +17,8 @@
     CloseConnection,
     /// Runs the call and sends no response.
     NoResponse,
+    /// Runs the call to its end also when its connection has closed.
+    ServeDetached,
     /// Runs the call and responds with a content encoding.
     Encoded,
     /// Runs the call and responds with 200 and with headers that only sidecars may set.
--- a/standins/src/upstream/upstream_standin.rs
+++ b/standins/src/upstream/upstream_standin.rs
@@ -74,6 +74,8 @@
     call_duration: watch::Sender<Duration>,
     /// Calls for the current instance, in the order in which they arrived.
     arrivals: Arc<Mutex<Vec<Arrival>>>,
+    /// Ids of the target's own calls and the statuses that they got.
+    inner_statuses: Arc<Mutex<Vec<(String, StatusCode)>>>,
     /// Headers that all responses carry.
     response_headers: watch::Sender<Vec<(&'static str, String)>>,
     /// Signals the supervisor to crash the target.
@@ -109,6 +111,7 @@
             mode: watch::Sender::new(UpstreamMode::Serve),
             call_duration: watch::Sender::new(Duration::from_millis(2)),
             arrivals: Arc::default(),
+            inner_statuses: Arc::default(),
             response_headers: watch::Sender::new(Vec::new()),
             crash: Arc::default(),
             crashes: Arc::default(),
@@ -134,6 +137,13 @@
         arrivals.unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Ids of the target's own calls so far, and the statuses that they got.
+    #[must_use]
+    pub fn inner_statuses(&self) -> Vec<(String, StatusCode)> {
+        let statuses = self.state.inner_statuses.lock();
+        statuses.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Sets headers that the target adds to all its responses, also to those that refuse a call.
     pub fn set_response_headers(&self, headers: &[(&'static str, &str)]) {
         let headers = headers.iter().map(|(name, value)| (*name, (*value).into()));
@@ -289,8 +299,14 @@
                 ],
                 ..TextRequest::get(inner_path)
             };
-            let response = request.send(self.outbound).await;
-            if !response.is_ok_and(|response| response.status.is_success()) {
+            let Ok(response) = request.send(self.outbound).await else {
+                return false;
+            };
+            let statuses = self.inner_statuses.lock();
+            statuses
+                .unwrap_or_else(PoisonError::into_inner)
+                .push((format!("{id}.{number}"), response.status));
+            if !response.status.is_success() {
                 return false;
             }
         }
@@ -322,7 +338,7 @@
 
 impl HttpService for UpstreamState {
     async fn respond(&self, request: Request<Incoming>) -> Response<StandinBody> {
-        let mut response = self.handle(request).await;
+        let mut response = self.run(request).await;
         for (name, value) in self.response_headers.borrow().iter() {
             if let Ok(value) = value.parse() {
                 response.headers_mut().append(*name, value);
@@ -333,6 +349,17 @@
 }
 
 impl UpstreamState {
+    /// Runs a call; in some modes it goes on when its connection closes.
+    async fn run(&self, request: Request<Incoming>) -> Response<StandinBody> {
+        let mode = *self.mode.borrow();
+        if mode != UpstreamMode::ServeDetached {
+            return self.handle(request).await;
+        }
+        let state = self.clone();
+        let running = tokio::spawn(async move { state.handle(request).await });
+        running.await.unwrap_or_else(|error| panic!("{error}"))
+    }
+
     async fn handle(&self, request: Request<Incoming>) -> Response<StandinBody> {
         let (head, body) = request.into_parts();
         let id = header(&head.headers, REQUEST_ID);
