Sidecar: no wait of a request outlasts its deadline, and silent quota owners are known to all

Cause: a request asked one quota owner after the other for a credit, 0.25 s each; an owner that hadn't answered was asked again after 0.2 s, so with two silent owners there was always one to ask and the limit of the wait was never looked at. Each request learnt of the silence for itself. The request's deadline bounded only what came after the credit.

OwnerReach tells all accounts of a sidecar which owners answer; a silent one is asked in the background, one question at a time. A request waits 0.5 s for a credit at most, and not once all owners have been silent for that time. Questions are tasks of their own, so the account gets their credits when the caller has left. The body of a call between sidecars has the call's deadline too.

Ruled out: killed owners (a refused connection ends the question at once); proofs of keys (no request waits for one). Weighed: asking a second owner while the first is slow (takes two credits for each request of a small account); taking over a silent owner's part before it counts as lost (both may hand it out).

--- a/src/accounts/credit_purse.rs
+++ b/src/accounts/credit_purse.rs
@@ -1,5 +1,5 @@
 use {
-    super::{CREDIT_LIFETIME, CreditGrant, owner_credit::OwnerCredit},
+    super::{CREDIT_LIFETIME, CreditGrant, OwnerReach, owner_credit::OwnerCredit},
     crate::time::{TimePoint, decay_factor},
     std::{net::SocketAddr, time::Duration},
 };
@@ -33,8 +33,7 @@
     credits: u32,
     /// End of their lifetime.
     expires_at: TimePoint,
-    /// Credits that have been requested and not answered, and when the last were. A caller that
-    /// leaves while its request waits for the answer takes the answer with it.
+    /// Credits that have been requested and not answered, and when the last were.
     pending: u32,
     pending_since: TimePoint,
     /// Moving average of the requests, as their number in one time constant.
@@ -72,8 +71,13 @@
         self.demand_updated_at = now;
     }
 
-    /// Takes a credit, or tells which owner to ask for one.
-    pub fn next_step(&mut self, now: TimePoint) -> CreditStep {
+    /// Addresses of the owners.
+    pub fn owners(&self) -> impl Iterator<Item = SocketAddr> {
+        self.owners.iter().map(|owner| owner.address)
+    }
+
+    /// Takes a credit, or tells which owner to ask for one. Owners that are silent are not asked.
+    pub fn next_step(&mut self, now: TimePoint, reach: &OwnerReach) -> CreditStep {
         if now >= self.expires_at {
             self.credits = 0;
         }
@@ -85,19 +89,16 @@
         }
         let count = self.owners.len();
         let order = (0..count).map(|offset| (self.next_owner + offset) % count);
-        let available = order
-            .clone()
-            .find(|index| self.owners[*index].retry_at <= now);
-        if let Some(index) = available {
+        let is_available = |index: &usize| {
+            let owner = &self.owners[*index];
+            owner.retry_at <= now && !reach.is_silent(owner.address)
+        };
+        if let Some(index) = order.clone().find(is_available) {
             self.next_owner = index;
-            let owner = self.owners[index].address;
-            if now.since(self.pending_since) >= CREDIT_LIFETIME {
-                self.pending = 0;
-            }
-            let wanted = 1 + self.advance();
-            self.pending += wanted;
-            self.pending_since = now;
-            return CreditStep::Ask { owner, wanted };
+            return CreditStep::Ask {
+                owner: self.owners[index].address,
+                wanted: self.start_request(now),
+            };
         }
         let exhausted = self.owners.iter().filter(|owner| owner.is_exhausted);
         let first = exhausted.map(|owner| owner.retry_at).min();
@@ -106,6 +107,17 @@
         })
     }
 
+    /// Number of credits to request from an owner that is asked now.
+    pub fn start_request(&mut self, now: TimePoint) -> u32 {
+        if now.since(self.pending_since) >= CREDIT_LIFETIME {
+            self.pending = 0;
+        }
+        let wanted = 1 + self.advance();
+        self.pending += wanted;
+        self.pending_since = now;
+        wanted
+    }
+
     /// Credits to request beyond the one that is needed.
     fn advance(&self) -> u32 {
         let demand = self.demand / DEMAND_TIME_CONSTANT.as_secs_f64();
--- a/src/accounts/mod.rs
+++ b/src/accounts/mod.rs
@@ -24,6 +24,7 @@
 mod credit_purse;
 mod key_hasher;
 mod owner_credit;
+mod owner_reach;
 mod proof_schedule;
 mod quota_owners;
 mod quota_tolerance;
@@ -39,6 +40,7 @@
     credit_ledger::{CREDIT_LIFETIME, CreditLedger},
     credit_purse::{CreditPurse, CreditStep},
     key_hasher::KeyHasher,
+    owner_reach::OwnerReach,
     proof_schedule::{ProofSchedule, ProofStep},
     quota_owners::{choose_quota_owners, quota_candidates, quota_owner_count},
     quota_tolerance::QuotaTolerance,
--- a/src/sidecar/account_gate/account_state.rs
+++ b/src/sidecar/account_gate/account_state.rs
@@ -1,8 +1,8 @@
 use {
     crate::{
         accounts::{
-            AccountLimit, ConfigProof, CreditLedger, CreditPurse, ProofReport, ProofRule,
-            choose_quota_owners, quota_candidates, quota_owner_count,
+            AccountLimit, ConfigProof, CreditLedger, CreditPurse, CreditStep, OwnerReach,
+            ProofReport, ProofRule, choose_quota_owners, quota_candidates, quota_owner_count,
         },
         membership::{MemberState, MemberView},
         time::TimePoint,
@@ -29,10 +29,21 @@
     ledger: Mutex<CreditLedger>,
     purses: Mutex<HashMap<Arc<str>, CreditPurse>>,
     members: Mutex<QuotaMembers>,
+    reach: Mutex<OwnerReach>,
     /// Number of changes of the members.
     generation: AtomicU64,
 }
 
+/// What is done next for a request of an account.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CreditDecision {
+    pub(super) step: CreditStep,
+    /// Silent owner to ask meanwhile, and for how many credits.
+    pub(super) probe: Option<(SocketAddr, u32)>,
+    /// Time for which all owners have been silent.
+    pub(super) silent_time: Duration,
+}
+
 /// Members that may be quota owners.
 #[derive(Debug, Default)]
 struct QuotaMembers {
@@ -52,6 +63,7 @@
             ledger: Mutex::new(CreditLedger::new(now)),
             purses: Mutex::default(),
             members: Mutex::default(),
+            reach: Mutex::default(),
             generation: AtomicU64::new(0),
         }
     }
@@ -115,6 +127,30 @@
         action(purse)
     }
 
+    /// Takes a credit of an account with this limit, or tells what to do for one.
+    pub(super) fn decide(
+        &self,
+        now: TimePoint,
+        account: &Arc<str>,
+        limit: &AccountLimit,
+    ) -> CreditDecision {
+        self.with_purse(account, limit, |purse| {
+            let mut reach = self.reach();
+            let step = purse.next_step(now, &reach);
+            let probed = reach.start_probe(now, purse.owners());
+            let silent_time = reach.silent_time(now, purse.owners());
+            CreditDecision {
+                step,
+                probe: probed.map(|owner| (owner, purse.start_request(now))),
+                silent_time: silent_time.unwrap_or_default(),
+            }
+        })
+    }
+
+    pub(super) fn reach(&self) -> MutexGuard<'_, OwnerReach> {
+        self.reach.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Lets accounts have owners from now on: the other members are known, or there are none.
     pub(crate) fn set_members_known(&self) {
         self.lock_members().is_known = true;
@@ -158,6 +194,7 @@
         let addresses: Vec<_> = members.members.keys().copied().collect();
         members.candidates = quota_candidates(&addresses);
         drop(members);
+        self.reach().retain(|owner| addresses.contains(owner));
         self.generation.fetch_add(1, Ordering::Relaxed);
         for state in lost {
             let has_left = state == MemberState::Leaving;
--- a/src/sidecar/account_gate/credit_exchange.rs
+++ b/src/sidecar/account_gate/credit_exchange.rs
@@ -30,8 +30,9 @@
 const MAX_MESSAGE_BYTES: usize = 4 * 1024;
 /// Steps for one request; other requests of the account may take the credits that it has got.
 const MAX_STEPS: u32 = 32;
-/// Time for which a request waits for an owner that can be asked, and the pause between attempts.
-const MAX_OWNER_WAIT: Duration = Duration::from_millis(400);
+/// Time for which a request waits for a credit, and the pause after which it looks for one again. One
+/// whose owners have all been silent for that time does not wait.
+const MAX_CREDIT_WAIT: Duration = Duration::from_millis(500);
 const OWNER_RETRY_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Request for credits of an account.
@@ -78,7 +79,7 @@
 
 /// Takes a credit for a request of an account; `None` if the account has no limit.
 pub(crate) async fn take_credit<'a, P: PlatformAdapter>(
-    state: &'a SidecarState<P>,
+    state: &'a Arc<SidecarState<P>>,
     account: &Arc<AccountRule>,
 ) -> Result<Option<TakenCredit<'a, P>>, QuotaRefusal> {
     let Some(limit) = account.limit else {
@@ -86,14 +87,19 @@
     };
     let name = &account.name;
     let accounts = &state.accounts;
-    accounts.with_purse(name, &limit, |purse| {
-        purse.record_request(state.clock.now());
-    });
     let started_at = state.clock.now();
+    accounts.with_purse(name, &limit, |purse| purse.record_request(started_at));
     for _ in 0..MAX_STEPS {
-        let asked_at = state.clock.now();
-        let step = accounts.with_purse(name, &limit, |purse| purse.next_step(asked_at));
-        match step {
+        let now = state.clock.now();
+        let time_left = MAX_CREDIT_WAIT.saturating_sub(now.since(started_at));
+        if time_left.is_zero() {
+            break;
+        }
+        let decision = accounts.decide(now, name, &limit);
+        if let Some((owner, wanted)) = decision.probe {
+            tokio::spawn(ask_owner(state.clone(), owner, account.clone(), wanted));
+        }
+        match decision.step {
             CreditStep::Pass { expires_at } => {
                 return Ok(Some(TakenCredit {
                     state,
@@ -103,43 +109,59 @@
                 }));
             }
             CreditStep::LimitReached(wait) => return Err(QuotaRefusal::LimitReached(wait)),
-            CreditStep::NoOwner if asked_at.since(started_at) >= MAX_OWNER_WAIT => break,
+            CreditStep::NoOwner if decision.silent_time >= MAX_CREDIT_WAIT => break,
             CreditStep::NoOwner => sleep(OWNER_RETRY_INTERVAL).await,
-            CreditStep::Ask { owner, wanted } => {
-                let answer = if owner == state.settings.listen.mesh {
-                    Some(grant_credits(state, name, wanted))
-                } else {
-                    ask_owner(state, owner, name, wanted).await
-                };
-                let now = state.clock.now();
+            CreditStep::Ask { owner, wanted } if owner == state.settings.listen.mesh => {
+                let answer = grant_credits(state, name, wanted);
                 accounts.with_purse(name, &limit, |purse| {
-                    purse.record_answer(now, asked_at, owner, wanted, answer);
+                    purse.record_answer(now, now, owner, wanted, Some(answer));
                 });
             }
+            CreditStep::Ask { owner, wanted } => {
+                // The account gets the credits also if this request has ended by then.
+                let asking = tokio::spawn(ask_owner(state.clone(), owner, account.clone(), wanted));
+                if timeout(time_left, asking).await.is_err() {
+                    break;
+                }
+            }
         }
     }
     Err(QuotaRefusal::NoOwner)
 }
 
-/// Asks an owner for credits; `None` if it does not answer.
+/// Asks an owner for credits and records its answer.
 async fn ask_owner<P: PlatformAdapter>(
-    state: &SidecarState<P>,
+    state: Arc<SidecarState<P>>,
     owner: SocketAddr,
-    account: &Arc<str>,
+    account: Arc<AccountRule>,
     wanted: u32,
-) -> Option<CreditGrant> {
-    match request_credits(state, owner, account, wanted).await {
-        Ok(grant) => Some(grant),
-        Err(error) => {
-            metrics::counter!("banyantrestle_credit_requests_failed_total").increment(1);
-            if state.log.try_acquire(LineCategory::Failure) {
-                slog::info!(state.log.logger, "no credits from the quota owner";
-                    "step" => %error.step, "peer" => &error.peer, "error" => %error.source,
-                    "account" => &**account);
-            }
-            None
+) {
+    let Some(limit) = account.limit else {
+        return;
+    };
+    let name = &account.name;
+    let asked_at = state.clock.now();
+    let answer = request_credits(&state, owner, name, wanted).await;
+    if let Err(error) = &answer {
+        metrics::counter!("banyantrestle_credit_requests_failed_total").increment(1);
+        if state.log.try_acquire(LineCategory::Failure) {
+            slog::info!(state.log.logger, "no credits from the quota owner";
+                "step" => %error.step, "peer" => &error.peer, "error" => %error.source,
+                "account" => &**name);
         }
     }
+    let now = state.clock.now();
+    let accounts = &state.accounts;
+    let has_changed = accounts
+        .reach()
+        .record(now, asked_at, owner, answer.is_ok());
+    if has_changed {
+        slog::info!(state.log.logger, "quota owner silent or back"; "peer" => %owner,
+            "answers" => answer.is_ok());
+    }
+    accounts.with_purse(name, &limit, |purse| {
+        purse.record_answer(now, asked_at, owner, wanted, answer.ok());
+    });
 }
 
 async fn request_credits<P: PlatformAdapter>(
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -110,7 +110,8 @@
         return to_response(state, AttemptReport::failed(AttemptFailure::NoTarget));
     };
     let budget = &state.body_budget;
-    let body = match read_reserved_request(&mut body, MAX_BODY_BYTES, BODY_TIMEOUT, budget).await {
+    let body_timeout = BODY_TIMEOUT.min(state.clock.now().until(context.deadline));
+    let body = match read_reserved_request(&mut body, MAX_BODY_BYTES, body_timeout, budget).await {
         Ok(body) => body,
         Err(RequestError::NoMemory(refusal)) => {
             let id = header_text(&head.headers, &state.platform.headers().request_id);
--- a/src/sidecar/outbound/outbound_service.rs
+++ b/src/sidecar/outbound/outbound_service.rs
@@ -38,13 +38,24 @@
     hyper::body::{Body, Incoming},
     rand::RngExt,
     std::{panic::AssertUnwindSafe, sync::Arc, time::Duration},
-    tokio::time::timeout_at,
+    tokio::time::{Instant, timeout_at},
 };
 
 /// Maximum time for which the rest of a body is read that was refused for lack of memory.
 const MAX_DISCARD_TIME: Duration = Duration::from_secs(2);
 
 /// A call whose route is known.
+struct MatchedCall {
+    config: Arc<RouteConfig>,
+    rule: Arc<RouteRule>,
+    arrived_at: TimePoint,
+    /// Earliest deadline that the caller and the route allow.
+    deadline: TimePoint,
+    /// Whether the caller names a deadline.
+    names_deadline: bool,
+}
+
+/// A call whose parent or account is known.
 struct RoutedCall {
     config: Arc<RouteConfig>,
     rule: Arc<RouteRule>,
@@ -54,7 +65,9 @@
     /// Account of a call that starts a chain and carries a key.
     account: Option<RequestAccount>,
     arrived_at: TimePoint,
+    /// Earliest deadline that the caller, the route and the parent allow.
     deadline: TimePoint,
+    deadline_instant: Instant,
 }
 
 impl RoutedCall {
@@ -153,9 +166,8 @@
 ) -> Response<RelayBody> {
     let names = state.platform.headers();
     let (head, body) = request.into_parts();
-    let result = match find_route(state, &head, id, arrived_at).await {
-        Ok(routed) if routed.parent.is_none() => run_tallied(state, routed, owed, head, body).await,
-        Ok(routed) => run_call(state, routed, owed, head, body).await,
+    let result = match match_route(state, &head, arrived_at) {
+        Ok(matched) => serve_until_deadline(state, matched, owed, id, (head, body)).await,
         Err(answer) => Err(answer),
     };
     result.unwrap_or_else(|answer| {
@@ -181,18 +193,73 @@
     local_response(failure, id, delay, state.platform.headers())
 }
 
-/// Finds the route, the parent and the account of a call.
-async fn find_route<P: PlatformAdapter>(
-    state: &Arc<SidecarState<P>>,
+/// Finds the route of a call.
+fn match_route<P: PlatformAdapter>(
+    state: &SidecarState<P>,
     head: &Parts,
-    id: &str,
     arrived_at: TimePoint,
-) -> Result<RoutedCall, LocalAnswer> {
+) -> Result<MatchedCall, LocalAnswer> {
     let no_config = || LocalAnswer::from(RequestFailure::NoConfig).with_delay(DEFAULT_RETRY_DELAY);
     let config = state.config().ok_or_else(no_config)?;
     let rule = config.find(request_host(head), head.uri.path()).cloned();
     let rule = rule.ok_or(RequestFailure::NoRoute)?;
-    let parent = find_parent(state, &config, &rule, head, id).await?;
+    let names = state.platform.headers();
+    let text = header_text(&head.headers, &names.deadline_ms);
+    let millis = text.and_then(|text| text.parse().ok());
+    let timeout = millis.map_or(rule.timeout, Duration::from_millis);
+    Ok(MatchedCall {
+        deadline: arrived_at + timeout.min(rule.timeout),
+        names_deadline: millis.is_some(),
+        config,
+        rule,
+        arrived_at,
+    })
+}
+
+/// Serves a call until its deadline. All that a call waits for, it waits for within this function.
+async fn serve_until_deadline<P: PlatformAdapter>(
+    state: &Arc<SidecarState<P>>,
+    matched: MatchedCall,
+    owed: &OwedAnswer<P>,
+    id: &str,
+    request: (Parts, Incoming),
+) -> Result<Response<RelayBody>, LocalAnswer> {
+    let rule = matched.rule.clone();
+    let deadline = state.clock.instant_of(matched.deadline);
+    let serving = async {
+        let (head, body) = request;
+        let routed = find_origin(state, matched, deadline, &head, id).await?;
+        if routed.parent.is_none() {
+            run_tallied(state, routed, owed, head, body).await
+        } else {
+            run_call(state, routed, owed, head, body).await
+        }
+    };
+    timeout_at(deadline, serving).await.unwrap_or_else(|_| {
+        if owed.is_owed() {
+            return Err(RequestFailure::DeadlinePassed.into());
+        }
+        let answer = LocalAnswer::from(RequestFailure::NotRun);
+        Err(answer.with_delay(retry_after(&rule, DEFAULT_RETRY_DELAY)))
+    })
+}
+
+/// Finds the parent or the account of a call.
+async fn find_origin<P: PlatformAdapter>(
+    state: &Arc<SidecarState<P>>,
+    matched: MatchedCall,
+    deadline_instant: Instant,
+    head: &Parts,
+    id: &str,
+) -> Result<RoutedCall, LocalAnswer> {
+    let parent = find_parent(state, &matched, head, id).await?;
+    let deadline = call_deadline(&matched, parent.as_deref());
+    let MatchedCall {
+        config,
+        rule,
+        arrived_at,
+        ..
+    } = matched;
     let account = if parent.is_some() {
         None
     } else {
@@ -206,7 +273,6 @@
             }
         })?
     };
-    let deadline = call_deadline(state, head, &rule, parent.as_deref(), arrived_at);
     if state.clock.now() >= deadline {
         let answer = LocalAnswer::from(RequestFailure::NotRun);
         return Err(answer.with_delay(retry_after(&rule, DEFAULT_RETRY_DELAY)));
@@ -218,17 +284,18 @@
         account,
         arrived_at,
         deadline,
+        deadline_instant: deadline_instant.min(state.clock.instant_of(deadline)),
     })
 }
 
 /// Finds the call that the local target makes a call for; `None` if the call starts a chain.
 async fn find_parent<P: PlatformAdapter>(
     state: &Arc<SidecarState<P>>,
-    config: &RouteConfig,
-    rule: &RouteRule,
+    matched: &MatchedCall,
     head: &Parts,
     id: &str,
 ) -> Result<Option<Arc<RunningCall>>, LocalAnswer> {
+    let MatchedCall { config, rule, .. } = matched;
     // Calls of targets carry no key, so a caller that sends one can't pass for a target.
     let has_key = config.accounts.is_some()
         && state.platform.read_credential(&head.headers) != CallerCredential::Missing;
@@ -372,14 +439,13 @@
     routed: &RoutedCall,
     service: &ServiceName,
 ) -> Result<Response<RelayBody>, RequestFailure> {
-    let deadline_instant = state.clock.instant_of(routed.deadline);
     let mut phase = state.phase.subscribe();
     let drain_deadline = phase.wait_for(|phase| *phase == SidecarPhase::Stopping);
     let mut cause = None;
     let is_root = routed.parent.is_none();
     let running = is_root.then(|| RunningRequest::start(state, &routed.rule.name));
     let forwarding = timeout_at(
-        deadline_instant,
+        routed.deadline_instant,
         forward_with_retries(state, outbound, &mut cause),
     );
     let result = tokio::select! {
@@ -421,27 +487,16 @@
 
 /// The earliest deadline that the caller, the route and the parent call allow. A target that names a
 /// deadline has shortened it to that of the parent call, by its own count.
-fn call_deadline<P: PlatformAdapter>(
-    state: &SidecarState<P>,
-    head: &Parts,
-    rule: &RouteRule,
-    parent: Option<&RunningCall>,
-    arrived_at: TimePoint,
-) -> TimePoint {
-    let names = state.platform.headers();
-    let text = header_text(&head.headers, &names.deadline_ms);
-    let millis = text.and_then(|text| text.parse().ok());
-    let timeout = millis.map_or(rule.timeout, Duration::from_millis);
-    let deadline = arrived_at + timeout.min(rule.timeout);
+fn call_deadline(matched: &MatchedCall, parent: Option<&RunningCall>) -> TimePoint {
     let Some(parent) = parent else {
-        return deadline;
+        return matched.deadline;
     };
     let parent_deadline = parent.context.deadline;
-    if millis.is_some() {
-        deadline.min(parent_deadline + MAX_TARGET_DELAY)
+    matched.deadline.min(if matched.names_deadline {
+        parent_deadline + MAX_TARGET_DELAY
     } else {
-        deadline.min(parent_deadline)
-    }
+        parent_deadline
+    })
 }
 
 fn build_context<P: PlatformAdapter>(
--- a/src/sidecar/outbound/request_admission.rs
+++ b/src/sidecar/outbound/request_admission.rs
@@ -13,7 +13,7 @@
         retry_delay::{DEFAULT_RETRY_DELAY, retry_after, retry_after_limit},
     },
     crate::{context::ServiceName, time::TimePoint},
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// A request that starts a chain, as the admission sees it.
@@ -57,7 +57,7 @@
 
 /// Takes a credit of the account's limit for a request.
 pub(super) async fn admit_account<'a, P: PlatformAdapter>(
-    state: &'a SidecarState<P>,
+    state: &'a Arc<SidecarState<P>>,
     request: RootRequest<'_>,
 ) -> Result<Option<TakenCredit<'a, P>>, RequestRefusal> {
     let Some(account) = request.account else {
--- a/tests/accounts/credit_purse.rs
+++ b/tests/accounts/credit_purse.rs
@@ -1,6 +1,6 @@
 use {
     banyantrestle::{
-        accounts::{CREDIT_LIFETIME, CreditGrant, CreditPurse, CreditStep},
+        accounts::{CREDIT_LIFETIME, CreditGrant, CreditPurse, CreditStep, OwnerReach},
         time::TimePoint,
     },
     std::{
@@ -25,7 +25,7 @@
 }
 
 fn ask(purse: &mut CreditPurse, millis: u64) -> (SocketAddr, u32) {
-    match purse.next_step(at(millis)) {
+    match purse.next_step(at(millis), &OwnerReach::default()) {
         CreditStep::Ask { owner, wanted } => (owner, wanted),
         step => panic!("{step:?}"),
     }
@@ -37,8 +37,14 @@
     let (owner, wanted) = ask(&mut purse, 0);
     purse.record_answer(at(2), at(0), owner, wanted, Some(CreditGrant::Granted(2)));
     let expires_at = at(0) + CREDIT_LIFETIME;
-    assert_eq!(purse.next_step(at(2)), CreditStep::Pass { expires_at });
-    assert!(matches!(purse.next_step(at(1_000)), CreditStep::Ask { .. }));
+    assert_eq!(
+        purse.next_step(at(2), &OwnerReach::default()),
+        CreditStep::Pass { expires_at }
+    );
+    assert!(matches!(
+        purse.next_step(at(1_000), &OwnerReach::default()),
+        CreditStep::Ask { .. }
+    ));
 }
 
 #[test]
@@ -52,7 +58,10 @@
         wanted,
         Some(CreditGrant::Granted(5)),
     );
-    assert!(matches!(purse.next_step(at(1_500)), CreditStep::Ask { .. }));
+    assert!(matches!(
+        purse.next_step(at(1_500), &OwnerReach::default()),
+        CreditStep::Ask { .. }
+    ));
 }
 
 #[test]
@@ -65,7 +74,10 @@
         purse.record_answer(at(0), at(0), asked, wanted, Some(answer));
     }
     let wait = Duration::from_millis(100);
-    assert_eq!(purse.next_step(at(0)), CreditStep::LimitReached(wait));
+    assert_eq!(
+        purse.next_step(at(0), &OwnerReach::default()),
+        CreditStep::LimitReached(wait)
+    );
     assert_eq!(ask(&mut purse, 100).0, owner(1));
 }
 
@@ -76,8 +88,14 @@
         let (owner, wanted) = ask(&mut purse, 0);
         purse.record_answer(at(0), at(0), owner, wanted, answer);
     }
-    assert_eq!(purse.next_step(at(0)), CreditStep::NoOwner);
-    assert_eq!(CreditPurse::default().next_step(at(0)), CreditStep::NoOwner);
+    assert_eq!(
+        purse.next_step(at(0), &OwnerReach::default()),
+        CreditStep::NoOwner
+    );
+    assert_eq!(
+        CreditPurse::default().next_step(at(0), &OwnerReach::default()),
+        CreditStep::NoOwner
+    );
 }
 
 #[test]
@@ -85,13 +103,19 @@
     let mut purse = purse(1);
     let (owner, wanted) = ask(&mut purse, 0);
     purse.record_answer(at(0), at(0), owner, wanted, Some(CreditGrant::Granted(1)));
-    let CreditStep::Pass { expires_at } = purse.next_step(at(0)) else {
+    let CreditStep::Pass { expires_at } = purse.next_step(at(0), &OwnerReach::default()) else {
         panic!("a credit");
     };
     purse.put_back(at(200), expires_at);
-    assert_eq!(purse.next_step(at(300)), CreditStep::Pass { expires_at });
+    assert_eq!(
+        purse.next_step(at(300), &OwnerReach::default()),
+        CreditStep::Pass { expires_at }
+    );
     purse.put_back(at(2_000), expires_at);
-    assert!(matches!(purse.next_step(at(2_000)), CreditStep::Ask { .. }));
+    assert!(matches!(
+        purse.next_step(at(2_000), &OwnerReach::default()),
+        CreditStep::Ask { .. }
+    ));
 }
 
 #[test]
--- a/tests/accounts/main.rs
+++ b/tests/accounts/main.rs
@@ -6,4 +6,5 @@
 mod credit_purse;
 mod fleet_freshness;
 mod fleet_quota;
+mod owner_reach;
 mod quota_model;
--- a/tests/accounts/quota_model.rs
+++ b/tests/accounts/quota_model.rs
@@ -7,8 +7,8 @@
 use {
     banyantrestle::{
         accounts::{
-            AccountLimit, CreditGrant, CreditLedger, CreditPurse, CreditStep, QuotaTolerance,
-            choose_quota_owners, quota_candidates, quota_owner_count,
+            AccountLimit, CreditGrant, CreditLedger, CreditPurse, CreditStep, OwnerReach,
+            QuotaTolerance, choose_quota_owners, quota_candidates, quota_owner_count,
         },
         time::TimePoint,
     },
@@ -120,6 +120,8 @@
 pub struct OwnerCredits {
     ledgers: Vec<CreditLedger>,
     purses: Vec<HashMap<usize, CreditPurse>>,
+    /// Which owners answer, as each sidecar knows it.
+    reach: Vec<OwnerReach>,
     /// Members that may be owners, by the view of each sidecar.
     views: Vec<Vec<SocketAddr>>,
     /// Owners of the accounts by the view of each sidecar.
@@ -153,6 +155,7 @@
         Self {
             ledgers: vec![CreditLedger::new(TimePoint::ORIGIN); size],
             purses: vec![HashMap::new(); size],
+            reach: vec![OwnerReach::default(); size],
             views: vec![view; size],
             owners: vec![HashMap::new(); size],
             messages: 0,
@@ -168,6 +171,24 @@
         owners.clone()
     }
 
+    /// Asks an owner and records its answer.
+    fn ask(
+        &mut self,
+        network: &FleetNetwork,
+        (now, front, account, limit): (TimePoint, usize, usize, AccountLimit),
+        purse: &mut CreditPurse,
+        owner: SocketAddr,
+        wanted: u32,
+    ) {
+        self.messages += 2;
+        let owner_front = front_of(owner);
+        let answer = network
+            .reaches(front, owner_front)
+            .then(|| self.grant(now, owner_front, account, limit, wanted));
+        self.reach[front].record(now, now, owner, answer.is_some());
+        purse.record_answer(now, now, owner, wanted, answer);
+    }
+
     fn grant(
         &mut self,
         now: TimePoint,
@@ -191,6 +212,7 @@
     fn restart(&mut self, now: TimePoint, front: usize) {
         self.ledgers[front] = CreditLedger::new(now);
         self.purses[front].clear();
+        self.reach[front] = OwnerReach::default();
     }
 
     fn change_view(&mut self, now: TimePoint, front: usize, view: &[usize], has_lost: bool) {
@@ -215,17 +237,28 @@
         let mut purse = self.purses[front].remove(&account).unwrap_or_default();
         purse.set_owners(&owners, (front + account) % owners.len().max(1));
         purse.record_request(now);
+        if let Some(owner) = self.reach[front].start_probe(now, purse.owners()) {
+            let wanted = purse.start_request(now);
+            self.ask(
+                network,
+                (now, front, account, limit),
+                &mut purse,
+                owner,
+                wanted,
+            );
+        }
         let is_admitted = loop {
-            match purse.next_step(now) {
+            match purse.next_step(now, &self.reach[front]) {
                 CreditStep::Pass { .. } => break true,
                 CreditStep::LimitReached(_) | CreditStep::NoOwner => break false,
                 CreditStep::Ask { owner, wanted } => {
-                    self.messages += 2;
-                    let owner_front = front_of(owner);
-                    let answer = network
-                        .reaches(front, owner_front)
-                        .then(|| self.grant(now, owner_front, account, limit, wanted));
-                    purse.record_answer(now, now, owner, wanted, answer);
+                    self.ask(
+                        network,
+                        (now, front, account, limit),
+                        &mut purse,
+                        owner,
+                        wanted,
+                    );
                 }
             }
         };
