Net: responses with a status that no final response has end in a 502

Callers saw: a target's 101 that nobody had asked for reached the caller beside the target as its answer, signed (elsewhere: 502). 600 and 999 reached callers as they were. 000, which other systems passed on, ended in a 502 here.

Cause: the HTTP library returns a 101, since it may be an upgrade, and any status from 100 to 999; nothing looked at it after.

Change: the pools to targets and to other sidecars return final responses only, 200 to 599 (net::final_status). Another one is a bad response that may have run: 502, not tried again if not idempotent, connection closed, status in the log line.

The RFC is followed.

--- a/src/net/mesh_pool.rs
+++ b/src/net/mesh_pool.rs
@@ -1,5 +1,8 @@
 use {
-    super::{fair_stream::FairStream, send_failure::SendFailure, silence_watch::SilenceWatch},
+    super::{
+        fair_stream::FairStream, final_status::check_final, send_failure::SendFailure,
+        silence_watch::SilenceWatch,
+    },
     crate::error::{ProcessStep, StepError},
     bytes::Bytes,
     h2::Reason,
@@ -113,7 +116,11 @@
             let sending = sender.try_send_request(request);
             let watched = connection.watch.run(sending, &mut on_silence);
             match timeout_at(deadline, watched).await {
-                Ok(Some(Ok(response))) => return Ok((response, connection.watch)),
+                Ok(Some(Ok(response))) => {
+                    let response = check_final(response)
+                        .map_err(|error| SendFailure::BadResponse(call_error(peer, error)))?;
+                    return Ok((response, connection.watch));
+                }
                 Ok(None) => {
                     let error = call_error(peer, "nothing received, not even responses to PINGs");
                     return Err(SendFailure::Broken(error));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 mod caller_input;
 mod chunk_list;
 mod fair_stream;
+mod final_status;
 mod header_names;
 mod interim_count;
 mod listener;
--- a/src/net/target_pool.rs
+++ b/src/net/target_pool.rs
@@ -1,5 +1,8 @@
 use {
-    super::{fair_stream::FairStream, interim_count::InterimCount, send_failure::SendFailure},
+    super::{
+        fair_stream::FairStream, final_status::check_final, interim_count::InterimCount,
+        send_failure::SendFailure,
+    },
     crate::error::{ProcessStep, StepError},
     bytes::Bytes,
     http::{Request, Response},
@@ -154,7 +157,12 @@
                 }
             };
             match timeout_at(deadline, sending).await {
-                Ok(Some(Ok(response))) => return Ok((response, connection)),
+                Ok(Some(Ok(response))) => {
+                    // A connection that brought another status is closed by the drop.
+                    let response = check_final(response)
+                        .map_err(|error| SendFailure::BadResponse(self.error(error)))?;
+                    return Ok((response, connection));
+                }
                 Ok(None) => {
                     let error = self.error("too many interim responses");
                     return Err(SendFailure::BadResponse(error));
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -114,6 +114,42 @@
 }
 
 /// Starts a target that responds to each request with the number of its connection.
+/// A daemon that responds to each call with `status`.
+async fn start_status_server(status: u16) -> SocketAddr {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let listener = bind(any).await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let mut connection = handshake(stream).await.expect("a client");
+            while let Some(Ok((_request, mut respond))) = connection.accept().await {
+                let response = Response::builder().status(status);
+                let response = response.body(()).expect("a response");
+                // The protocol library may refuse to send it.
+                respond.send_response(response, true).ok();
+            }
+        }
+    });
+    address
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_may_not_respond_with_a_status_that_no_final_response_has() {
+    for (status, is_final) in [(200, true), (599, true), (600, false), (999, false)] {
+        let peer = start_status_server(status).await;
+        let pool = MeshPool::new(SILENCE_TIMEOUT.into());
+        let result = send_text(&pool, peer, "a").await;
+        match result {
+            Ok(_) => assert!(is_final, "{status}"),
+            Err(SendFailure::BadResponse(error)) => {
+                assert!(!is_final, "{status}");
+                assert!(error.to_string().contains(&status.to_string()));
+            }
+            Err(failure) => panic!("{status}: {failure:?}"),
+        }
+    }
+}
+
 async fn start_counting_target() -> SocketAddr {
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let listener = bind(any).await.expect("a free port");
