Sidecar: requests that end at their deadline are counted by their outcome

The tally of a request was dropped with the future that its deadline ends, and a request that had waited for a credit until then would have counted as abandoned by its caller. Found by reading; the tally is finished outside that future now.

--- a/src/sidecar/outbound/outbound_service.rs
+++ b/src/sidecar/outbound/outbound_service.rs
@@ -224,24 +224,31 @@
     id: &str,
     request: (Parts, Incoming),
 ) -> Result<Response<RelayBody>, LocalAnswer> {
-    let rule = matched.rule.clone();
+    let (rule, arrived_at) = (matched.rule.clone(), matched.arrived_at);
     let deadline = state.clock.instant_of(matched.deadline);
+    // Counts how a call ends that starts a chain.
+    let mut tallied = None;
     let serving = async {
         let (head, body) = request;
         let routed = find_origin(state, matched, deadline, &head, id).await?;
         if routed.parent.is_none() {
-            run_tallied(state, routed, owed, head, body).await
-        } else {
-            run_call(state, routed, owed, head, body).await
+            tallied = Some(state.tally.start(&rule.name));
         }
+        run_call(state, routed, owed, head, body).await
     };
-    timeout_at(deadline, serving).await.unwrap_or_else(|_| {
+    let result = timeout_at(deadline, serving).await.unwrap_or_else(|_| {
         if owed.is_owed() {
             return Err(RequestFailure::DeadlinePassed.into());
         }
         let answer = LocalAnswer::from(RequestFailure::NotRun);
         Err(answer.with_delay(retry_after(&rule, DEFAULT_RETRY_DELAY)))
-    })
+    });
+    if let Some(tallied) = tallied {
+        let elapsed = state.clock.now().since(arrived_at);
+        let ended = result.as_ref().map_err(|answer| answer.failure);
+        tallied.finish(ended, elapsed, rule.latency_objective);
+    }
+    result
 }
 
 /// Finds the parent or the account of a call.
@@ -318,24 +325,6 @@
     })
 }
 
-/// Runs a call that starts a chain and counts how it ends.
-async fn run_tallied<P: PlatformAdapter>(
-    state: &Arc<SidecarState<P>>,
-    routed: RoutedCall,
-    owed: &OwedAnswer<P>,
-    head: Parts,
-    body: Incoming,
-) -> Result<Response<RelayBody>, LocalAnswer> {
-    let rule = routed.rule.clone();
-    let arrived_at = routed.arrived_at;
-    let tallied = state.tally.start(&rule.name);
-    let result = run_call(state, routed, owed, head, body).await;
-    let elapsed = state.clock.now().since(arrived_at);
-    let ended = result.as_ref().map_err(|answer| answer.failure);
-    tallied.finish(ended, elapsed, rule.latency_objective);
-    result
-}
-
 /// Reads, admits and forwards a call.
 async fn run_call<P: PlatformAdapter>(
     state: &Arc<SidecarState<P>>,
