--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -113,7 +113,6 @@
     }
 }
 
-/// Starts a target that responds to each request with the number of its connection.
 /// A daemon that responds to each call with `status`.
 async fn start_status_server(status: u16) -> SocketAddr {
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
@@ -150,6 +149,7 @@
     }
 }
 
+/// Starts a target that responds to each request with the number of its connection.
 async fn start_counting_target() -> SocketAddr {
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let listener = bind(any).await.expect("a free port");
