Sidecar: a stop waits for targets that count a deadline later; one way of asking another sidecar

It waits for calls in those 0.4 s again, and for no other abandoned call (sidecar::tests::abandoned_call_is_known_until_its_target_has_ended_it).

A call whose parent is asked for waits 1 s at most instead of 0.5 s: a process that has just started may not know the other sidecars yet, and a refusal costs the whole request.

The questions for credits and for sent calls were two copies of one exchange; both are MeshQuestions now. Two log lines for questions that don't arrive or are malformed name the step instead of the matter.

--- a/src/sidecar/account_gate/credit_exchange.rs
+++ b/src/sidecar/account_gate/credit_exchange.rs
@@ -1,33 +1,35 @@
 use {
     super::{
         super::{
-            PlatformAdapter, attempt_report::RelayBody, request_log::LineCategory,
-            sidecar_state::SidecarState,
+            PlatformAdapter, attempt_report::RelayBody, mesh_question::MeshQuestion,
+            request_log::LineCategory, sidecar_state::SidecarState,
         },
         QuotaRefusal,
     },
     crate::{
         accounts::{AccountRule, CreditGrant, CreditStep},
-        error::{ProcessStep, StepError},
-        net::{ResponseBody, SendFailure, read_request},
+        error::ProcessStep,
         time::TimePoint,
     },
-    bytes::Bytes,
-    http::{Request, Response, StatusCode},
-    http_body_util::Full,
+    http::Response,
     hyper::body::Incoming,
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::time::{Instant, sleep, timeout},
+    tokio::time::{sleep, timeout},
 };
 
 /// Path at which sidecars request credits from quota owners.
 pub(crate) const CREDITS_PATH: &str = "/bt/credits";
 
-/// Time allowed for the answer of one owner.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum size of a message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 4 * 1024;
+const CREDIT_QUESTION: MeshQuestion = MeshQuestion {
+    step: ProcessStep::RequestCredits,
+    path: CREDITS_PATH,
+    time_limit: Duration::from_millis(250),
+    question_bytes: MAX_MESSAGE_BYTES,
+    answer_bytes: MAX_MESSAGE_BYTES,
+};
 /// Steps for one request; other requests of the account may take the credits that it has got.
 const MAX_STEPS: u32 = 32;
 /// Time for which a request waits for a credit, and the pause after which it looks for one again. One
@@ -141,7 +143,11 @@
     };
     let name = &account.name;
     let asked_at = state.clock.now();
-    let answer = request_credits(&state, owner, name, wanted).await;
+    let request = CreditRequest {
+        account: name.clone(),
+        wanted,
+    };
+    let answer = CREDIT_QUESTION.ask(&state, owner, &request).await;
     if let Err(error) = &answer {
         metrics::counter!("banyantrestle_credit_requests_failed_total").increment(1);
         if state.log.try_acquire(LineCategory::Failure) {
@@ -164,66 +170,13 @@
     });
 }
 
-async fn request_credits<P: PlatformAdapter>(
-    state: &SidecarState<P>,
-    owner: SocketAddr,
-    account: &Arc<str>,
-    wanted: u32,
-) -> Result<CreditGrant, StepError> {
-    let failed = |reason: String| StepError::new(ProcessStep::RequestCredits, owner, reason);
-    let message = CreditRequest {
-        account: account.clone(),
-        wanted,
-    };
-    let message = postcard::to_extend(&message, Vec::new());
-    let message = message.map_err(|error| failed(error.to_string()))?;
-    let exchange = async {
-        let request = Request::post(format!("http://{owner}{CREDITS_PATH}"))
-            .body(Full::new(Bytes::from(message)))
-            .map_err(|error| failed(error.to_string()))?;
-        let deadline = Instant::now() + ANSWER_TIMEOUT;
-        let response = state.mesh_pool.send(owner, request, deadline).await;
-        let response = response.map_err(SendFailure::into_error)?;
-        if response.status() != StatusCode::OK {
-            return Err(failed(format!("status {}", response.status())));
-        }
-        let body = read_request(response.into_body(), MAX_MESSAGE_BYTES, ANSWER_TIMEOUT).await;
-        let body = body.map_err(|error| failed(error.to_string()))?;
-        postcard::from_bytes(&body).map_err(|error| failed(error.to_string()))
-    };
-    timeout(ANSWER_TIMEOUT, exchange)
-        .await
-        .unwrap_or_else(|_| Err(failed(format!("no answer within {ANSWER_TIMEOUT:?}"))))
-}
-
 /// Answers another sidecar's request for credits.
 pub(crate) async fn serve_credits<P: PlatformAdapter>(
     state: &SidecarState<P>,
     body: Incoming,
 ) -> Response<RelayBody> {
-    let respond = |status, body| {
-        let mut response = Response::new(ResponseBody::buffered(body, None));
-        *response.status_mut() = status;
-        response
-    };
-    let body = match read_request(body, MAX_MESSAGE_BYTES, ANSWER_TIMEOUT).await {
-        Ok(body) => body,
-        Err(error) => {
-            slog::info!(state.log.logger, "request for credits did not arrive"; "error" => %error);
-            return respond(StatusCode::BAD_REQUEST, Bytes::new());
-        }
-    };
-    let request: CreditRequest = match postcard::from_bytes(&body) {
-        Ok(request) => request,
-        Err(error) => {
-            slog::warn!(state.log.logger, "malformed request for credits"; "error" => %error);
-            return respond(StatusCode::BAD_REQUEST, Bytes::new());
-        }
-    };
-    let grant = grant_credits(state, &request.account, request.wanted);
-    // The answer consists of plain data that always encodes.
-    let answer = postcard::to_extend(&grant, Vec::new()).unwrap_or_default();
-    respond(StatusCode::OK, answer.into())
+    let grant = |request: CreditRequest| grant_credits(state, &request.account, request.wanted);
+    CREDIT_QUESTION.serve(state, body, grant).await
 }
 
 /// Hands out credits of an account if this sidecar is one of its owners.
--- a/src/sidecar/call_table.rs
+++ b/src/sidecar/call_table.rs
@@ -116,9 +116,13 @@
         self.lock().remove_ended(now);
     }
 
-    /// Whether any call has a guard.
-    pub(crate) fn has_guarded(&self) -> bool {
-        self.lock().guarded > 0
+    /// Whether any call has a guard, or has reached a deadline that its target counts later.
+    pub(crate) fn has_active(&self, now: TimePoint) -> bool {
+        let mut entries = self.lock();
+        entries.remove_ended(now);
+        let first = entries.ends.peek();
+        let is_ending = first.is_some_and(|Reverse((end, _))| *end <= now + MAX_TARGET_DELAY);
+        entries.guarded > 0 || is_ending
     }
 
     /// Whether a call may be missing that its target is running.
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -51,6 +51,7 @@
 mod live_target;
 mod load_header;
 mod local_response;
+mod mesh_question;
 mod outbound;
 mod parent_recovery;
 mod peer_call;
--- a/src/sidecar/parent_recovery.rs
+++ b/src/sidecar/parent_recovery.rs
@@ -6,19 +6,16 @@
 use {
     super::{
         HopContext, HopFormat, PlatformAdapter, attempt_report::RelayBody,
-        call_table::MAX_TARGET_DELAY, peer_subset::choose_subset, running_calls::RunningCall,
-        sent_call::SentCall, sidecar_state::SidecarState,
+        call_table::MAX_TARGET_DELAY, mesh_question::MeshQuestion, peer_subset::choose_subset,
+        running_calls::RunningCall, sent_call::SentCall, sidecar_state::SidecarState,
     },
     crate::{
-        error::{ProcessStep, StepError},
+        error::ProcessStep,
         membership::{MemberRecord, MemberState, MemberView},
-        net::{ResponseBody, SendFailure, read_request},
         time::TimePoint,
     },
-    bytes::Bytes,
     futures_util::stream::{self, StreamExt},
-    http::{Request, Response, StatusCode},
-    http_body_util::Full,
+    http::Response,
     hyper::body::Incoming,
     std::{
         collections::HashSet,
@@ -26,26 +23,26 @@
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
-    tokio::{
-        sync::watch,
-        time::{Instant, timeout},
-    },
+    tokio::{sync::watch, time::timeout},
 };
 
 /// Path at which a sidecar asks which calls another one has sent to it.
 pub(crate) const SENT_CALLS_PATH: &str = "/bt/sent-calls";
 
-/// Time allowed for the answer of one sidecar.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum time for which a call waits for its parent to be found.
-const MAX_PARENT_WAIT: Duration = Duration::from_millis(500);
+const MAX_PARENT_WAIT: Duration = Duration::from_secs(1);
 /// Interval between rounds of questions to those that have not answered.
 const ROUND_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of questions in flight.
 const MAX_CONCURRENT_QUESTIONS: usize = 16;
-/// Maximum size of a question, in bytes.
-const MAX_QUESTION_BYTES: usize = 256;
-/// Maximum size of an answer, in bytes, and of the calls in it.
+const SENT_CALLS_QUESTION: MeshQuestion = MeshQuestion {
+    step: ProcessStep::RequestSentCalls,
+    path: SENT_CALLS_PATH,
+    time_limit: Duration::from_millis(250),
+    question_bytes: 256,
+    answer_bytes: MAX_ANSWER_BYTES,
+};
+/// Maximum size of an answer, in bytes, and number of the calls in it.
 const MAX_ANSWER_BYTES: usize = 512 * 1024;
 const MAX_ANSWER_CALLS: usize = 1_024;
 /// Bytes of the lengths in one encoded record, at most.
@@ -177,7 +174,9 @@
     let count = callers.len();
     let questions = stream::iter(callers).map(|caller| async move {
         let asked_at = state.clock.now();
-        (caller, asked_at, request_sent_calls(state, caller).await)
+        let own_address = &state.settings.listen.mesh;
+        let answer = SENT_CALLS_QUESTION.ask(state, caller, own_address).await;
+        (caller, asked_at, answer)
     });
     let mut questions = questions.buffer_unordered(MAX_CONCURRENT_QUESTIONS);
     let mut found = 0;
@@ -219,61 +218,13 @@
     count
 }
 
-async fn request_sent_calls<P: PlatformAdapter>(
-    state: &SidecarState<P>,
-    peer: SocketAddr,
-) -> Result<SentCallRecords, StepError> {
-    let failed = |reason: String| StepError::new(ProcessStep::RequestSentCalls, peer, reason);
-    let exchange = async {
-        let question = postcard::to_extend(&state.settings.listen.mesh, Vec::new());
-        let question = question.map_err(|error| failed(error.to_string()))?;
-        let request = Request::post(format!("http://{peer}{SENT_CALLS_PATH}"))
-            .body(Full::new(Bytes::from(question)))
-            .map_err(|error| failed(error.to_string()))?;
-        let deadline = Instant::now() + ANSWER_TIMEOUT;
-        let response = state.mesh_pool.send(peer, request, deadline).await;
-        let response = response.map_err(SendFailure::into_error)?;
-        if response.status() != StatusCode::OK {
-            return Err(failed(format!("status {}", response.status())));
-        }
-        let body = read_request(response.into_body(), MAX_ANSWER_BYTES, ANSWER_TIMEOUT).await;
-        let body = body.map_err(|error| failed(error.to_string()))?;
-        postcard::from_bytes(&body).map_err(|error| failed(error.to_string()))
-    };
-    timeout(ANSWER_TIMEOUT, exchange)
-        .await
-        .unwrap_or_else(|_| Err(failed(format!("no answer within {ANSWER_TIMEOUT:?}"))))
-}
-
 /// Tells another sidecar which calls this one has sent to it.
 pub(crate) async fn serve_sent_calls<P: PlatformAdapter>(
     state: &SidecarState<P>,
     body: Incoming,
 ) -> Response<RelayBody> {
-    let respond = |status, body| {
-        let mut response = Response::new(ResponseBody::buffered(body, None));
-        *response.status_mut() = status;
-        response
-    };
-    let body = match read_request(body, MAX_QUESTION_BYTES, ANSWER_TIMEOUT).await {
-        Ok(body) => body,
-        Err(error) => {
-            slog::info!(state.log.logger, "question for sent calls did not arrive";
-                "error" => %error);
-            return respond(StatusCode::BAD_REQUEST, Bytes::new());
-        }
-    };
-    let peer: SocketAddr = match postcard::from_bytes(&body) {
-        Ok(peer) => peer,
-        Err(error) => {
-            slog::warn!(state.log.logger, "malformed question for sent calls"; "error" => %error);
-            return respond(StatusCode::BAD_REQUEST, Bytes::new());
-        }
-    };
-    let records = sent_call_records(state, peer);
-    // The answer consists of plain data that always encodes.
-    let answer = postcard::to_extend(&records, Vec::new()).unwrap_or_default();
-    respond(StatusCode::OK, answer.into())
+    let records = |peer| sent_call_records(state, peer);
+    SENT_CALLS_QUESTION.serve(state, body, records).await
 }
 
 fn sent_call_records<P: PlatformAdapter>(
--- a/src/sidecar/sidecar_shutdown.rs
+++ b/src/sidecar/sidecar_shutdown.rs
@@ -78,7 +78,8 @@
     }
 
     fn is_target_idle(&self) -> bool {
-        self.state.taken.is_empty() && !self.state.running.has_guarded()
+        let now = self.state.clock.now();
+        self.state.taken.is_empty() && !self.state.running.has_active(now)
     }
 }
 
--- a/src/sidecar/tests.rs
+++ b/src/sidecar/tests.rs
@@ -84,10 +84,20 @@
     for id in ["a", "", ".", "b.0", "a0.0", "a.0.1.2.3.4"] {
         assert!(table.parent_of(at(0), id).is_none(), "{id}");
     }
-    assert!(table.has_guarded());
+    assert!(table.has_active(at(0)));
     drop(guard);
-    assert!(!table.has_guarded());
     let last = at(1_000) + MAX_TARGET_DELAY;
+    // A stop waits for a target that counts the deadline later, and for no other abandoned call.
+    for (now, is_active) in [
+        (at(0), false),
+        (at(999), false),
+        (at(1_000), true),
+        (last, false),
+    ] {
+        assert_eq!(table.has_active(now), is_active, "{now:?}");
+    }
+    let guard = table.insert("a", EndingCall(at(1_000)));
+    drop(guard);
     assert!(
         table
             .parent_of(last - Duration::from_millis(1), "a.0")
@@ -102,7 +112,7 @@
     let table = call_table();
     table.insert("a", EndingCall(at(1_000))).finish();
     assert!(table.parent_of(at(0), "a.0").is_none());
-    assert!(!table.has_guarded());
+    assert!(!table.has_active(at(0)));
 }
 
 /// A call that is sent to the same target again has the id of the one before.
