A target is announced in the order of its changes

What callers saw: a target that reported while its sidecar was starting could get no calls, from anywhere, until it or the sidecar was replaced.

Cause: the state of the local target was changed under a lock and announced after it, so that a withdrawal could overtake the announcement that came after it. Later heartbeats change nothing, so it was never announced again. A report whose sender had gone was recorded and not announced.

Ruled out: a lost heartbeat, the other sidecar's membership, the store.

Why it works: set_target takes effect without a wait, under the lock of the state; one task passes the latest on. The calls that had to be awaited are gone, in both programs.

--- a/examples/capacity/loopback_member.rs
+++ b/examples/capacity/loopback_member.rs
@@ -45,7 +45,7 @@
     let log = Logger::root(Discard, o!());
     let table = MemoryTable::default();
     let handle = MembershipHandle::start(settings, table, timers, clock, log)?;
-    handle.announce_target(announcement(index)?).await;
+    handle.set_target(Some(announcement(index)?));
     let address = handle.address();
     Ok(LoopbackMember { handle, address })
 }
--- a/src/daemon/announce_service.rs
+++ b/src/daemon/announce_service.rs
@@ -86,7 +86,7 @@
         "service" => %announcement.service,
         "target" => %announcement.address,
         "state" => %announcement.state);
-    state.membership.announce_target(announcement).await;
+    state.membership.wait_until_target_published().await;
     state.refresh_batchers();
     Ok(())
 }
@@ -113,7 +113,7 @@
         "service" => %announcement.service,
         "target" => %announcement.address,
         "reason" => reason);
-    state.membership.withdraw_target().await;
+    state.membership.wait_until_target_published().await;
 }
 
 fn check_announcement(announcement: &TargetAnnouncement) -> Result<(), CallRefusal> {
--- a/src/daemon/local_target.rs
+++ b/src/daemon/local_target.rs
@@ -2,7 +2,7 @@
     super::shared_guard::SharedGuard,
     crate::{
         admission::{AdmissionGuard, GradientLimit, GuardSettings},
-        membership::{TargetAnnouncement, TargetState},
+        membership::{MembershipHandle, TargetAnnouncement, TargetState},
         net::TargetPool,
         time::{ProcessClock, TimePoint},
     },
@@ -35,6 +35,7 @@
 #[derive(Debug)]
 pub(crate) struct TargetRegistration {
     clock: ProcessClock,
+    membership: MembershipHandle,
     target: RwLock<Option<Arc<LocalTarget>>>,
 }
 
@@ -56,9 +57,10 @@
 }
 
 impl TargetRegistration {
-    pub(crate) fn new(clock: ProcessClock) -> Self {
+    pub(crate) fn new(clock: ProcessClock, membership: MembershipHandle) -> Self {
         Self {
             clock,
+            membership,
             target: RwLock::default(),
         }
     }
@@ -96,26 +98,34 @@
             TargetState::Draining => AnnounceChange::Draining,
         };
         *registered = Some(Arc::new(target));
+        self.membership.set_target(Some(announcement.clone()));
         change
     }
 
     /// Removes the target. Its running calls continue.
     pub(crate) fn withdraw(&self) -> Option<Arc<LocalTarget>> {
         let mut registered = self.target.write().unwrap_or_else(PoisonError::into_inner);
-        registered.take()
+        self.remove(&mut registered)
     }
 
     /// Removes the target if it has not announced itself for [`ANNOUNCE_EXPIRY`].
     pub(crate) fn expire(&self, now: TimePoint) -> Option<Arc<LocalTarget>> {
-        let target = self.get()?;
-        let last_announced_at = *target
+        let mut registered = self.target.write().unwrap_or_else(PoisonError::into_inner);
+        let last_announced_at = *registered
+            .as_ref()?
             .last_announced_at
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         if now.since(last_announced_at) < ANNOUNCE_EXPIRY {
             return None;
         }
-        self.withdraw()
+        self.remove(&mut registered)
+    }
+
+    fn remove(&self, registered: &mut Option<Arc<LocalTarget>>) -> Option<Arc<LocalTarget>> {
+        let removed = registered.take()?;
+        self.membership.set_target(None);
+        Some(removed)
     }
 
     fn updated_target(
--- a/src/membership/membership_handle.rs
+++ b/src/membership/membership_handle.rs
@@ -2,13 +2,12 @@
     super::{
         ContactSource, MemberView, MembershipActor, MembershipSettings, MembershipStats,
         PolicyLocation, TICK_INTERVAL, TargetAnnouncement,
-        actor_message::{
-            AnnounceLeaving, ReadStats, SetContacts, SetPolicyInForce, SetTarget, StopActor,
-        },
+        actor_message::{AnnounceLeaving, ReadStats, SetContacts, SetPolicyInForce, StopActor},
         bootstrap_task::BootstrapTask,
         exchange_task::serve_exchanges,
         gossip_socket::{GossipSockets, receive_datagrams},
         membership_actor::ActorOutputs,
+        target_publisher::TargetPublisher,
     },
     crate::{
         error::StepError,
@@ -35,6 +34,7 @@
     view: watch::Receiver<Arc<MemberView>>,
     policy: watch::Receiver<PolicyLocation>,
     listed: watch::Receiver<Option<usize>>,
+    target_publisher: Arc<TargetPublisher>,
 }
 
 impl MembershipHandle {
@@ -95,6 +95,7 @@
         tokio::spawn(run_bootstrap(bootstrap, settings.peers));
         Ok(Self {
             address,
+            target_publisher: Arc::new(TargetPublisher::start(actor.clone())),
             actor,
             view,
             policy,
@@ -127,14 +128,17 @@
         self.listed.clone()
     }
 
-    /// Disseminates the announcement of the local target.
-    pub async fn announce_target(&self, target: TargetAnnouncement) {
-        let _ = self.actor.send(SetTarget(Some(target))).await;
+    /// Disseminates the announcement of the local target; `None` if there is none any more.
+    ///
+    /// The last call counts, so a caller that derives the announcement from a state behind a lock
+    /// has to hold the lock during the call.
+    pub fn set_target(&self, target: Option<TargetAnnouncement>) {
+        self.target_publisher.set(target);
     }
 
-    /// Disseminates that there is no longer a local target.
-    pub async fn withdraw_target(&self) {
-        let _ = self.actor.send(SetTarget(None)).await;
+    /// Waits until the view of this process has the announcement that was set last.
+    pub async fn wait_until_target_published(&self) {
+        self.target_publisher.wait_until_published().await;
     }
 
     /// Replaces the gossip addresses from the settings.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -51,6 +51,7 @@
 mod table_digest;
 mod table_exchange;
 mod target_announcement;
+mod target_publisher;
 mod update_dissemination;
 
 pub use {
--- a/src/sidecar/admin_service.rs
+++ b/src/sidecar/admin_service.rs
@@ -162,21 +162,19 @@
     if is_known {
         return;
     }
-    // The caller of the request that has told so may cancel it at any time.
-    let (state, incarnation) = (state.clone(), incarnation.clone());
     let source = ReportSource {
         origin,
         instance: incarnation.instance.clone(),
         started_ms: Some(incarnation.started_ms),
         sequence: None,
     };
-    let (change, announcement) =
-        change_target(&state, |tracker| tracker.record_leaving(&incarnation));
+    let change = change_target(state, &source, |tracker| {
+        tracker.record_leaving(incarnation)
+    });
     if change == TargetChange::Draining {
         slog::info!(state.log.logger, "target leaving"; "instance" => &incarnation.instance,
             "source" => origin);
     }
-    tokio::spawn(async move { publish_change(&state, &source, change, announcement).await });
 }
 
 /// Adds targets that have left while an earlier process of this sidecar ran.
@@ -216,52 +214,47 @@
     }
 }
 
-/// Applies `update` to the local target, and logs and announces what it changes.
+/// Applies `update` to the local target; returns once the membership protocol has what it changes.
 async fn update_target<P: PlatformAdapter>(
     state: &SidecarState<P>,
     source: &ReportSource,
     update: impl FnOnce(&mut TargetTracker) -> TargetChange,
 ) -> TargetChange {
-    let (change, announcement) = change_target(state, update);
-    publish_change(state, source, change, announcement).await;
+    let change = change_target(state, source, update);
+    if change.affects_tracked() {
+        state.membership.wait_until_target_published().await;
+    }
     change
 }
 
-/// Applies `update` to the local target and its calls; returns the announcement of the target that
-/// results.
+/// Applies `update` to the local target and its calls, and logs and announces what it changes.
 fn change_target<P: PlatformAdapter>(
-    state: &SidecarState<P>,
-    update: impl FnOnce(&mut TargetTracker) -> TargetChange,
-) -> (TargetChange, Option<TargetAnnouncement>) {
-    let mut target_status = state.target();
-    let change = update(&mut target_status.tracker);
-    apply_change(state, &mut target_status, change);
-    state
-        .departures
-        .set_recorded(target_status.tracker.departed().revision());
-    (change, build_announcement(&target_status))
-}
-
-/// Logs a change of the local target and announces the target to the other sidecars.
-async fn publish_change<P: PlatformAdapter>(
     state: &SidecarState<P>,
     source: &ReportSource,
-    change: TargetChange,
-    announcement: Option<TargetAnnouncement>,
-) {
-    if change == TargetChange::Unchanged {
-        return;
-    }
-    let state_text = announcement.as_ref().map(|target| target.state.to_string());
-    slog::info!(state.log.logger, "target reported";
-        "change" => %change, "state" => state_text.unwrap_or_else(|| "none".into()),
-        "origin" => source.origin, "instance" => &source.instance,
-        "started_ms" => source.started_ms, "sequence" => source.sequence);
-    match announcement {
-        _ if !change.affects_tracked() => {}
-        Some(target) => state.membership.announce_target(target).await,
-        None => state.membership.withdraw_target().await,
+    update: impl FnOnce(&mut TargetTracker) -> TargetChange,
+) -> TargetChange {
+    let (change, announced_state) = {
+        let mut target_status = state.target();
+        let change = update(&mut target_status.tracker);
+        apply_change(state, &mut target_status, change);
+        state
+            .departures
+            .set_recorded(target_status.tracker.departed().revision());
+        let announcement = build_announcement(&target_status);
+        let announced_state = announcement.as_ref().map(|target| target.state);
+        if change.affects_tracked() {
+            state.membership.set_target(announcement);
+        }
+        (change, announced_state)
+    };
+    if change != TargetChange::Unchanged {
+        let state_text = announced_state.map_or_else(|| "none".into(), |state| state.to_string());
+        slog::info!(state.log.logger, "target reported";
+            "change" => %change, "state" => state_text,
+            "origin" => source.origin, "instance" => &source.instance,
+            "started_ms" => source.started_ms, "sequence" => source.sequence);
     }
+    change
 }
 
 fn apply_change<P: PlatformAdapter>(
@@ -326,7 +319,7 @@
 }
 
 /// Withdraws the local target when its heartbeats are overdue and it is idle or stalled.
-pub(crate) async fn expire_target<P: PlatformAdapter>(state: &SidecarState<P>) {
+pub(crate) fn expire_target<P: PlatformAdapter>(state: &SidecarState<P>) {
     let now = state.clock.now();
     let is_lost = {
         let mut target_status = state.target();
@@ -340,12 +333,12 @@
             live.semaphore.close();
             target_status.silent = Some(live);
             target_status.tracker.remove();
+            state.membership.set_target(None);
         }
         is_lost
     };
     if is_lost {
         slog::warn!(state.log.logger, "target lost"; "cause" => "no heartbeat");
-        state.membership.withdraw_target().await;
     }
 }
 
--- a/src/sidecar/sidecar_daemon.rs
+++ b/src/sidecar/sidecar_daemon.rs
@@ -359,6 +359,6 @@
     loop {
         ticks.tick().await;
         confirm_overdue(&state).await;
-        expire_target(&state).await;
+        expire_target(&state);
     }
 }
--- a/tests/membership_actor.rs
+++ b/tests/membership_actor.rs
@@ -146,7 +146,7 @@
         wait_for_view(handle, |view| view.members.len() == 5).await;
     }
 
-    handles[0].announce_target(catalogue_target()).await;
+    handles[0].set_target(Some(catalogue_target()));
     handles[0].set_policy_in_force(7, 70).await;
     let service = ServiceName::new("catalogue").unwrap();
     for handle in &handles {
@@ -193,7 +193,7 @@
     wait_for_view(&first, |view| view.members.len() == 2).await;
     let address = second.address();
     let started_ms = first.view().borrow().find(address).unwrap().id.started_ms;
-    second.announce_target(catalogue_target()).await;
+    second.set_target(Some(catalogue_target()));
     second.stop().await;
     let restarting = async {
         loop {
@@ -204,7 +204,7 @@
         }
     };
     let restarted = timeout(WAIT_TIMEOUT, restarting).await.unwrap();
-    restarted.announce_target(catalogue_target()).await;
+    restarted.set_target(Some(catalogue_target()));
     wait_for_view(&first, |view| {
         let record = view.find(address);
         record.is_some_and(|record| record.id.started_ms > started_ms && record.accepts_new_calls())
@@ -266,3 +266,53 @@
     };
     timeout(WAIT_TIMEOUT, count_failures).await.unwrap();
 }
+
+/// A withdrawal that overtook the announcement after it hid a serving target until its next change.
+#[tokio::test(flavor = "multi_thread", worker_threads = 8)]
+async fn the_target_that_was_set_last_is_announced() {
+    const ROUNDS: u32 = 500;
+    const CHANGES: u32 = 8;
+    let handle = start_member(&MemoryTable::default(), LOOPBACK, vec![]);
+    let service = ServiceName::new("catalogue").unwrap();
+    let slots = Arc::new(Mutex::new(0));
+    for round in 1..=ROUNDS {
+        let changes = (0..CHANGES).map(|_| {
+            let (handle, slots) = (handle.clone(), slots.clone());
+            tokio::spawn(async move {
+                {
+                    let mut slots = slots.lock().unwrap();
+                    *slots += 1;
+                    let target = TargetAnnouncement {
+                        slots: *slots,
+                        ..catalogue_target()
+                    };
+                    handle.set_target((*slots % 2 == 0).then_some(target));
+                }
+                handle.wait_until_target_published().await;
+            })
+        });
+        for change in changes.collect::<Vec<_>>() {
+            change.await.unwrap();
+        }
+        let view = handle.view().borrow().clone();
+        let serving = view.serving(&service);
+        let announced: Vec<_> = serving
+            .map(|record| record.target.as_ref().unwrap().slots)
+            .collect();
+        assert_eq!(announced, [round * CHANGES]);
+    }
+    handle.stop().await;
+}
+
+/// A caller that stops waiting does not undo the change.
+#[tokio::test]
+async fn a_target_that_nobody_waits_for_is_announced() {
+    let handle = start_member(&MemoryTable::default(), LOOPBACK, vec![]);
+    handle.set_target(Some(catalogue_target()));
+    drop(handle.wait_until_target_published());
+    let service = ServiceName::new("catalogue").unwrap();
+    wait_for_view(&handle, |view| view.serving(&service).count() == 1).await;
+    handle.set_target(None);
+    wait_for_view(&handle, |view| view.serving(&service).count() == 0).await;
+    handle.stop().await;
+}
