Request bodies are kept in segments that are never copied

Cause: the budget counted the bytes that had arrived, but a body without a length was joined in a buffer that doubles. Half of it may be unused, each growth holds both copies, and the heap keeps what they leave.

Ruled out, by reading: counting the capacity of the buffer instead. It would serve half as many uploads, and the heap would still keep the copies.

Why it works: a segment is allocated once, counted when it is allocated, sent as it is and shared by attempts; the few sizes let freed memory fit the next body. Each segment holds the reservation, also while it waits to be written.

--- a/benches/crash.rs
+++ b/benches/crash.rs
@@ -14,7 +14,7 @@
 const SUSPECTS: u32 = 150;
 const BODY_SIZES: [(&str, usize); 3] = [("no", 0), ("1 KiB of", 1_024), ("1 MiB of", 1_048_576)];
 
-fn request<'a>(path: &'a str, body: &'a [u8]) -> RequestView<'a> {
+fn request<'a>(path: &'a str, body: &'a [&'a [u8]]) -> RequestView<'a> {
     RequestView {
         method: "GET",
         host: "shop.example",
@@ -46,7 +46,8 @@
     let key = DigestKey::derive("bench");
     for (name, size) in BODY_SIZES {
         let body = vec![7; size];
-        let view = request("/listing/1?page=2", &body);
+        let parts = [body.as_slice()];
+        let view = request("/listing/1?page=2", &parts);
         criterion.bench_function(
             &format!("digest of a request with {name} body"),
             |bencher| {
--- a/src/crash/digest_key.rs
+++ b/src/crash/digest_key.rs
@@ -25,7 +25,11 @@
             update_with_length(&mut hasher, part.as_bytes());
         }
         update_with_length(&mut hasher, view.host.to_ascii_lowercase().as_bytes());
-        update_with_length(&mut hasher, view.body);
+        let body_length: usize = view.body.iter().map(|part| part.len()).sum();
+        hasher.update(&body_length.to_le_bytes());
+        for part in view.body {
+            hasher.update(part);
+        }
         let mut digest = [0; DIGEST_BYTES];
         hasher.finalize_xof().fill(&mut digest);
         RequestDigest(digest)
--- a/src/crash/request_view.rs
+++ b/src/crash/request_view.rs
@@ -8,5 +8,6 @@
     pub path: &'a str,
     /// Service of the target that makes the request, or client account.
     pub caller: &'a str,
-    pub body: &'a [u8],
+    /// The body in any division into parts.
+    pub body: &'a [&'a [u8]],
 }
--- a/src/daemon/call_router.rs
+++ b/src/daemon/call_router.rs
@@ -11,15 +11,14 @@
         events::EventKind,
         net::{
             CLAIM_HEADER, CallRefusal, CallRequest, LOAD_HEADER, RefusalKind, ResponseBody,
-            ResponsePrefix, SendFailure, TAG_HEADER, call_tag, clean_response_headers, encode_tag,
-            read_response, remove_content_length, set_header,
+            ResponsePrefix, SegmentedBody, SendFailure, TAG_HEADER, call_tag,
+            clean_response_headers, encode_tag, read_response, remove_content_length, set_header,
         },
         retry::{AttemptHistory, RetrySafety},
         routing::{LoadFeedback, RoutingDecision, TargetKey, TargetOutcome},
     },
     bytes::Bytes,
     http::{HeaderMap, Request, Response, Uri, header::HOST},
-    http_body_util::Full,
     hyper::body::Incoming,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
@@ -263,12 +262,12 @@
         }
     }
 
-    fn mesh_request(&self, context: &CallContext, peer: SocketAddr) -> Request<Full<Bytes>> {
+    fn mesh_request(&self, context: &CallContext, peer: SocketAddr) -> Request<SegmentedBody> {
         let path = format!("/{}{}", self.request.service, self.request.path);
         let context = context.encode(self.state.clock.now());
         let key = &self.state.key;
         let tag = encode_tag(call_tag(key, self.request.method.as_str(), &path, &context));
-        let mut request = Request::new(Full::new(self.request.body.clone()));
+        let mut request = Request::new(self.request.body.clone().into());
         *request.method_mut() = self.request.method.clone();
         *request.uri_mut() = mesh_uri(peer, &path);
         let headers = request.headers_mut();
--- a/src/daemon/guarded_call.rs
+++ b/src/daemon/guarded_call.rs
@@ -11,15 +11,13 @@
         events::EventKind,
         net::{
             CallRefusal, CallRequest, LOAD_HEADER, RefusalKind, ResponseBody, ResponsePrefix,
-            SendFailure, StreamObserver, StreamOutcome, TargetConnection, clean_response_headers,
-            read_response, remove_content_length, set_header,
+            SegmentedBody, SendFailure, StreamObserver, StreamOutcome, TargetConnection,
+            clean_response_headers, read_response, remove_content_length, set_header,
         },
         routing::LoadFeedback,
         time::TimePoint,
     },
-    bytes::Bytes,
     http::{HeaderMap, Request, Response, header::HOST},
-    http_body_util::Full,
     hyper::body::Incoming,
     std::{sync::Arc, time::Duration},
     tokio::time::timeout_at,
@@ -199,9 +197,9 @@
         Ok(response)
     }
 
-    fn target_request(&self) -> Request<Full<Bytes>> {
+    fn target_request(&self) -> Request<SegmentedBody> {
         let request = &self.call.request;
-        let mut message = Request::new(Full::new(request.body.clone()));
+        let mut message = Request::new(request.body.clone().into());
         *message.method_mut() = request.method.clone();
         *message.uri_mut() = request.path.clone().into();
         let headers = message.headers_mut();
--- a/src/daemon/mesh_client.rs
+++ b/src/daemon/mesh_client.rs
@@ -3,13 +3,12 @@
         auth::SharedKey,
         error::{ProcessStep, StepError},
         net::{
-            MeshPool, ResponsePrefix, SendFailure, TAG_HEADER, encode_tag, message_tag,
-            read_response,
+            MeshPool, ResponsePrefix, SegmentedBody, SendFailure, TAG_HEADER, encode_tag,
+            message_tag, read_response,
         },
     },
     bytes::Bytes,
     http::{Method, Request, StatusCode},
-    http_body_util::Full,
     serde::{Serialize, de::DeserializeOwned},
     std::{net::SocketAddr, time::Duration},
     tokio::time::{Instant, timeout_at},
@@ -43,7 +42,7 @@
         .method(Method::POST)
         .uri(format!("http://{peer}{path}"))
         .header(TAG_HEADER, tag)
-        .body(Full::new(Bytes::from(body)))
+        .body(SegmentedBody::from(Bytes::from(body)))
         .map_err(|cause| error(cause.to_string()))?;
     let response = mesh
         .send(peer, request, deadline)
--- a/src/daemon/target_probe.rs
+++ b/src/daemon/target_probe.rs
@@ -2,11 +2,9 @@
     super::{daemon_state::DaemonState, local_target::LocalTarget},
     crate::{
         admission::LoadReport,
-        net::{ResponsePrefix, read_response},
+        net::{ResponsePrefix, SegmentedBody, read_response},
     },
-    bytes::Bytes,
     http::{HeaderValue, Request, header::HOST},
-    http_body_util::Full,
     std::{sync::Arc, time::Duration},
     tokio::time::{Instant, interval},
 };
@@ -35,7 +33,7 @@
 
 async fn fetch_load(target: &LocalTarget) -> Option<LoadReport> {
     let path = target.announcement.load_path.as_ref()?;
-    let mut request = Request::new(Full::new(Bytes::new()));
+    let mut request = Request::new(SegmentedBody::default());
     *request.uri_mut() = path.parse().ok()?;
     let host = target.announcement.address.to_string();
     request
--- a/src/net/body_budget.rs
+++ b/src/net/body_budget.rs
@@ -114,9 +114,15 @@
         if data.is_empty() {
             return data;
         }
+        Self::share(&Arc::new(self), data)
+    }
+
+    /// Keeps a reservation that several parts of a body share until `data` and all clones of it
+    /// have been dropped.
+    pub(super) fn share(reservation: &Arc<Self>, data: Bytes) -> Bytes {
         Bytes::from_owner(ReservedBytes {
             data,
-            _reservation: self,
+            _reservation: reservation.clone(),
         })
     }
 }
@@ -131,7 +137,7 @@
 #[derive(Debug)]
 struct ReservedBytes {
     data: Bytes,
-    _reservation: BodyReservation,
+    _reservation: Arc<BodyReservation>,
 }
 
 impl AsRef<[u8]> for ReservedBytes {
--- a/src/net/mesh_pool.rs
+++ b/src/net/mesh_pool.rs
@@ -1,13 +1,11 @@
 use {
     super::{
-        fair_stream::FairStream, final_status::check_final, send_failure::SendFailure,
-        silence_watch::SilenceWatch,
+        fair_stream::FairStream, final_status::check_final, segmented_body::SegmentedBody,
+        send_failure::SendFailure, silence_watch::SilenceWatch,
     },
     crate::error::{ProcessStep, StepError},
-    bytes::Bytes,
     h2::Reason,
     http::{Request, Response},
-    http_body_util::Full,
     hyper::{
         body::Incoming,
         client::conn::http2::{Builder, SendRequest},
@@ -70,7 +68,7 @@
 #[derive(Clone, Debug)]
 struct MeshConnection {
     id: u64,
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<SegmentedBody>,
     watch: SilenceWatch,
 }
 
@@ -87,7 +85,7 @@
     pub(crate) async fn send(
         &self,
         peer: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<SegmentedBody>,
         deadline: Instant,
     ) -> Result<Response<Incoming>, SendFailure> {
         let end_call = || ControlFlow::Break(());
@@ -100,7 +98,7 @@
     pub(crate) async fn send_watched<S>(
         &self,
         peer: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<SegmentedBody>,
         deadline: Instant,
         mut on_silence: S,
     ) -> Result<(Response<Incoming>, SilenceWatch), SendFailure>
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,8 +19,10 @@
 mod mesh_protocol;
 mod read_ahead_stream;
 mod request_reader;
+mod reserved_body;
 mod response_body;
 mod response_reader;
+mod segmented_body;
 mod send_failure;
 mod silence_watch;
 mod target_pool;
@@ -45,6 +47,7 @@
     request_reader::{RequestError, discard_request, read_request, read_reserved_request},
     response_body::{NoObserver, ResponseBody, ResponseError, StreamObserver, StreamOutcome},
     response_reader::{ResponsePrefix, read_reserved_response, read_response},
+    segmented_body::SegmentedBody,
     send_failure::SendFailure,
     silence_watch::SilenceWatch,
     target_pool::{MAX_READ_BUFFER_BYTES, ReuseRule, TargetConnection, TargetPool},
--- a/src/net/request_reader.rs
+++ b/src/net/request_reader.rs
@@ -1,5 +1,9 @@
 use {
-    super::body_budget::{BodyBudget, BodyReservation, BudgetRefusal},
+    super::{
+        body_budget::{BodyBudget, BudgetRefusal},
+        reserved_body::ReservedBody,
+        segmented_body::SegmentedBody,
+    },
     bytes::Bytes,
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::body::{Body, Incoming},
@@ -42,7 +46,7 @@
     limit: usize,
     time_limit: Duration,
     budget: &Arc<BodyBudget>,
-) -> Result<Bytes, RequestError> {
+) -> Result<SegmentedBody, RequestError> {
     timeout(time_limit, collect_reserved(body, limit, budget))
         .await
         .unwrap_or(Err(RequestError::TooSlow { waited: time_limit }))
@@ -52,7 +56,7 @@
     body: &mut Incoming,
     limit: usize,
     budget: &Arc<BodyBudget>,
-) -> Result<Bytes, RequestError> {
+) -> Result<SegmentedBody, RequestError> {
     // Of a body in chunks, the length is not known.
     let declared = body.size_hint().exact().unwrap_or(0);
     let declared = usize::try_from(declared).unwrap_or(usize::MAX);
@@ -70,57 +74,7 @@
         }
         reserved.push(data)?;
     }
-    Ok(reserved.into_bytes())
-}
-
-/// A body that is being read. One that arrives in a single piece is not copied.
-#[derive(Debug)]
-struct ReservedBody {
-    reservation: BodyReservation,
-    first: Bytes,
-    joined: Vec<u8>,
-}
-
-impl ReservedBody {
-    fn new(budget: &Arc<BodyBudget>, declared: usize) -> Result<Self, BudgetRefusal> {
-        Ok(Self {
-            reservation: budget.try_reserve(declared)?,
-            first: Bytes::new(),
-            joined: Vec::new(),
-        })
-    }
-
-    const fn len(&self) -> usize {
-        self.first.len() + self.joined.len()
-    }
-
-    fn push(&mut self, data: Bytes) -> Result<(), BudgetRefusal> {
-        let length = self.len() + data.len();
-        let reserved = self.reservation.bytes();
-        if length > reserved {
-            self.reservation.try_grow(length - reserved)?;
-        }
-        if self.len() == 0 {
-            self.first = data;
-            return Ok(());
-        }
-        if self.joined.is_empty() {
-            self.joined.reserve_exact(self.reservation.bytes());
-        }
-        self.joined.extend_from_slice(&self.first);
-        self.first = Bytes::new();
-        self.joined.extend_from_slice(&data);
-        Ok(())
-    }
-
-    fn into_bytes(self) -> Bytes {
-        let data = if self.joined.is_empty() {
-            self.first
-        } else {
-            self.joined.into()
-        };
-        self.reservation.attach(data)
-    }
+    Ok(reserved.into_body())
 }
 
 /// Reads and drops the rest of a request body for `time_limit` at most.
--- a/src/net/target_pool.rs
+++ b/src/net/target_pool.rs
@@ -1,12 +1,10 @@
 use {
     super::{
         fair_stream::FairStream, final_status::check_final, interim_count::InterimCount,
-        send_failure::SendFailure,
+        segmented_body::SegmentedBody, send_failure::SendFailure,
     },
     crate::error::{ProcessStep, StepError},
-    bytes::Bytes,
     http::{Request, Response},
-    http_body_util::Full,
     hyper::{
         body::Incoming,
         client::conn::http1::{Builder, Connection, SendRequest},
@@ -48,7 +46,7 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<SegmentedBody>,
     lease: ConnectionLease,
     idle_since: Instant,
     /// Time from which the target may close the connection.
@@ -106,7 +104,7 @@
 /// A connection in use by one call; dropping it closes it unless it was released.
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<SegmentedBody>,
     lease: ConnectionLease,
     refused_calls: RefusedCalls,
     pool: Arc<TargetPool>,
@@ -129,7 +127,7 @@
     /// Sends a call and waits for the head of its response.
     pub(crate) async fn send(
         self: &Arc<Self>,
-        request: Request<Full<Bytes>>,
+        request: Request<SegmentedBody>,
         deadline: Instant,
     ) -> Result<(Response<Incoming>, TargetConnection), SendFailure> {
         self.send_reusing(request, ReuseRule::ANY, deadline).await
@@ -138,7 +136,7 @@
     /// Sends a call on a new connection, or on an idle one that `rule` allows.
     pub(crate) async fn send_reusing(
         self: &Arc<Self>,
-        request: Request<Full<Bytes>>,
+        request: Request<SegmentedBody>,
         rule: ReuseRule<'_>,
         deadline: Instant,
     ) -> Result<(Response<Incoming>, TargetConnection), SendFailure> {
@@ -243,7 +241,7 @@
         idle.clear();
     }
 
-    async fn connect(&self) -> Result<(SendRequest<Full<Bytes>>, ConnectionLease), StepError> {
+    async fn connect(&self) -> Result<(SendRequest<SegmentedBody>, ConnectionLease), StepError> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.target))
             .await
             .map_err(|_| self.error(format!("no connection within {CONNECT_TIMEOUT:?}")))?
@@ -272,7 +270,7 @@
 /// Runs a connection until it ends or its lease does. A call that is sent wakes the task, which then
 /// reads the lease again.
 async fn run_connection(
-    connection: Connection<TokioIo<FairStream<TcpStream>>, Full<Bytes>>,
+    connection: Connection<TokioIo<FairStream<TcpStream>>, SegmentedBody>,
     lease: ConnectionLease,
 ) {
     let mut connection = pin!(connection);
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -3,18 +3,19 @@
 use {
     super::{
         BodyBudget, BudgetRefusal, ListenerLimits, ListenerShutdown, MeshPool, NoObserver,
-        ResponseBody, ReuseRule, SendFailure, TargetPool, bind,
+        ResponseBody, ReuseRule, SegmentedBody, SendFailure, TargetPool, bind,
         chunk_list::ChunkList,
         fair_stream::{FairStream, MAX_TURN_BYTES},
         interim_count::MAX_INTERIM_RESPONSES,
+        reserved_body::ReservedBody,
         serve_mesh,
     },
     bytes::Bytes,
     futures_util::FutureExt,
     h2::{Reason, server::handshake},
     http::{Request, Response},
-    http_body_util::{BodyExt, Full},
-    hyper::body::Incoming,
+    http_body_util::BodyExt,
+    hyper::body::{Body, Incoming},
     standins::relay::TcpRelay,
     std::{
         io,
@@ -65,7 +66,7 @@
     text: &'static str,
 ) -> Result<Bytes, SendFailure> {
     let request = Request::post(format!("http://{peer}/x"))
-        .body(Full::new(Bytes::from_static(text.as_bytes())))
+        .body(Bytes::from_static(text.as_bytes()).into())
         .expect("a request");
     let response = pool.send(peer, request, Instant::now() + DEADLINE).await?;
     let body = response.into_body().collect().await.expect("a body");
@@ -180,7 +181,9 @@
     let pool = TargetPool::new(target, 8);
     let mut connections = Vec::new();
     for max_idle_time in [Duration::MAX, Duration::MAX, MAX_IDLE_TIME, Duration::MAX] {
-        let request = Request::get("/").body(Full::default()).expect("a request");
+        let request = Request::get("/")
+            .body(SegmentedBody::default())
+            .expect("a request");
         let deadline = Instant::now() + DEADLINE;
         let rule = ReuseRule {
             max_idle_time,
@@ -203,7 +206,9 @@
     let pool = TargetPool::new(target, 8);
     let mut connections = Vec::new();
     for call_id in ["one", "two", "one", "two", "three"] {
-        let request = Request::get("/").body(Full::default()).expect("a request");
+        let request = Request::get("/")
+            .body(SegmentedBody::default())
+            .expect("a request");
         let deadline = Instant::now() + DEADLINE;
         let rule = ReuseRule {
             call_id,
@@ -291,7 +296,7 @@
     let response = "HTTP/1.1 200 OK\r\n\r\n";
     let (pool, flooding) = start_endless_target(response, "a").await;
     let end = Instant::now() + LEASE;
-    let sending = pool.send(Request::new(Full::default()), end);
+    let sending = pool.send(Request::new(SegmentedBody::default()), end);
     let _held = sending.await.expect("a response");
     let closed = timeout_at(end + END_SLACK, flooding).await;
     closed.expect("a closed connection").expect("no panic");
@@ -301,7 +306,7 @@
 async fn interim_responses_without_end_end_a_call_before_its_deadline() {
     let response = "HTTP/1.1 102 Processing\r\n\r\n";
     let (pool, flooding) = start_endless_target(response, response).await;
-    let request = Request::new(Full::default());
+    let request = Request::new(SegmentedBody::default());
     let sending = pool.send(request, Instant::now() + DEADLINE);
     let sent = timeout(CLOSE_TIMEOUT, sending).await;
     assert!(
@@ -369,3 +374,69 @@
     drop((large, buffers));
     assert_eq!(budget.held(), 0);
 }
+
+#[test]
+fn request_body_takes_no_more_memory_than_is_reserved() {
+    const PIECE_BYTES: usize = 8_000;
+    // Declared length, length, and the most that may be reserved.
+    let cases = [
+        (0, 1, 1),
+        (0, PIECE_BYTES, PIECE_BYTES),
+        (0, 9_000, 16_384),
+        (0, 100_000, 131_072),
+        (0, 500_000, 620_000),
+        (9_000, 9_000, 9_000),
+        (600_001, 600_001, 600_001),
+    ];
+    for (declared, length, most_reserved) in cases {
+        let budget = Arc::new(BodyBudget::new(BUDGET_BYTES));
+        let sent: Vec<u8> = (0_u8..251).cycle().take(length).collect();
+        let mut reserved = ReservedBody::new(&budget, declared).expect("memory");
+        for piece in sent.chunks(PIECE_BYTES) {
+            reserved
+                .push(Bytes::copy_from_slice(piece))
+                .expect("memory");
+        }
+        let held = budget.held();
+        assert!((length..=most_reserved).contains(&held), "{length}: {held}");
+        let body = reserved.into_body();
+        assert_eq!(body.segments().concat(), sent, "{length}");
+        assert_eq!(body.size_hint().exact(), Some(length as u64));
+        let last = body.segments().last().cloned();
+        drop(body);
+        assert_eq!(budget.held(), held, "a segment is still in use");
+        drop(last);
+        assert_eq!(budget.held(), 0);
+    }
+}
+
+#[test]
+fn request_body_that_outgrows_the_budget_is_refused() {
+    let budget = Arc::new(BodyBudget::new(BUDGET_BYTES));
+    let mut reserved = ReservedBody::new(&budget, 0).expect("memory");
+    let refusal = (0..BUDGET_BYTES)
+        .find_map(|_| reserved.push(Bytes::from_static(&[0; 1_000])).err())
+        .expect("a limit");
+    assert_eq!(refusal, BudgetRefusal::TooLarge);
+    assert!(budget.held() <= LARGEST_BODY_BYTES);
+    drop(reserved);
+    assert_eq!(budget.held(), 0);
+}
+
+#[tokio::test]
+async fn segmented_body_is_sent_in_its_order_and_can_be_sent_again() {
+    for segments in [vec![], vec!["a"], vec!["a", "bc", "def"]] {
+        let whole = segments.concat();
+        let parts: Vec<_> = segments
+            .into_iter()
+            .map(|text| Bytes::from_static(text.as_bytes()))
+            .collect();
+        let body = SegmentedBody::from(parts);
+        assert_eq!(body.is_end_stream(), whole.is_empty());
+        for _ in 0..2 {
+            let sent = body.clone().collect().await.expect("infallible");
+            assert_eq!(sent.to_bytes(), whole);
+        }
+    }
+    assert!(SegmentedBody::from(Bytes::new()).is_end_stream());
+}
--- a/src/sidecar/account_gate/proof_exchange.rs
+++ b/src/sidecar/account_gate/proof_exchange.rs
@@ -7,11 +7,10 @@
         accounts::{ProofSchedule, ProofStep},
         error::{ProcessStep, StepError},
         membership::MemberState,
-        net::{ResponseBody, SendFailure, set_header},
+        net::{ResponseBody, SegmentedBody, SendFailure, set_header},
     },
     bytes::Bytes,
     http::{Request, Response},
-    http_body_util::Full,
     rand::seq::IteratorRandom,
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::{Instant, MissedTickBehavior, interval, timeout},
@@ -134,7 +133,7 @@
 ) -> Result<Option<String>, StepError> {
     let failed = |reason: String| StepError::new(ProcessStep::RequestProof, peer, reason);
     let request = Request::get(format!("http://{peer}{PROOF_PATH}"))
-        .body(Full::new(Bytes::new()))
+        .body(SegmentedBody::default())
         .map_err(|error| failed(error.to_string()))?;
     let deadline = Instant::now() + ANSWER_TIMEOUT;
     let response = timeout(
--- a/src/sidecar/config_watch.rs
+++ b/src/sidecar/config_watch.rs
@@ -7,12 +7,11 @@
     crate::{
         accounts::AccountTable,
         error::{ProcessStep, StepError},
-        net::{SendFailure, read_request},
+        net::{SegmentedBody, SendFailure, read_request},
         time::TimePoint,
     },
     bytes::Bytes,
     http::{Request, StatusCode},
-    http_body_util::Full,
     std::{net::SocketAddr, ops::Range, sync::Arc, time::Duration},
     tokio::time::{Instant, sleep},
 };
@@ -200,7 +199,7 @@
 ) -> Result<Bytes, StepError> {
     let failed = |reason: String| StepError::new(ProcessStep::LoadPolicy, peer, reason);
     let request = Request::get(format!("http://{peer}{CONFIG_PATH}"))
-        .body(Full::new(Bytes::new()))
+        .body(SegmentedBody::default())
         .map_err(|error| failed(error.to_string()))?;
     let deadline = Instant::now() + FETCH_TIMEOUT;
     let response = state.mesh_pool.send(peer, request, deadline).await;
--- a/src/sidecar/crash_watch.rs
+++ b/src/sidecar/crash_watch.rs
@@ -10,6 +10,7 @@
         },
         time::{BootClock, ProcessClock},
     },
+    bytes::Bytes,
     metrics::{counter, gauge},
     slog::Logger,
     std::{
@@ -78,12 +79,13 @@
 
     pub(crate) fn digest(&self, call: &ForwardedCall, caller: &str) -> RequestDigest {
         let host = &call.host;
+        let body: Vec<&[u8]> = call.body.segments().iter().map(Bytes::as_ref).collect();
         self.key.request(&RequestView {
             method: call.method.as_str(),
             host: host.rsplit_once(':').map_or(host, |(name, _)| name),
             path: &call.path,
             caller,
-            body: &call.body,
+            body: &body,
         })
     }
 
--- a/src/sidecar/forwarded_call.rs
+++ b/src/sidecar/forwarded_call.rs
@@ -11,17 +11,15 @@
         tree_cost::TREE_COST_HEADER,
     },
     crate::{
-        net::remove_hop_by_hop_headers,
+        net::{SegmentedBody, remove_hop_by_hop_headers},
         time::{ClockReading, TimePoint},
     },
-    bytes::Bytes,
     http::{
         HeaderMap, HeaderName, HeaderValue, Method, Request, Uri,
         header::{CONTENT_LENGTH, EXPECT, HOST},
         request::Parts,
         uri::Authority,
     },
-    http_body_util::Full,
 };
 
 /// Headers that are exchanged between sidecars only.
@@ -48,12 +46,12 @@
     /// Path and query in the form that the caller sent.
     pub(crate) path: String,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: SegmentedBody,
 }
 
 impl ForwardedCall {
     /// Copies the end-to-end headers of a request and drops the hop-by-hop ones.
-    pub(crate) fn new(head: Parts, body: Bytes, names: &HeaderNames) -> Self {
+    pub(crate) fn new(head: Parts, body: SegmentedBody, names: &HeaderNames) -> Self {
         let host = request_host(&head).to_owned();
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
         let path = path.to_owned();
@@ -86,13 +84,13 @@
         context: &HopContext,
         sent: ClockReading,
         format: HopFormat,
-    ) -> Result<Request<Full<Bytes>>, http::Error> {
+    ) -> Result<Request<SegmentedBody>, http::Error> {
         let uri = Uri::builder()
             .scheme("http")
             .authority(self.host.as_str())
             .path_and_query(self.path.as_str())
             .build()?;
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = uri;
         *request.headers_mut() = self.headers.clone();
@@ -109,8 +107,8 @@
         instance: &str,
         names: &HeaderNames,
         now: TimePoint,
-    ) -> Result<Request<Full<Bytes>>, http::Error> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    ) -> Result<Request<SegmentedBody>, http::Error> {
+        let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = Uri::try_from(self.path.as_str())?;
         let headers = request.headers_mut();
--- a/src/sidecar/mesh_question.rs
+++ b/src/sidecar/mesh_question.rs
@@ -2,11 +2,10 @@
     super::{PlatformAdapter, attempt_report::RelayBody, sidecar_state::SidecarState},
     crate::{
         error::{ProcessStep, StepError},
-        net::{ResponseBody, SendFailure, read_request},
+        net::{ResponseBody, SegmentedBody, SendFailure, read_request},
     },
     bytes::Bytes,
     http::{Request, Response, StatusCode},
-    http_body_util::Full,
     hyper::body::Incoming,
     serde::{Serialize, de::DeserializeOwned},
     std::{net::SocketAddr, time::Duration},
@@ -44,7 +43,7 @@
             let question = postcard::to_extend(question, Vec::new());
             let question = question.map_err(|error| failed(error.to_string()))?;
             let request = Request::post(format!("http://{peer}{}", self.path))
-                .body(Full::new(Bytes::from(question)))
+                .body(SegmentedBody::from(Bytes::from(question)))
                 .map_err(|error| failed(error.to_string()))?;
             let deadline = Instant::now() + time_limit;
             let response = state.mesh_pool.send(peer, request, deadline).await;
--- a/src/sidecar/outbound/outbound_service.rs
+++ b/src/sidecar/outbound/outbound_service.rs
@@ -24,11 +24,10 @@
         context::ServiceName,
         net::{
             BudgetRefusal, RequestArrival, RequestError, ResponseBody, STREAM_WINDOW_BYTES,
-            discard_request, read_reserved_request,
+            SegmentedBody, discard_request, read_reserved_request,
         },
         time::TimePoint,
     },
-    bytes::Bytes,
     futures_util::FutureExt,
     http::{
         HeaderValue, Request, Response,
@@ -522,14 +521,14 @@
     mut body: Incoming,
     limit: usize,
     timeout: Duration,
-) -> Result<Bytes, RequestFailure> {
+) -> Result<SegmentedBody, RequestFailure> {
     let length = header_text(&head.headers, &CONTENT_LENGTH);
     let length: Option<usize> = length.and_then(|text| text.parse().ok());
     if length.is_some_and(|length| length > limit) {
         return Err(RequestFailure::BodyTooLarge);
     }
     if body.is_end_stream() {
-        return Ok(Bytes::new());
+        return Ok(SegmentedBody::default());
     }
     let result = read_reserved_request(&mut body, limit, timeout, &state.body_budget).await;
     result.map_err(|error| match error {
--- a/src/sidecar/suspect_exchange.rs
+++ b/src/sidecar/suspect_exchange.rs
@@ -9,7 +9,6 @@
     bytes::Bytes,
     futures_util::stream::{self, StreamExt},
     http::{Request, Response, StatusCode},
-    http_body_util::Full,
     hyper::body::Incoming,
     rand::{RngExt, seq::IndexedRandom},
     serde::{Deserialize, Serialize},
@@ -207,7 +206,7 @@
     let failed = |reason: String| StepError::new(ProcessStep::ExchangeSuspects, peer, reason);
     let exchange = async {
         let request = Request::post(format!("http://{peer}{SUSPECTS_PATH}"))
-            .body(Full::new(message))
+            .body(message.into())
             .map_err(|error| failed(error.to_string()))?;
         let deadline = Instant::now() + MESSAGE_TIMEOUT;
         let response = state.mesh_pool.send(peer, request, deadline).await;
--- a/tests/crash/request_digest.rs
+++ b/tests/crash/request_digest.rs
@@ -5,7 +5,7 @@
     host: "one.example",
     path: "/read/1?page=2",
     caller: "front",
-    body: b"text",
+    body: &[b"text"],
 };
 
 #[test]
@@ -45,11 +45,11 @@
             ..REQUEST
         },
         RequestView {
-            body: b"",
+            body: &[],
             ..REQUEST
         },
         RequestView {
-            body: b"tex",
+            body: &[b"tex"],
             ..REQUEST
         },
         // The same bytes with the boundary between two parts elsewhere.
@@ -80,3 +80,18 @@
         assert!(text.parse::<RequestDigest>().is_err(), "{text}");
     }
 }
+
+#[test]
+fn division_of_the_body_does_not_count() {
+    let key = DigestKey::derive("test");
+    for body in [
+        &[b"te".as_slice(), b"xt"],
+        &[b"".as_slice(), b"text"],
+        &[b"t".as_slice(), b"ext"],
+    ] {
+        assert_eq!(
+            key.request(&REQUEST),
+            key.request(&RequestView { body, ..REQUEST })
+        );
+    }
+}
