Calls don't wait behind one that its target has not read

Cause: the connection was used again once the response had ended. The next call waited, after its checks, for the rest to be written, or behind it in the buffers of the system.

Ruled out: closing after every rejected call with a body (a connection for each refusal of a target at its limit); a small send buffer (more writes, and a shorter body stays undetected; by reading).

Why it works: a connection that doesn't accept a call at once is closed and given up; one on which a long call was rejected, or any with 413, is not used again; the request is built, and deadline, key and target are checked, when a connection is at hand.

--- a/src/net/target_pool.rs
+++ b/src/net/target_pool.rs
@@ -4,9 +4,9 @@
         segmented_body::SegmentedBody, send_failure::SendFailure,
     },
     crate::error::{ProcessStep, StepError},
-    http::{Request, Response},
+    http::{Request, Response, StatusCode},
     hyper::{
-        body::Incoming,
+        body::{Body, Incoming},
         client::conn::http1::{Builder, Connection, SendRequest},
         ext::on_informational,
     },
@@ -29,6 +29,11 @@
 /// Maximum read buffer of a connection, which also bounds the head of a response.
 pub(crate) const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time in which a connection whose response has ended accepts the next call.
+const MAX_READY_DELAY: Duration = Duration::from_millis(10);
+/// Length up to which a body is sent in one flight (RFC 6928), so that it has arrived when the
+/// target responds.
+const INITIAL_WINDOW_BYTES: u64 = 14_600;
 /// Maximum number of idle connections in the pool.
 const MAX_IDLE_CONNECTIONS: usize = 256;
 /// Refused calls after which a connection is closed.
@@ -107,6 +112,8 @@
     sender: SendRequest<SegmentedBody>,
     lease: ConnectionLease,
     refused_calls: RefusedCalls,
+    /// Whether the target may read a call on it late.
+    may_be_unread: bool,
     pool: Arc<TargetPool>,
     _permit: OwnedSemaphorePermit,
 }
@@ -130,58 +137,18 @@
         request: Request<SegmentedBody>,
         deadline: Instant,
     ) -> Result<(Response<Incoming>, TargetConnection), SendFailure> {
-        self.send_reusing(request, ReuseRule::ANY, deadline).await
-    }
-
-    /// Sends a call on a new connection, or on an idle one that `rule` allows.
-    pub(crate) async fn send_reusing(
-        self: &Arc<Self>,
-        request: Request<SegmentedBody>,
-        rule: ReuseRule<'_>,
-        deadline: Instant,
-    ) -> Result<(Response<Incoming>, TargetConnection), SendFailure> {
-        let mut request = request;
         loop {
-            let mut connection = self.connection(rule, deadline).await?;
-            let interim_count = InterimCount::default();
-            let recorded_count = interim_count.clone();
-            on_informational(&mut request, move |_| recorded_count.record());
-            let sending = connection.sender.try_send_request(request);
-            let sending = async {
-                tokio::select! {
-                    biased;
-                    () = interim_count.exceeded() => None,
-                    sent = sending => Some(sent),
-                }
-            };
-            match timeout_at(deadline, sending).await {
-                Ok(Some(Ok(response))) => {
-                    // A connection that brought another status is closed by the drop.
-                    let response = check_final(response)
-                        .map_err(|error| SendFailure::BadResponse(self.error(error)))?;
-                    return Ok((response, connection));
-                }
-                Ok(None) => {
-                    let error = self.error("too many interim responses");
-                    return Err(SendFailure::BadResponse(error));
-                }
-                // The target closed the idle connection before any byte of the call was sent.
-                Ok(Some(Err(mut error))) => match error.take_message() {
-                    Some(message) => request = message,
-                    None => return Err(SendFailure::Broken(self.error(error.into_error()))),
-                },
-                Err(_) => {
-                    // The cause of the timeout may affect the idle connections as well.
-                    self.close_idle();
-                    return Err(SendFailure::TimedOut(
-                        self.error("deadline passed before the response"),
-                    ));
-                }
+            let connection = self.connection(ReuseRule::ANY, deadline).await?;
+            match connection.send(request.clone(), deadline).await {
+                Err(SendFailure::NotSent(_)) => {}
+                sent => return sent,
             }
         }
     }
 
-    async fn connection(
+    /// Returns a new connection, or an idle one that `rule` allows, for a call that ends at
+    /// `deadline`.
+    pub(crate) async fn connection(
         self: &Arc<Self>,
         rule: ReuseRule<'_>,
         deadline: Instant,
@@ -202,6 +169,7 @@
             sender,
             lease,
             refused_calls,
+            may_be_unread: false,
             pool: self.clone(),
             _permit: permit,
         })
@@ -209,9 +177,12 @@
 
     async fn acquire_idle(&self, rule: ReuseRule<'_>) -> Option<IdleConnection> {
         while let Some(mut idle) = self.pop_idle(rule) {
-            if idle.sender.ready().await.is_ok() {
+            // A target may respond before it has read the whole call, and read on later. A call that
+            // waited for that could reach it after its deadline, or after the target has left.
+            if let Ok(Ok(())) = timeout(MAX_READY_DELAY, idle.sender.ready()).await {
                 return Some(idle);
             }
+            idle.lease.set(Some(Instant::now()));
         }
         None
     }
@@ -267,6 +238,14 @@
     }
 }
 
+/// Whether a target may have responded to a call before it has read its body. It reads on later, and
+/// the next call behind that.
+fn may_be_unread(status: StatusCode, body_length: u64) -> bool {
+    let is_rejected = status.is_client_error() || status.is_server_error();
+    let is_long = body_length > INITIAL_WINDOW_BYTES;
+    status == StatusCode::PAYLOAD_TOO_LARGE || is_rejected && is_long
+}
+
 /// Runs a connection until it ends or its lease does. A call that is sent wakes the task, which then
 /// reads the lease again.
 async fn run_connection(
@@ -300,6 +279,55 @@
         self.pool.target
     }
 
+    /// Sends a call and waits for the head of its response. [`SendFailure::NotSent`] means that the
+    /// target has closed the idle connection; the call may be sent on another.
+    pub(crate) async fn send(
+        mut self,
+        mut request: Request<SegmentedBody>,
+        deadline: Instant,
+    ) -> Result<(Response<Incoming>, Self), SendFailure> {
+        let interim_count = InterimCount::default();
+        let recorded_count = interim_count.clone();
+        on_informational(&mut request, move |_| recorded_count.record());
+        let body_length = request.body().size_hint().lower();
+        let sending = self.sender.try_send_request(request);
+        let sending = async {
+            tokio::select! {
+                biased;
+                () = interim_count.exceeded() => None,
+                sent = sending => Some(sent),
+            }
+        };
+        match timeout_at(deadline, sending).await {
+            Ok(Some(Ok(response))) => {
+                // A connection that brought another status is closed by the drop.
+                let response = check_final(response)
+                    .map_err(|error| SendFailure::BadResponse(self.pool.error(error)))?;
+                self.may_be_unread = may_be_unread(response.status(), body_length);
+                Ok((response, self))
+            }
+            Ok(None) => {
+                let error = self.pool.error("too many interim responses");
+                Err(SendFailure::BadResponse(error))
+            }
+            Ok(Some(Err(mut error))) => {
+                let is_unsent = error.take_message().is_some();
+                let error = self.pool.error(error.into_error());
+                Err(if is_unsent {
+                    SendFailure::NotSent(error)
+                } else {
+                    SendFailure::Broken(error)
+                })
+            }
+            Err(_) => {
+                // The cause of the timeout may affect the idle connections as well.
+                self.pool.close_idle();
+                let error = self.pool.error("deadline passed before the response");
+                Err(SendFailure::TimedOut(error))
+            }
+        }
+    }
+
     /// Returns the connection to the pool after a complete response.
     pub(crate) fn release(self) {
         self.release_with_timeout(MAX_IDLE_TIMEOUT);
@@ -313,8 +341,12 @@
         }
     }
 
-    /// Returns the connection to the pool for `idle_timeout`, in which the target keeps it open.
+    /// Returns the connection to the pool for `idle_timeout`, in which the target keeps it open,
+    /// unless the call may be unread.
     pub(crate) fn release_with_timeout(self, idle_timeout: Duration) {
+        if self.may_be_unread {
+            return;
+        }
         let mut idle = self
             .pool
             .idle
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -189,7 +189,8 @@
             max_idle_time,
             ..ReuseRule::ANY
         };
-        let sending = pool.send_reusing(request, rule, deadline);
+        let connection = pool.connection(rule, deadline).await;
+        let sending = connection.expect("a connection").send(request, deadline);
         let (response, connection) = sending.await.expect("a response");
         let body = response.into_body().collect().await.expect("a body");
         connections.push(body.to_bytes());
@@ -214,7 +215,8 @@
             call_id,
             ..ReuseRule::ANY
         };
-        let sending = pool.send_reusing(request, rule, deadline);
+        let connection = pool.connection(rule, deadline).await;
+        let sending = connection.expect("a connection").send(request, deadline);
         let (response, connection) = sending.await.expect("a response");
         let body = response.into_body().collect().await.expect("a body");
         connections.push(body.to_bytes());
@@ -440,3 +442,109 @@
     }
     assert!(SegmentedBody::from(Bytes::new()).is_end_stream());
 }
+
+/// A call waited on a connection whose target had responded without reading the call before, until
+/// it read on: past the call's deadline, or after the target had left.
+#[tokio::test]
+async fn a_call_does_not_wait_until_a_target_reads_the_call_before() {
+    const UNREAD_BYTES: usize = 16 * 1024 * 1024;
+    const UNREAD_DEADLINE: Duration = Duration::from_millis(800);
+    const END_SLACK: Duration = Duration::from_millis(500);
+    const MOST_WAITING: Duration = Duration::from_millis(300);
+    let listener = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await;
+    let listener = listener.expect("a free port");
+    let pool = TargetPool::new(listener.local_addr().expect("bound"), 8);
+    let target = tokio::spawn(async move {
+        let mut streams = Vec::new();
+        while streams.len() < 2 {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut head = [0; 16];
+            stream.read_exact(&mut head).await.expect("a call");
+            let response = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+            stream.write_all(response).await.expect("a reader");
+            streams.push(stream);
+        }
+        streams
+    });
+    for length in [UNREAD_BYTES, 1] {
+        let sent_at = Instant::now();
+        let body = SegmentedBody::from(Bytes::from(vec![b'a'; length]));
+        let request = Request::post("/").body(body).expect("a request");
+        let sending = pool.send(request, sent_at + UNREAD_DEADLINE);
+        let sent = timeout(DEADLINE, sending).await.expect("no waiting");
+        let (response, connection) = sent.expect("a response");
+        let body = response.into_body().collect().await.expect("a body");
+        assert_eq!(body.to_bytes(), "ok");
+        assert!(sent_at.elapsed() < MOST_WAITING, "{length}");
+        connection.release();
+    }
+    let mut streams = target.await.expect("no panic");
+    sleep(UNREAD_DEADLINE + END_SLACK).await;
+    let mut unread = Vec::new();
+    let reading = streams[0].read_to_end(&mut unread);
+    // An error is the end of a connection that was reset.
+    let _ = timeout(DEADLINE, reading)
+        .await
+        .expect("a closed connection");
+    assert!(unread.len() < UNREAD_BYTES, "the rest of the call is kept");
+}
+
+/// A target that rejects a call may read its body later, and the next call behind it; the bytes are
+/// in buffers of the system then.
+#[tokio::test]
+async fn connection_on_which_a_long_call_was_rejected_is_not_used_again() {
+    // Status, length of the body, and whether the next call uses the same connection.
+    let cases = [
+        (200, 24_000, true),
+        (404, 7_200, true),
+        (500, 7_200, true),
+        (413, 7_200, false),
+        (413, 24_000, false),
+        (404, 24_000, false),
+        (503, 24_000, false),
+    ];
+    for (status, length, is_reused) in cases {
+        let listener = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await;
+        let listener = listener.expect("a free port");
+        let pool = TargetPool::new(listener.local_addr().expect("bound"), 8);
+        let target = tokio::spawn(async move {
+            for connection in 0.. {
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                tokio::spawn(async move {
+                    let mut call = vec![0; 64 * 1024];
+                    let mut unread = 0;
+                    while let Ok(read @ 1..) = stream.read(&mut call).await {
+                        unread += read;
+                        // The body of the call, which is longer than its head.
+                        if unread < length {
+                            continue;
+                        }
+                        unread = 0;
+                        let response = format!(
+                            "HTTP/1.1 {status} Text\r\nContent-Length: 1\r\n\r\n{connection}"
+                        );
+                        stream
+                            .write_all(response.as_bytes())
+                            .await
+                            .expect("a reader");
+                    }
+                });
+            }
+        });
+        let mut connections = Vec::new();
+        for _ in 0..2 {
+            let body = SegmentedBody::from(Bytes::from(vec![b'a'; length]));
+            let request = Request::post("/").body(body).expect("a request");
+            let sending = pool.send(request, Instant::now() + DEADLINE);
+            let (response, connection) = sending.await.expect("a response");
+            let body = response.into_body().collect().await.expect("a body");
+            connections.push(body.to_bytes());
+            connection.release();
+        }
+        let [first, second] = &connections[..] else {
+            panic!("two responses");
+        };
+        assert_eq!(first == second, is_reused, "{status} {length}");
+        target.abort();
+    }
+}
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -31,7 +31,7 @@
         crash::{RequestDigest, RunEnd, SuspectStanding, choose_isolation_target},
         net::{
             BudgetRefusal, MAX_READ_BUFFER_BYTES, MAX_SEND_BUFFER_BYTES, RequestError,
-            ResponseBody, ResponsePrefix, ReuseRule, SendFailure, TargetConnection,
+            ResponseBody, ResponsePrefix, ReuseRule, SegmentedBody, SendFailure, TargetConnection,
             clean_response_headers, read_reserved_request, read_reserved_response, read_response,
             remove_content_length, set_header,
         },
@@ -426,26 +426,6 @@
     context: &HopContext,
     target_run: StreamedRun,
 ) -> Result<Response<RelayBody>, AttemptFailure> {
-    let now = state.clock.now();
-    // After a suspension of the VM, queued calls may be long past their deadlines.
-    if now >= context.deadline {
-        target_run.finish_not_run();
-        return Err(AttemptFailure::DeadlineTooNear);
-    }
-    if context.key_valid_until.is_some_and(|end| now >= end) {
-        target_run.finish_not_run();
-        return Err(AttemptFailure::KeyUnproven);
-    }
-    let names = state.platform.headers();
-    let request = match call.to_target_request(context, &target.incarnation.instance, names, now) {
-        Ok(request) => request,
-        Err(error) => {
-            slog::warn!(state.log.logger, "call refused: request to the target can't be built";
-                "request" => &call.id, "error" => %error);
-            target_run.finish_not_run();
-            return Err(AttemptFailure::NoTarget);
-        }
-    };
     let deadline = state.clock.instant_of(context.deadline) + CONNECTION_END_TIME;
     let max_idle_time = if context.is_idempotent {
         Duration::MAX
@@ -456,8 +436,24 @@
         max_idle_time,
         call_id: &call.id,
     };
-    let sending = target.pool.send_reusing(request, rule, deadline);
-    match sending.await {
+    let sent = loop {
+        let connection = match target.pool.connection(rule, deadline).await {
+            Ok(connection) => connection,
+            Err(failure) => break Err(failure),
+        };
+        let request = match build_target_request(state, target, call, context) {
+            Ok(request) => request,
+            Err(failure) => {
+                target_run.finish_not_run();
+                return Err(failure);
+            }
+        };
+        match connection.send(request, deadline).await {
+            Err(SendFailure::NotSent(_)) => {}
+            sent => break sent,
+        }
+    };
+    match sent {
         Ok((response, connection)) => {
             relay_response(
                 state, target, call, context, response, connection, target_run,
@@ -483,6 +479,35 @@
     }
 }
 
+/// Builds the request to the target, unless it must not be sent any more.
+///
+/// It is built when it can be written at once: until then the deadline may have passed, and the
+/// target may have left.
+fn build_target_request<P: PlatformAdapter>(
+    state: &SidecarState<P>,
+    target: &LiveTarget,
+    call: &ForwardedCall,
+    context: &HopContext,
+) -> Result<Request<SegmentedBody>, AttemptFailure> {
+    let now = state.clock.now();
+    if now >= context.deadline {
+        return Err(AttemptFailure::DeadlineTooNear);
+    }
+    if context.key_valid_until.is_some_and(|end| now >= end) {
+        return Err(AttemptFailure::KeyUnproven);
+    }
+    if target.semaphore.is_closed() {
+        return Err(AttemptFailure::TargetClosed);
+    }
+    let names = state.platform.headers();
+    let request = call.to_target_request(context, &target.incarnation.instance, names, now);
+    request.map_err(|error| {
+        slog::warn!(state.log.logger, "call refused: request to the target can't be built";
+            "request" => &call.id, "error" => %error);
+        AttemptFailure::NoTarget
+    })
+}
+
 /// Ends a call that got no complete response; returns the failure if the target has crashed.
 async fn end_failed_run<P: PlatformAdapter>(
     state: &SidecarState<P>,
--- a/src/sidecar/slot_semaphore.rs
+++ b/src/sidecar/slot_semaphore.rs
@@ -80,6 +80,10 @@
         }
     }
 
+    pub(crate) fn is_closed(&self) -> bool {
+        self.state().is_closed
+    }
+
     pub(crate) fn load(&self) -> TargetLoad {
         self.state().scheduler.load(self.clock.now())
     }
