--- a/review/standins-3/harness.rs
+++ b/review/standins-3/harness.rs
@@ -353,6 +353,10 @@
     address: SocketAddr,
     rows: Arc<(Mutex<Rows>, Condvar)>,
     start: Instant,
+    /// Number of outages that have begun; calls that were received before one, or in it, get no
+    /// answer, nor do later ones on the same connection.
+    outages: Arc<AtomicU64>,
+    is_silent: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -361,6 +365,8 @@
             address,
             rows: Arc::default(),
             start: Instant::now(),
+            outages: Arc::default(),
+            is_silent: Arc::default(),
         };
         let listener = TcpListener::bind(address).expect("the store can't listen");
         let served = store.clone();
@@ -373,6 +379,14 @@
         store
     }
 
+    /// Answers no call for `time`.
+    pub fn be_silent(&self, time: Duration) {
+        self.is_silent.store(true, Ordering::SeqCst);
+        self.outages.fetch_add(1, Ordering::SeqCst);
+        thread::sleep(time);
+        self.is_silent.store(false, Ordering::SeqCst);
+    }
+
     /// Writes the operator's configuration.
     pub fn put_configuration(&self, document: &str) {
         let mut rows = self.rows.0.lock().unwrap();
@@ -385,11 +399,20 @@
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
         let mut writer = stream;
+        let outages = self.outages.load(Ordering::SeqCst);
         loop {
             let head = Head::read(&mut reader)?;
             let body = read_body(&head, &mut reader)?;
             thread::sleep(Duration::from_millis(4));
+            let mut is_lost = self.is_silent.load(Ordering::SeqCst);
             let (status, text) = self.answer(&head, &String::from_utf8_lossy(&body));
+            is_lost |= self.outages.load(Ordering::SeqCst) != outages;
+            if is_lost {
+                // The connection stays open and delivers nothing further.
+                loop {
+                    thread::park();
+                }
+            }
             let text = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}",
                 text.len()
